--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+PYTHON ?= python3
+VENV := .venv
+RUN := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: test demo bench format lint types unit lock clean
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(RUN) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(RUN) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(RUN) -m tests
+
+demo: $(STAMP)
+	$(RUN) -m tests.lib.demo
+
+bench: $(STAMP)
+	$(RUN) -m bench $(BENCH_ARGS)
+
+format: $(STAMP)
+	$(RUN) -m ruff format src tests bench
+	$(RUN) -m ruff check --fix src tests bench
+
+lint: $(STAMP)
+	$(RUN) -m ruff format --check src tests bench
+	$(RUN) -m ruff check src tests bench
+	$(RUN) -m flake8 src tests bench
+
+types: $(STAMP)
+	$(RUN) -m mypy
+
+unit: $(STAMP)
+	$(RUN) -m unittest discover -s tests/unit -t .
+
+lock: $(STAMP)
+	$(RUN) -m piptools compile --quiet --no-emit-index-url --no-emit-trusted-host --no-header --strip-extras --extra dev --extra bench -o requirements.lock pyproject.toml
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, fault scenarios and the naive baseline."""
--- /dev/null
+++ b/src/dragonflyshift/__main__.py
@@ -0,0 +1,1 @@
+"""Entry point of the operators' command line."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private implementation; nothing here is a stable interface."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer role: steer, wrap and unwrap datagrams."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line: options, errors and exit statuses."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command of the operators' tool."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/config/__init__.py
@@ -0,0 +1,1 @@
+"""Inventory, published documents, watching and versions."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-in registry, settings and lifecycle."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/limits/__init__.py
@@ -0,0 +1,9 @@
+"""Admission of requests to an endpoint's slots."""
+
+from dragonflyshift._internal.limits.base import (
+    Admission,
+    QueueFullError,
+    Ticket,
+)
+
+__all__ = ('Admission', 'QueueFullError', 'Ticket')
--- /dev/null
+++ b/src/dragonflyshift/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Probing, suspicion and digests among a service's sidecars."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/models/rules.py
@@ -0,0 +1,35 @@
+"""Rules that operators set for a service."""
+
+import enum
+
+from attrs import frozen
+
+
+class Locality(enum.StrEnum):
+    """How far from a balancer new flows may be placed."""
+
+    DATA_CENTER = 'data-center'
+    REGION = 'region'
+    ANYWHERE = 'anywhere'
+
+
+@frozen
+class ServiceRules:
+    """Limits and deadlines of one service.
+
+    Durations are in seconds. ``idempotent`` lists rules of the form
+    ``METHOD /path-prefix``; requests that match may be run again, and GET,
+    HEAD and OPTIONS always may. ``retry_ratio`` is the number of retries
+    allowed for each first attempt. ``queue_limit`` bounds the requests that
+    wait at one endpoint.
+    """
+
+    connections: int = 2000
+    queue_limit: int = 32
+    request_timeout: float = 30.0
+    stream_timeout: float = 43200.0
+    retry_ratio: float = 0.1
+    slow_start: float = 5.0
+    locality: Locality = Locality.DATA_CENTER
+    idempotent: tuple[str, ...] = ()
+    streaming: tuple[str, ...] = ()
--- /dev/null
+++ b/src/dragonflyshift/_internal/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Recovery after pauses and losses."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar role: end flows, admit and run requests."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/state/__init__.py
@@ -0,0 +1,1 @@
+"""Outcomes, claims and other short-lived state."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small single-purpose helpers."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between our processes, connection ids, authentication."""
