--- /dev/null
+++ b/src/dragonflyshift/_internal/balancer/by_connection_id.py
@@ -0,0 +1,63 @@
+"""Steering without flow state, by what the packet itself says.
+
+An issued connection id names its sidecar; the first packets of a new flow
+are hashed over the endpoints.
+"""
+
+from dragonflyshift._internal.balancer.steering import (
+    Decision,
+    Steering,
+    Verdict,
+)
+from dragonflyshift._internal.exceptions import WireError
+from dragonflyshift._internal.models import Address, ServiceDocument
+from dragonflyshift._internal.routing import Place
+from dragonflyshift._internal.wire.quic_header import (
+    MIN_INITIAL_BYTES,
+    Form,
+    read_header,
+)
+
+
+class ConnectionIdSteering(Steering, name='connection-id'):
+    """Steer packets by connection id, new flows by candidate choice."""
+
+    def decide(
+        self,
+        service: ServiceDocument,
+        packet: bytes,
+        client: Address,
+    ) -> Decision:
+        """Return where a packet to ``service`` goes."""
+        try:
+            header = read_header(packet)
+        except WireError:
+            return Decision(Verdict.MALFORMED)
+        issued = self.context.codec.decode(header.destination)
+        if issued is not None and issued.tag == service.tag:
+            return Decision(Verdict.OWNED, issued.address)
+        if header.form is Form.SHORT or header.version == 0:
+            return Decision(Verdict.FOREIGN_ID)
+        if len(packet) < MIN_INITIAL_BYTES:
+            return Decision(Verdict.TOO_SHORT)
+        return self.place(service, header.destination)
+
+    def place(self, service: ServiceDocument, flow_key: bytes) -> Decision:
+        """Choose the first and second candidate for a new flow."""
+        context = self.context
+        place = Place(
+            context.data_center,
+            context.region,
+            service.rules.locality,
+        )
+        ranked = context.choice.rank(flow_key, context.view(service), place)
+        if not ranked:
+            return Decision(Verdict.NO_ENDPOINT, flow_key=flow_key)
+        second = ranked[1].endpoint.address if len(ranked) > 1 else None
+        return Decision(
+            Verdict.NEW_FLOW,
+            ranked[0].endpoint.address,
+            second,
+            flow_key,
+            ranked,
+        )
--- /dev/null
+++ b/src/dragonflyshift/_internal/balancer/views.py
@@ -0,0 +1,92 @@
+"""What a balancer knows of the endpoints of each service.
+
+Three sources, the strongest first: its own traffic, the sidecars' digests,
+and the register. The platform's list of instances is not used here: it lags.
+"""
+
+import time
+from collections.abc import Callable
+
+from dragonflyshift._internal.membership import (
+    EndpointHealth,
+    MemberTable,
+    decode_digest,
+)
+from dragonflyshift._internal.models import (
+    Address,
+    Endpoint,
+    MemberState,
+    ServiceDocument,
+)
+from dragonflyshift._internal.routing import Candidate
+
+
+class ServiceViews:
+    """One member table for each service, and one health record for all."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        """Start with no word on anybody: all endpoints are presumed alive."""
+        self._clock = clock
+        self._tables: dict[int, MemberTable] = {}
+        self.health = EndpointHealth()
+
+    def table(self, tag: int) -> MemberTable:
+        """Return the member table of a service."""
+        found = self._tables.get(tag)
+        if found is None:
+            found = MemberTable(None)
+            self._tables[tag] = found
+        return found
+
+    def candidates(self, service: ServiceDocument) -> tuple[Candidate, ...]:
+        """Return the service's endpoints with the newest word on each."""
+        now = self._clock()
+        table = self.table(service.tag)
+        return tuple(
+            self._candidate(endpoint, table, now)
+            for endpoint in service.endpoints
+        )
+
+    def merge(self, tag: int, digest: bytes) -> None:
+        """Take in a digest; raise MembershipError if it is malformed."""
+        if not digest:
+            return
+        self.table(tag).merge(decode_digest(digest), self._clock())
+
+    def retain(self, service: ServiceDocument) -> None:
+        """Forget members that the register no longer lists."""
+        addresses = frozenset(item.address for item in service.endpoints)
+        self.table(service.tag).retain(addresses, self._clock())
+
+    def heard(self, address: Address) -> None:
+        """Take note that a sidecar sent something."""
+        self.health.heard(address, self._clock())
+
+    def refused(self, address: Address) -> None:
+        """Take note that nobody listens at a sidecar's address."""
+        self.health.refused(address, self._clock())
+
+    def forwarded_new(self, address: Address) -> None:
+        """Take note that a new flow was sent to a sidecar."""
+        self.health.forwarded_new(address, self._clock())
+
+    def reset(self) -> None:
+        """Trust nothing from before a pause."""
+        self.health.reset()
+        for table in self._tables.values():
+            table.forget_beliefs(self._clock())
+
+    def _candidate(
+        self,
+        endpoint: Endpoint,
+        table: MemberTable,
+        now: float,
+    ) -> Candidate:
+        state = table.state_of(endpoint.address)
+        return Candidate(
+            endpoint,
+            MemberState.ALIVE if state is None else state,
+            self.health.reachable(endpoint.address, now),
+        )
+
+
--- /dev/null
+++ b/src/dragonflyshift/_internal/control/server.py
@@ -0,0 +1,116 @@
+"""The stream server that every daemon has on its listen address.
+
+It answers status and route requests of the command line, and document
+requests of peers. A role adds handlers of its own.
+"""
+
+import json
+import logging
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from dragonflyshift._internal.config import ConfigurationStore
+from dragonflyshift._internal.exceptions import PeerError, WireError
+from dragonflyshift._internal.models import Address
+from dragonflyshift._internal.wire.keys import FleetKeys
+from dragonflyshift._internal.wire.messages import (
+    DocumentReply,
+    DocumentRequest,
+    Message,
+    RouteReply,
+    RouteRequest,
+    StatusReply,
+    StatusRequest,
+)
+from dragonflyshift._internal.wire.stream import MessageStream, StreamServer
+
+logger = logging.getLogger(__name__)
+
+Handler = Callable[[MessageStream, Any], Awaitable[None]]
+
+
+class Reports(ABC):
+    """What a role tells the command line, as JSON objects."""
+
+    @abstractmethod
+    def status(self) -> dict[str, Any]:
+        """Describe the daemon's view."""
+
+    @abstractmethod
+    def route(self, request: RouteRequest) -> dict[str, Any]:
+        """Explain where a packet or new flow would go."""
+
+
+class ControlServer:
+    """Serve one message after another on each stream."""
+
+    def __init__(
+        self,
+        address: Address,
+        keys: FleetKeys,
+        store: ConfigurationStore,
+        reports: Reports,
+    ) -> None:
+        """Prepare the server; it listens after ``start``."""
+        self._store = store
+        self._reports = reports
+        self._server = StreamServer(address, keys, self._serve)
+        self._handlers: dict[type[Message], Handler] = {
+            StatusRequest: self._status,
+            RouteRequest: self._route,
+            DocumentRequest: self._document,
+        }
+
+    def add_handler(self, message: type[Message], handler: Handler) -> None:
+        """Handle a kind of message that a role knows."""
+        self._handlers[message] = handler
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Stop listening and end all streams."""
+        await self._server.close()
+
+    async def _serve(self, stream: MessageStream) -> None:
+        try:
+            await self._serve_messages(stream)
+        except (PeerError, WireError) as exc:
+            logger.debug('stream-ended', extra={'reason': exc.message})
+
+    async def _serve_messages(self, stream: MessageStream) -> None:
+        while True:
+            message = await stream.receive()
+            handler = self._handlers.get(type(message))
+            if handler is None:
+                raise WireError(f'{type(message).__name__} is not expected')
+            await handler(stream, message)
+
+    async def _status(
+        self,
+        stream: MessageStream,
+        _request: StatusRequest,
+    ) -> None:
+        report = json.dumps(self._reports.status())
+        await stream.send(StatusReply(report.encode()))
+
+    async def _route(
+        self,
+        stream: MessageStream,
+        request: RouteRequest,
+    ) -> None:
+        report = json.dumps(self._reports.route(request))
+        await stream.send(RouteReply(report.encode()))
+
+    async def _document(
+        self,
+        stream: MessageStream,
+        request: DocumentRequest,
+    ) -> None:
+        version = self._store.version(request.key) or 0
+        raw = b''
+        if version > request.above:
+            raw = self._store.raw(request.key) or b''
+        await stream.send(DocumentReply(request.key, version, raw))
--- /dev/null
+++ b/src/dragonflyshift/_internal/sidecar/flow.py
@@ -0,0 +1,306 @@
+"""One flow: a client's QUIC connection with its HTTP/3 requests."""
+
+import asyncio
+import functools
+import logging
+import time
+from collections.abc import Awaitable, Callable
+
+from aioquic.h3.connection import H3_ALPN, ErrorCode, H3Connection
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.h3.exceptions import H3Error
+from aioquic.quic.events import (
+    ConnectionTerminated,
+    HandshakeCompleted,
+    ProtocolNegotiated,
+    QuicEvent,
+    StopSendingReceived,
+    StreamReset,
+)
+
+from dragonflyshift._internal.exceptions import SidecarError
+from dragonflyshift._internal.sidecar.quic import (
+    IssuedConnection,
+    IssuedProtocol,
+    send_goaway,
+)
+from dragonflyshift._internal.sidecar.request import (
+    AnswerSink,
+    HeaderList,
+    RequestBody,
+)
+
+logger = logging.getLogger(__name__)
+
+SEND_HIGH_BYTES = 256 * 1024
+MAX_STREAMS_PER_FLOW = 64
+KEEPALIVES_PER_IDLE_TIMEOUT = 3
+LAST_STREAM_ID = (1 << 62) - 4
+STREAM_ID_STEP = 4
+
+
+class FlowClosedError(SidecarError):
+    """The client's connection or stream ended."""
+
+
+RequestHandler = Callable[
+    ['Flow', HeaderList, RequestBody, AnswerSink],
+    Awaitable[None],
+]
+
+
+class Flow(IssuedProtocol):
+    """End a client's connection and run one task for each request."""
+
+    def __init__(
+        self,
+        quic: IssuedConnection,
+        handler: RequestHandler,
+        first_id: bytes,
+        idle_timeout: float,
+    ) -> None:
+        """Keep ``first_id``, the id that the client chose, for traces."""
+        super().__init__(quic)
+        self.first_id = first_id
+        self._handler = handler
+        self._keepalive_period = idle_timeout / KEEPALIVES_PER_IDLE_TIMEOUT
+        self._http: H3Connection | None = None
+        self._bodies: dict[int, RequestBody] = {}
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._progress = asyncio.Event()
+        self._keepalive = self._loop.call_later(
+            self._keepalive_period,
+            self._send_keepalive,
+        )
+        self._refusing = False
+        self._next_stream_id = 0
+        self.last_request_at = time.monotonic()
+        self.confirmed = False
+        self.ended = False
+
+    @property
+    def open_requests(self) -> int:
+        """Requests whose answer isn't complete."""
+        return len(self._tasks)
+
+    def quic_event_received(self, event: QuicEvent) -> None:
+        """React to an event of the connection."""
+        self._progress.set()
+        if isinstance(event, ProtocolNegotiated):
+            if event.alpn_protocol in H3_ALPN:
+                self._http = H3Connection(self.quic)
+        elif isinstance(event, HandshakeCompleted):
+            self.confirmed = True
+        elif isinstance(event, ConnectionTerminated):
+            self._end()
+        elif isinstance(event, (StreamReset, StopSendingReceived)):
+            self._cancel(event.stream_id)
+        if self._http is not None:
+            for http_event in self._http.handle_event(event):
+                self._http_event(http_event)
+
+    def datagram_received(self, data: bytes | str, addr: object) -> None:
+        """Take in a packet; answers that waited for room may go on."""
+        super().datagram_received(data, addr)
+        self._progress.set()
+
+    def send_head(
+        self,
+        stream_id: int,
+        status: int,
+        headers: HeaderList,
+    ) -> None:
+        """Send the head of an answer."""
+        lines = [(b':status', str(status).encode()), *headers]
+        self._send(
+            stream_id,
+            lambda http: http.send_headers(stream_id, lines),
+        )
+
+    async def send_chunk(self, stream_id: int, chunk: bytes) -> None:
+        """Send a part of an answer; wait while much is unacknowledged."""
+        self._send(
+            stream_id,
+            lambda http: http.send_data(stream_id, chunk, end_stream=False),
+        )
+        while self.quic.unsent_bytes(stream_id) > SEND_HIGH_BYTES:
+            self._progress.clear()
+            await self._progress.wait()
+            self._require_open(stream_id)
+
+    def finish(self, stream_id: int) -> None:
+        """End a whole answer."""
+        self._send(
+            stream_id,
+            lambda http: http.send_data(stream_id, b'', end_stream=True),
+        )
+
+    def abort(self, stream_id: int) -> None:
+        """Reset a stream, so that the client sees a broken answer."""
+        if not self.ended and self.quic.can_send(stream_id):
+            self.quic.reset_stream(stream_id, ErrorCode.H3_INTERNAL_ERROR)
+            self.transmit()
+
+    def announce_leaving(self) -> None:
+        """Ask the client to open its next requests on another connection.
+
+        Requests that arrive all the same are still served.
+        """
+        self._send_goaway(LAST_STREAM_ID)
+
+    def refuse_new(self) -> None:
+        """Process no further request; each one is rejected as not run."""
+        self._refusing = True
+        self._send_goaway(self._next_stream_id)
+
+    async def wait_requests(self) -> None:
+        """Wait until no request is open."""
+        while self._tasks:
+            await asyncio.wait(tuple(self._tasks.values()))
+
+    def _send(
+        self,
+        stream_id: int,
+        action: Callable[[H3Connection], None],
+    ) -> None:
+        self._require_open(stream_id)
+        if self._http is None:
+            raise FlowClosedError('no HTTP/3 was negotiated')
+        try:
+            action(self._http)
+        except (H3Error, AssertionError, ValueError) as exc:
+            raise FlowClosedError(f'the stream is closed: {exc}') from exc
+        self.transmit_soon()
+
+    def _send_goaway(self, stream_id: int) -> None:
+        if self._http is None or self.ended:
+            return
+        send_goaway(self.quic, self._http, stream_id)
+        self.transmit()
+
+    def _require_open(self, stream_id: int) -> None:
+        if self.ended or not self.quic.can_send(stream_id):
+            raise FlowClosedError('the client ended the stream')
+
+    def _http_event(self, event: H3Event) -> None:
+        if isinstance(event, HeadersReceived):
+            self._request_started(event)
+        elif isinstance(event, DataReceived):
+            self._body_arrived(event)
+
+    def _request_started(self, event: HeadersReceived) -> None:
+        stream_id = event.stream_id
+        if stream_id in self._bodies:
+            # Trailers: their fields are dropped, the end is taken in.
+            self._bodies[stream_id].feed(b'', event.stream_ended)
+            return
+        if self._refusing or len(self._tasks) >= MAX_STREAMS_PER_FLOW:
+            self.quic.reset_stream(stream_id, ErrorCode.H3_REQUEST_REJECTED)
+            return
+        self.last_request_at = time.monotonic()
+        self._next_stream_id = max(
+            self._next_stream_id,
+            stream_id + STREAM_ID_STEP,
+        )
+        body = RequestBody(functools.partial(self._hold, stream_id))
+        body.feed(b'', event.stream_ended)
+        self._bodies[stream_id] = body
+        task = self._loop.create_task(
+            self._handle(stream_id, tuple(event.headers), body),
+            name=f'request-{stream_id}',
+        )
+        self._tasks[stream_id] = task
+
+    def _body_arrived(self, event: DataReceived) -> None:
+        body = self._bodies.get(event.stream_id)
+        if body is None:
+            return
+        body.feed(event.data, event.stream_ended)
+
+    def _hold(self, stream_id: int, held: bool) -> None:
+        self.quic.hold(stream_id, held)
+        if not held:
+            self.transmit_soon()
+
+    async def _handle(
+        self,
+        stream_id: int,
+        headers: HeaderList,
+        body: RequestBody,
+    ) -> None:
+        sink = FlowSink(self, stream_id)
+        try:
+            await self._handler(self, headers, body, sink)
+        except FlowClosedError:
+            logger.debug('client-gone', extra={'stream': stream_id})
+        except Exception:
+            logger.exception('request-failed')
+            self.abort(stream_id)
+        finally:
+            self._forget(stream_id)
+
+    def _forget(self, stream_id: int) -> None:
+        self._bodies.pop(stream_id, None)
+        self._tasks.pop(stream_id, None)
+        self.quic.hold(stream_id, held=False)
+
+    def _cancel(self, stream_id: int) -> None:
+        body = self._bodies.get(stream_id)
+        if body is not None:
+            body.cut()
+        task = self._tasks.get(stream_id)
+        if task is not None:
+            task.cancel()
+
+    def _end(self) -> None:
+        self.ended = True
+        self._keepalive.cancel()
+        for stream_id in tuple(self._tasks):
+            self._cancel(stream_id)
+
+    def _send_keepalive(self) -> None:
+        """Keep a quiet flow open while a request runs on it.
+
+        A client that is gone doesn't acknowledge, so the idle timeout still
+        ends the flow.
+        """
+        if self._tasks and not self.ended:
+            self.quic.send_ping(id(self))
+            self.transmit()
+        self._keepalive = self._loop.call_later(
+            self._keepalive_period,
+            self._send_keepalive,
+        )
+
+
+class FlowSink(AnswerSink):
+    """Send an answer on a stream of a flow."""
+
+    def __init__(self, flow: Flow, stream_id: int) -> None:
+        """Bind the stream."""
+        self._flow = flow
+        self._stream_id = stream_id
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head has been sent."""
+        return self._started
+
+    async def send_head(self, status: int, headers: HeaderList) -> None:
+        """Send status and headers."""
+        self._started = True
+        self._flow.send_head(self._stream_id, status, headers)
+
+    async def send_chunk(self, chunk: bytes) -> None:
+        """Send a part of the body, waiting while the client is slow."""
+        await self._flow.send_chunk(self._stream_id, chunk)
+
+    async def finish(self) -> None:
+        """End a whole answer."""
+        self._flow.finish(self._stream_id)
+
+    async def abort(self) -> None:
+        """Reset the stream."""
+        self._flow.abort(self._stream_id)
+
--- /dev/null
+++ b/src/dragonflyshift/_internal/sidecar/local.py
@@ -0,0 +1,122 @@
+"""Run a request on the sidecar's own backend server."""
+
+import asyncio
+import logging
+import time
+
+from dragonflyshift._internal.exceptions import BackendError
+from dragonflyshift._internal.limits import Admission
+from dragonflyshift._internal.models import OutcomeKind
+from dragonflyshift._internal.sidecar.answers import STATUS_UNAVAILABLE
+from dragonflyshift._internal.sidecar.backend import (
+    BackendAnswer,
+    BackendClient,
+    BackendRequest,
+)
+from dragonflyshift._internal.sidecar.backend_errors import (
+    BackendUnreachableError,
+)
+from dragonflyshift._internal.sidecar.classify import MS_PER_SECOND
+from dragonflyshift._internal.sidecar.failures import (
+    NotRunError,
+    RequestTimeoutError,
+    RunFailedError,
+)
+from dragonflyshift._internal.sidecar.request import (
+    OUTCOME_HEADER,
+    TIMEOUT_HEADER,
+    AnswerSink,
+    Request,
+    RequestCutError,
+)
+from dragonflyshift._internal.telemetry import Metrics
+
+logger = logging.getLogger(__name__)
+
+_ANSWERED = (OUTCOME_HEADER, OutcomeKind.ANSWERED.encode())
+
+
+class LocalRunner:
+    """Exchange one request with the backend server; the slot is taken."""
+
+    def __init__(
+        self,
+        backend: BackendClient,
+        admission: Admission,
+        metrics: Metrics,
+    ) -> None:
+        """Report to ``admission`` how the backend server does."""
+        self._backend = backend
+        self._admission = admission
+        self._metrics = metrics
+        self.unreachable_since: float | None = None
+
+    async def run(self, req: Request, sink: AnswerSink) -> None:
+        """Run a request; raise RunFailedError when it got no whole answer.
+
+        The slot that the caller took is given back in any case.
+        """
+        started = time.monotonic()
+        try:
+            async with asyncio.timeout_at(req.info.deadline):
+                await self._exchange(req, sink)
+        except TimeoutError as exc:
+            self._metrics.incr('timeouts')
+            raise RequestTimeoutError from exc
+        finally:
+            now = time.monotonic()
+            self._admission.finish(now, now - started)
+            self._metrics.timing('held', now - started)
+
+    async def _exchange(self, req: Request, sink: AnswerSink) -> None:
+        try:
+            answer = await self._backend.exchange(
+                _backend_request(req),
+                req.body.chunks(),
+            )
+        except BackendUnreachableError as exc:
+            self._note_unreachable()
+            raise NotRunError('the backend server is unreachable') from exc
+        except BackendError as exc:
+            raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
+        except RequestCutError as exc:
+            raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
+        self.unreachable_since = None
+        try:
+            await self._pass_on(answer, sink)
+        except BackendError as exc:
+            self._metrics.incr('broken-answers')
+            raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
+        finally:
+            await answer.close()
+
+    async def _pass_on(self, answer: BackendAnswer, sink: AnswerSink) -> None:
+        now = time.monotonic()
+        if answer.status == STATUS_UNAVAILABLE:
+            self._metrics.incr('shed')
+            self._admission.shed(now)
+        else:
+            self._admission.served(now)
+        await sink.send_head(answer.status, (*answer.headers, _ANSWERED))
+        async for chunk in answer.chunks():
+            await sink.send_chunk(chunk)
+        await sink.finish()
+
+    def _note_unreachable(self) -> None:
+        now = time.monotonic()
+        self._metrics.incr('backend-unreachable')
+        self._admission.shed(now)
+        if self.unreachable_since is None:
+            self.unreachable_since = now
+            logger.warning('backend-unreachable')
+
+
+def _backend_request(req: Request) -> BackendRequest:
+    left = max(0, req.info.deadline - time.monotonic())
+    timeout = str(int(left * MS_PER_SECOND)).encode()
+    return BackendRequest(
+        method=req.info.method,
+        target=req.info.target,
+        headers=(*req.info.headers, (TIMEOUT_HEADER, timeout)),
+        fresh=not req.info.idempotent,
+    )
--- /dev/null
+++ b/src/dragonflyshift/_internal/sidecar/serving.py
@@ -0,0 +1,186 @@
+"""What a sidecar does for its peers: grant claims and run requests."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from dragonflyshift._internal.exceptions import (
+    DragonflyshiftError,
+    WireError,
+)
+from dragonflyshift._internal.limits import Admission
+from dragonflyshift._internal.sidecar.classify import MS_PER_SECOND
+from dragonflyshift._internal.sidecar.exchange import (
+    StreamSink,
+    info_of,
+    receive_body,
+    receive_within,
+    running,
+    send_failed,
+    send_keepalives,
+)
+from dragonflyshift._internal.sidecar.failures import (
+    NotRunError,
+    RunFailedError,
+)
+from dragonflyshift._internal.sidecar.identity import SidecarIdentity
+from dragonflyshift._internal.sidecar.local import LocalRunner
+from dragonflyshift._internal.sidecar.request import (
+    AnswerSink,
+    Request,
+    RequestBody,
+)
+from dragonflyshift._internal.state import ClaimTable
+from dragonflyshift._internal.telemetry import Metrics, SpanContext, Tracing
+from dragonflyshift._internal.wire.messages import (
+    ClaimGranted,
+    ClaimRefused,
+    ClaimRequest,
+    Message,
+    RequestHead,
+)
+from dragonflyshift._internal.wire.stream import MessageStream
+
+logger = logging.getLogger(__name__)
+
+LEASE_SECONDS = 2.0
+
+
+class ClaimServer:
+    """Grant slots to peers; each grant is a lease on one stream."""
+
+    def __init__(
+        self,
+        identity: SidecarIdentity,
+        admission: Admission,
+        runner: LocalRunner,
+        accepts: Callable[[], bool],
+        metrics: Metrics,
+        tracing: Tracing,
+    ) -> None:
+        """Grant only while ``accepts`` says that new work is taken."""
+        self._identity = identity
+        self._admission = admission
+        self._runner = runner
+        self._accepts = accepts
+        self._metrics = metrics
+        self._tracing = tracing
+        self.claims = ClaimTable(LEASE_SECONDS)
+
+    async def serve(self, stream: MessageStream, message: Message) -> None:
+        """Answer a claim and run the request that follows."""
+        if not isinstance(message, ClaimRequest):
+            raise WireError('a claim is expected')
+        reason = self._refusal(message)
+        if reason:
+            self._metrics.incr('claims-refused')
+            await stream.send(self._refused(reason))
+            return
+        self._metrics.incr('claims-granted')
+        await self._hold_slot(stream)
+
+    def _refusal(self, claim: ClaimRequest) -> str:
+        if claim.tag != self._identity.tag:
+            self._metrics.incr('dropped.wrong-service')
+            return 'another service'
+        if not self._accepts():
+            return 'takes no new work'
+        if not self._admission.try_start(time.monotonic()):
+            return 'no free slot'
+        return ''
+
+    def _refused(self, reason: str) -> ClaimRefused:
+        now = time.monotonic()
+        return ClaimRefused(
+            reason=reason,
+            retry_after_ms=int(
+                self._admission.retry_after(now) * MS_PER_SECOND,
+            ),
+            free_slots=self._admission.free(now),
+            queued=self._admission.queued,
+        )
+
+    async def _hold_slot(self, stream: MessageStream) -> None:
+        """Hold a slot until its request ran or the lease ended."""
+        now = time.monotonic()
+        claim = self.claims.grant(now)
+        redeemed = False
+        try:
+            await stream.send(
+                ClaimGranted(
+                    claim_id=claim.claim_id,
+                    lease_ms=int(LEASE_SECONDS * MS_PER_SECOND),
+                    free_slots=self._admission.free(now),
+                    queued=self._admission.queued,
+                ),
+            )
+            head = await receive_within(stream, LEASE_SECONDS)
+            redeemed = isinstance(head, RequestHead) and self.claims.redeem(
+                head.claim_id,
+                time.monotonic(),
+            )
+        finally:
+            if not redeemed:
+                self.claims.cancel(claim.claim_id)
+                self._admission.finish(time.monotonic(), 0)
+        if not isinstance(head, RequestHead):
+            raise WireError('a request is expected under the claim')
+        if redeemed:
+            await self._run(stream, head)
+        else:
+            await send_failed(stream, NotRunError('the lease ended'))
+
+    async def _run(self, stream: MessageStream, head: RequestHead) -> None:
+        await run_for_peer(stream, head, self._run_traced)
+
+    async def _run_traced(self, req: Request, sink: AnswerSink) -> None:
+        context = SpanContext.decode(req.info.trace)
+        with self._tracing.start_span(
+            'run-for-peer',
+            context.trace_id,
+            context.span_id,
+            {'endpoint': str(self._identity.address)},
+        ):
+            await self._runner.run(req, sink)
+
+
+async def run_for_peer(
+    stream: MessageStream,
+    head: RequestHead,
+    run: Callable[[Request, AnswerSink], object],
+) -> None:
+    """Run a peer's request and send it the answer.
+
+    The request is given up when the peer closes the stream.
+    """
+    body = RequestBody()
+    req = Request(info_of(head), body)
+    sink = StreamSink(stream)
+    async with (
+        running(receive_body(stream, body)) as reader,
+        running(send_keepalives(stream)),
+        running(run(req, sink)) as runner,
+    ):
+        reader.add_done_callback(lambda _task: runner.cancel())
+        await asyncio.wait((runner,))
+        if runner.cancelled():
+            logger.debug('peer-gone')
+            return
+        await _report(stream, sink, runner.exception())
+
+
+async def _report(
+    stream: MessageStream,
+    sink: AnswerSink,
+    exc: BaseException | None,
+) -> None:
+    """Send a peer the failure of its request, if there was one."""
+    if exc is None:
+        return
+    if isinstance(exc, RunFailedError) and not sink.started:
+        await send_failed(stream, exc)
+        return
+    stream.abort()
+    if not isinstance(exc, DragonflyshiftError):
+        raise exc
--- a/src/dragonflyshift/_internal/wire/__init__.py
+++ b/src/dragonflyshift/_internal/wire/__init__.py
@@ -1,1 +1,23 @@
 """Messages between our processes, connection ids, authentication."""
+
+from dragonflyshift._internal.wire.connection_id import (
+    CONNECTION_ID_BYTES,
+    ConnectionIdCodec,
+    IssuedId,
+)
+from dragonflyshift._internal.wire.datagram import DatagramCodec, Kind, Opened
+from dragonflyshift._internal.wire.envelope import Forward, Reply
+from dragonflyshift._internal.wire.keys import FleetKey, FleetKeys
+
+__all__ = (
+    'CONNECTION_ID_BYTES',
+    'ConnectionIdCodec',
+    'DatagramCodec',
+    'FleetKey',
+    'FleetKeys',
+    'Forward',
+    'IssuedId',
+    'Kind',
+    'Opened',
+    'Reply',
+)
--- /dev/null
+++ b/src/dragonflyshift/_internal/wire/envelope.py
@@ -0,0 +1,149 @@
+"""Bodies of the datagrams that carry packets of flows.
+
+``Forward`` goes from a balancer to a sidecar, or as a relay from the first
+sidecar to the second; ``Reply`` goes back to a balancer. Integers are
+big-endian; addresses are IPv4 and port, six bytes.
+"""
+
+import socket
+import struct
+from typing import Self
+
+from attrs import frozen
+
+from dragonflyshift._internal.exceptions import WireError
+from dragonflyshift._internal.models import Address
+
+HASH_BYTES = 8
+NO_HASH = bytes(HASH_BYTES)
+MAX_PACKET_BYTES = 2048
+_ADDRESS_BYTES = 6
+_NO_ADDRESS = bytes(_ADDRESS_BYTES)
+_ADDRESS = struct.Struct('!4sH')
+# Tag, client, service address, balancer, second candidate, hops, leaving,
+# digest hash, configuration version.
+_FORWARD = struct.Struct('!I6s6s6s6sBB8sQ')
+# Tag, client, service address, configuration version, digest length.
+_REPLY = struct.Struct('!I6s6sQH')
+
+
+def pack_address(address: Address | None) -> bytes:
+    """Encode an address; None becomes six zero bytes."""
+    if address is None:
+        return _NO_ADDRESS
+    return _ADDRESS.pack(socket.inet_aton(address.host), address.port)
+
+
+def unpack_address(raw: bytes) -> Address | None:
+    """Decode an address; six zero bytes become None."""
+    host, port = _ADDRESS.unpack(raw)
+    if port == 0:
+        return None
+    return Address(socket.inet_ntoa(host), port)
+
+
+def require_address(raw: bytes) -> Address:
+    """Decode an address that has to be there; raise WireError if not."""
+    address = unpack_address(raw)
+    if address is None:
+        raise WireError('an address is missing')
+    return address
+
+
+@frozen
+class Forward:
+    """A client's packet on its way to a sidecar.
+
+    ``leaving`` tells that the balancer is about to stop, so that replies
+    leave through others.
+    """
+
+    tag: int
+    client: Address
+    service: Address
+    balancer: Address
+    packet: bytes
+    second: Address | None = None
+    hops: int = 0
+    leaving: bool = False
+    digest_hash: bytes = NO_HASH
+    version: int = 0
+
+    def encode(self) -> bytes:
+        """Return the datagram body."""
+        head = _FORWARD.pack(
+            self.tag,
+            pack_address(self.client),
+            pack_address(self.service),
+            pack_address(self.balancer),
+            pack_address(self.second),
+            self.hops,
+            self.leaving,
+            self.digest_hash,
+            self.version,
+        )
+        return head + self.packet
+
+    @classmethod
+    def decode(cls, body: bytes) -> Self:
+        """Read a datagram body; raise WireError if it is malformed."""
+        if not _FORWARD.size < len(body) <= _FORWARD.size + MAX_PACKET_BYTES:
+            raise WireError(f'a forward of {len(body)} bytes is malformed')
+        parts = _FORWARD.unpack_from(body)
+        return cls(
+            tag=parts[0],
+            client=require_address(parts[1]),
+            service=require_address(parts[2]),
+            balancer=require_address(parts[3]),
+            second=unpack_address(parts[4]),
+            hops=parts[5],
+            leaving=bool(parts[6]),
+            digest_hash=parts[7],
+            version=parts[8],
+            packet=body[_FORWARD.size :],
+        )
+
+
+@frozen
+class Reply:
+    """A sidecar's packet on its way to a client.
+
+    ``digest`` is empty unless the balancer's view differs from the
+    sidecar's. An empty ``packet`` carries nothing to the client.
+    """
+
+    tag: int
+    client: Address
+    service: Address
+    packet: bytes
+    version: int = 0
+    digest: bytes = b''
+
+    def encode(self) -> bytes:
+        """Return the datagram body."""
+        head = _REPLY.pack(
+            self.tag,
+            pack_address(self.client),
+            pack_address(self.service),
+            self.version,
+            len(self.digest),
+        )
+        return b''.join((head, self.digest, self.packet))
+
+    @classmethod
+    def decode(cls, body: bytes) -> Self:
+        """Read a datagram body; raise WireError if it is malformed."""
+        if len(body) < _REPLY.size:
+            raise WireError(f'a reply of {len(body)} bytes is malformed')
+        tag, client, service, version, size = _REPLY.unpack_from(body)
+        packet_at = _REPLY.size + size
+        if packet_at > len(body):
+            raise WireError('a reply ends within its digest')
+        return cls(
+            tag=tag,
+            client=require_address(client),
+            service=require_address(service),
+            version=version,
+            digest=body[_REPLY.size : packet_at],
+            packet=body[packet_at:],
+        )
