--- /dev/null
+++ b/src/dragonflyshift/_internal/config/converter.py
@@ -0,0 +1,153 @@
+"""Strict conversion between plain data and models.
+
+Unlike cattrs by default, a value of another type is never converted: no
+number from text, no text from a number, no tuple from text.
+"""
+
+import enum
+import math
+from collections.abc import Callable
+from functools import partial
+from types import GenericAlias
+from typing import Any, TypeVar, get_args, get_origin
+
+import attrs
+import cattrs
+from cattrs.gen import make_dict_structure_fn
+
+from dragonflyshift._internal.config.faults import InvalidConfigurationError
+from dragonflyshift._internal.exceptions import (
+    ConfigurationError,
+    DragonflyshiftError,
+)
+from dragonflyshift._internal.models.address import Address
+from dragonflyshift._internal.models.fault import Fault
+
+MAX_TEXT_CHARACTERS = 2048
+MAX_SHOWN_CHARACTERS = 120
+_ROOT = '$'
+
+_ModelT = TypeVar('_ModelT')
+
+
+def unstructure(model: object) -> Any:
+    """Return the plain data of a model."""
+    return _converter.unstructure(model)
+
+
+def structure(plain: object, model: type[_ModelT]) -> _ModelT:
+    """Return the model of plain data; raise InvalidConfigurationError."""
+    try:
+        return _converter.structure(plain, model)
+    except cattrs.BaseValidationError as exc:
+        lines = cattrs.transform_error(exc, _ROOT, _explain)
+        faults = [_to_fault(line) for line in lines]
+        raise InvalidConfigurationError(model.__name__, faults) from exc
+    except (ValueError, TypeError, DragonflyshiftError) as exc:
+        fault = Fault('', '', _explain(exc, model))
+        raise InvalidConfigurationError(model.__name__, (fault,)) from exc
+
+
+def _explain(exc: BaseException, _expected: object) -> str:
+    if isinstance(exc, KeyError):
+        return 'a required key is missing'
+    if isinstance(exc, cattrs.ForbiddenExtraKeysError):
+        names = sorted(repr(name) for name in exc.extra_fields)
+        return f'unknown key {", ".join(names)[:MAX_SHOWN_CHARACTERS]}'
+    if isinstance(exc, DragonflyshiftError):
+        return str(exc)
+    return str(exc) or 'the value has another type'
+
+
+def _to_fault(line: str) -> Fault:
+    message, _separator, path = line.rpartition(f' @ {_ROOT}')
+    return Fault('', path.lstrip('.'), message)
+
+
+def _structure_text(plain: object, _type: object) -> str:
+    if not isinstance(plain, str):
+        raise ConfigurationError('text is expected')
+    if len(plain) > MAX_TEXT_CHARACTERS or not plain.isprintable():
+        raise ConfigurationError('the text is too long or not printable')
+    return plain
+
+
+def _structure_integer(plain: object, _type: object) -> int:
+    if not isinstance(plain, int) or isinstance(plain, bool):
+        raise ConfigurationError('an integer is expected')
+    return int(plain)
+
+
+def _structure_float(plain: object, _type: object) -> float:
+    if not isinstance(plain, int | float) or isinstance(plain, bool):
+        raise ConfigurationError('a number is expected')
+    try:
+        number = float(plain)
+    except OverflowError:
+        number = math.inf
+    if not math.isfinite(number):
+        raise ConfigurationError('a finite number is expected')
+    return number
+
+
+def _structure_address(plain: object, _type: object) -> Address:
+    if not isinstance(plain, str):
+        raise ConfigurationError('an address as text is expected')
+    return Address.parse(plain)
+
+
+def _structure_enum(plain: object, member: type[enum.StrEnum]) -> enum.StrEnum:
+    words = [str(each) for each in member]
+    if not isinstance(plain, str) or plain not in words:
+        raise ConfigurationError(f'one of {", ".join(words)} is expected')
+    return member(plain)
+
+
+def _structure_tuple(plain: object, kind: Any) -> tuple[Any, ...]:
+    if not isinstance(plain, list):
+        raise ConfigurationError('an array is expected')
+    item_type: Any = GenericAlias(list, get_args(kind)[:1])
+    return tuple(_converter.structure(plain, item_type))
+
+
+def _model_factory(kind: Any) -> Callable[[object, Any], Any]:
+    from_dict = make_dict_structure_fn(
+        kind,
+        _converter,
+        _cattrs_forbid_extra_keys=True,
+    )
+    return partial(_structure_model, from_dict)
+
+
+def _structure_model(
+    from_dict: Callable[[dict[str, Any], Any], Any],
+    plain: object,
+    kind: Any,
+) -> Any:
+    if not isinstance(plain, dict):
+        raise ConfigurationError('a table is expected')
+    return from_dict(plain, kind)
+
+
+def _is_tuple(kind: Any) -> bool:
+    return get_origin(kind) is tuple
+
+
+def _build_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    converter.register_structure_hook_factory(attrs.has, _model_factory)
+    converter.register_structure_hook_func(_is_tuple, _structure_tuple)
+    # An enum is also text: the hook of the nearest base class serves it.
+    for kind, hook in (
+        (str, _structure_text),
+        (enum.StrEnum, _structure_enum),
+        (int, _structure_integer),
+        (float, _structure_float),
+        (Address, _structure_address),
+    ):
+        converter.register_structure_hook(kind, hook)
+    converter.register_unstructure_hook(Address, str)
+    return converter
+
+
+_converter = _build_converter()
--- /dev/null
+++ b/src/dragonflyshift/_internal/config/documents.py
@@ -0,0 +1,89 @@
+"""JSON form of the documents that the platform publishes.
+
+Decoding is strict: unknown or doubled keys, values of another type or out of
+range, and documents over 1 MiB raise ConfigurationError.
+
+Example:
+    >>> decode_index(b'[]')
+    Traceback (most recent call last):
+    ...
+    dragonflyshift._internal.config.faults.InvalidConfigurationError: ...
+"""
+
+import json
+from typing import Any, NoReturn, TypeVar
+
+from dragonflyshift._internal.config.converter import structure, unstructure
+from dragonflyshift._internal.config.faults import raise_faults
+from dragonflyshift._internal.config.validation import (
+    check_index,
+    check_service,
+)
+from dragonflyshift._internal.exceptions import ConfigurationError
+from dragonflyshift._internal.models.documents import (
+    IndexDocument,
+    ServiceDocument,
+)
+
+MAX_DOCUMENT_BYTES = 1_048_576
+
+_ModelT = TypeVar('_ModelT')
+
+
+def encode_document(document: IndexDocument | ServiceDocument) -> bytes:
+    """Return a document as JSON; raise ConfigurationError over 1 MiB."""
+    plain = unstructure(document)
+    raw = json.dumps(plain, indent=1, sort_keys=True).encode()
+    _check_size(raw)
+    return raw
+
+
+def decode_index(raw: bytes) -> IndexDocument:
+    """Read an index; raise ConfigurationError when it is invalid."""
+    index = decode_json(raw, IndexDocument)
+    raise_faults('index', check_index(index))
+    return index
+
+
+def decode_service(raw: bytes) -> ServiceDocument:
+    """Read a service's document; raise ConfigurationError if invalid."""
+    document = decode_json(raw, ServiceDocument)
+    raise_faults('service document', check_service(document))
+    return document
+
+
+def decode_json(raw: bytes, model: type[_ModelT]) -> _ModelT:
+    """Read a model from JSON by shape and types, not by ranges."""
+    _check_size(raw)
+    try:
+        plain = json.loads(
+            raw.decode(),
+            object_pairs_hook=_unique_object,
+            parse_constant=_reject_constant,
+        )
+    except (ValueError, RecursionError) as exc:
+        raise ConfigurationError(
+            'the document is not valid JSON',
+            context=model.__name__,
+            hint='publish the document as rendered',
+        ) from exc
+    return structure(plain, model)
+
+
+def _check_size(raw: bytes) -> None:
+    if len(raw) > MAX_DOCUMENT_BYTES:
+        raise ConfigurationError(
+            f'the document has {len(raw)} bytes',
+            hint=f'the platform holds at most {MAX_DOCUMENT_BYTES}',
+        )
+
+
+def _unique_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    table = dict(pairs)
+    if len(table) != len(pairs):
+        raise ValueError('an object has the same key twice')
+    return table
+
+
+def _reject_constant(text: str) -> NoReturn:
+    raise ValueError(f'{text} is not a number')
