--- /dev/null
+++ b/tests/lib/backend.py
@@ -0,0 +1,292 @@
+"""Stand-in for a backend server: HTTP/1.1 with a journal of what it ran.
+
+Paths: ``GET /lists/<n>``, ``POST /lists/<n>/edits``, ``POST /tickets``,
+``GET /exports/<bytes>``, ``PUT /photos/<n>``, ``GET /boards/<seconds>``;
+besides ``/health`` and ``/load``.
+"""
+
+import argparse
+import asyncio
+import json
+import time
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+
+import cattrs
+from attrs import evolve
+
+from dragonflyshift._internal.models import Address
+from tests.lib import answers, http, standin
+from tests.lib.journal import Behavior, JournalEntry
+
+JOURNAL_ENTRIES = 200_000
+EXPORT_PART_BYTES = 16_384
+BOARD_PERIOD_SECONDS = 0.2
+SHED_RETRY_SECONDS = 1
+LATE_SECONDS = 3.0
+
+
+class Backend:
+    """One backend server."""
+
+    def __init__(
+        self,
+        service: str,
+        instance: str,
+        slots: int,
+        behavior: Behavior,
+    ) -> None:
+        self.behavior = behavior
+        self.journal: OrderedDict[int, JournalEntry] = OrderedDict()
+        self.peak = 0
+        self._thaw = asyncio.Event()
+        self._thaw.set()
+        self._service = service
+        self._instance = instance
+        self._slots = slots
+        self._running = 0
+        self._entries = 0
+        self._born = time.monotonic()
+
+    async def handle(self, exchange: http.Exchange) -> None:
+        """Serve one request."""
+        path = exchange.request.path
+        if path.startswith('/control/'):
+            await self._control(exchange, path)
+        elif path == '/health':
+            await exchange.body()
+            truth = 'draining' if self.behavior.drain else 'ok'
+            health = self.behavior.health or truth
+            status = 200 if health == 'ok' else 503
+            await exchange.reply(status, health.encode())
+        elif path == '/load':
+            await exchange.body()
+            load = self.behavior.load
+            true_load = self._running / self._slots
+            busy = true_load if load < 0 else load
+            await exchange.reply_json({'load': busy, 'slots': self._slots})
+        else:
+            await self._admit(exchange)
+
+    async def _admit(self, exchange: http.Exchange) -> None:
+        """Run a request if a slot is free, else shed it."""
+        behavior = self.behavior
+        if behavior.shed or behavior.drain or self._running >= self._slots:
+            await exchange.body()
+            after = ('retry-after', str(SHED_RETRY_SECONDS))
+            shed = ('x-backend-shed', '1')
+            await exchange.reply(503, b'busy', (after, shed))
+            return
+        entry = self._open(exchange.request)
+        self._running += 1
+        self.peak = max(self.peak, self._running)
+        try:
+            await self._run(exchange, entry)
+        except (asyncio.CancelledError, OSError):
+            entry.state = 'abandoned'
+            raise
+        finally:
+            self._running -= 1
+            entry.ended = time.time()
+
+    def _open(self, request: http.Request) -> JournalEntry:
+        entry = JournalEntry(
+            request.headers.get('x-request-id', ''),
+            request.method,
+            request.path,
+            self._instance,
+            self._service,
+            time.time(),
+        )
+        self._entries += 1
+        self.journal[self._entries] = entry
+        if len(self.journal) > JOURNAL_ENTRIES:
+            self.journal.popitem(last=False)
+        return entry
+
+    async def _run(self, exchange: http.Exchange, entry: JournalEntry) -> None:
+        body = await exchange.body()
+        budget = exchange.request.headers.get('x-request-timeout-ms', '')
+        timeout = int(budget) / 1000 if budget else None
+        try:
+            async with asyncio.timeout(timeout):
+                await self._answer(exchange, body)
+        except TimeoutError:
+            entry.state = 'expired'
+            if exchange.head_sent:
+                exchange.cut()
+            else:
+                await exchange.reply(504, b'deadline passed')
+            return
+        entry.state = 'cut' if self.behavior.cut else 'done'
+
+    async def _answer(self, exchange: http.Exchange, body: bytes) -> None:
+        await self._pause()
+        request = exchange.request
+        parts = request.path.strip('/').split('/')
+        answer = _ANSWERS.get(parts[0])
+        if answer is None:
+            await exchange.reply(404, b'no such path')
+            return
+        argument = parts[1] if len(parts) > 1 else ''
+        await answer(self, exchange, argument, body)
+
+    async def _pause(self) -> None:
+        """Spend the service time of a request."""
+        behavior = self.behavior
+        await self._thaw.wait()
+        seconds = behavior.delay
+        if time.monotonic() - self._born < behavior.cold:
+            seconds *= behavior.cold_factor
+        if behavior.late:
+            seconds += LATE_SECONDS
+        await asyncio.sleep(seconds)
+
+    async def _reply(
+        self,
+        exchange: http.Exchange,
+        status: int,
+        body: bytes,
+    ) -> None:
+        """Answer whole, or with half of the body when cuts are set."""
+        if not self.behavior.cut:
+            await exchange.reply(status, body, self.origin)
+            return
+        length = ('content-length', str(len(body)))
+        await exchange.start(status, (length, *self.origin))
+        await exchange.send(body[: len(body) // 2])
+        exchange.cut()
+
+    @property
+    def origin(self) -> tuple[tuple[str, str], ...]:
+        """Headers that name the instance which ran a request."""
+        return (
+            ('x-backend-instance', self._instance),
+            ('x-backend-service', self._service),
+        )
+
+    async def answer_list(
+        self,
+        exchange: http.Exchange,
+        number: str,
+        body: bytes,
+    ) -> None:
+        """Answer a short list, or take an edit of it."""
+        if exchange.request.method == 'POST':
+            await self.answer_save(exchange, number, body)
+            return
+        lines = answers.list_body(self._service, number)
+        await self._reply(exchange, 200, lines)
+
+    async def answer_save(
+        self,
+        exchange: http.Exchange,
+        _number: str,
+        body: bytes,
+    ) -> None:
+        """Confirm a save with the digest of what was saved."""
+        await self._reply(exchange, 201, answers.save_answer(body))
+
+    async def answer_photo(
+        self,
+        exchange: http.Exchange,
+        _number: str,
+        body: bytes,
+    ) -> None:
+        """Confirm an upload with the digest of its body."""
+        await self._reply(exchange, 201, answers.save_answer(body))
+
+    async def answer_export(
+        self,
+        exchange: http.Exchange,
+        wanted: str,
+        _body: bytes,
+    ) -> None:
+        """Send many bytes at a bounded rate."""
+        total = int(wanted)
+        length = ('content-length', str(total))
+        await exchange.start(200, (length, *self.origin))
+        sent = 0
+        while sent < total:
+            size = min(EXPORT_PART_BYTES, total - sent)
+            part = answers.export_part(sent, size)
+            await exchange.send(part)
+            sent += len(part)
+            if self.behavior.cut and sent >= total // 2:
+                exchange.cut()
+                return
+            await asyncio.sleep(len(part) / self.behavior.export_rate)
+        await exchange.finish()
+
+    async def answer_board(
+        self,
+        exchange: http.Exchange,
+        seconds: str,
+        _body: bytes,
+    ) -> None:
+        """Stream numbered event lines for some seconds."""
+        await exchange.start(200, self.origin)
+        count = max(1, int(float(seconds) / BOARD_PERIOD_SECONDS))
+        for number in range(count):
+            await exchange.send(answers.board_line(number))
+            await asyncio.sleep(BOARD_PERIOD_SECONDS)
+            await self._thaw.wait()
+            if self.behavior.cut:
+                exchange.cut()
+                return
+        await exchange.finish()
+
+    async def _control(self, exchange: http.Exchange, path: str) -> None:
+        body = await exchange.body()
+        match exchange.request.method, path:
+            case 'GET', '/control/journal':
+                entries = list(self.journal.values())
+                await exchange.reply_json(cattrs.unstructure(entries))
+            case 'GET', '/control/load':
+                await exchange.reply_json(
+                    {'running': self._running, 'peak': self.peak},
+                )
+            case 'PUT', '/control/behavior':
+                changes = json.loads(body)
+                self.behavior = evolve(self.behavior, **changes)
+                if self.behavior.freeze:
+                    self._thaw.clear()
+                else:
+                    self._thaw.set()
+                await exchange.reply(204)
+            case _:
+                await exchange.reply(404)
+
+
+_Answer = Callable[[Backend, http.Exchange, str, bytes], Awaitable[None]]
+_ANSWERS: dict[str, _Answer] = {
+    'lists': Backend.answer_list,
+    'tickets': Backend.answer_save,
+    'photos': Backend.answer_photo,
+    'exports': Backend.answer_export,
+    'boards': Backend.answer_board,
+}
+
+
+async def _main(args: argparse.Namespace) -> None:
+    behavior = Behavior(delay=args.delay, cold=args.cold)
+    backend = Backend(args.service, args.instance, args.slots, behavior)
+    listen = args.listen
+    server = await http.serve(backend.handle, listen.host, listen.port)
+    standin.announce(port=http.bound_port(server))
+    await standin.until_stopped()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--listen', type=Address.parse, required=True)
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--instance', required=True)
+    parser.add_argument('--slots', type=int, default=3)
+    parser.add_argument('--delay', type=float, default=0.005)
+    parser.add_argument('--cold', type=float, default=0)
+    standin.run(_main(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/lib/fabric.py
@@ -0,0 +1,241 @@
+"""Stand-in for the fabric: sprays each datagram to a random balancer.
+
+Each (service address, client address) has one upstream socket; whatever
+comes back on it goes to the client from the service address.
+"""
+
+import argparse
+import asyncio
+import random
+from collections import Counter, OrderedDict
+from typing import Any, TypeAlias
+
+import cattrs
+from attrs import define, field, frozen
+
+from dragonflyshift._internal.models import Address
+from tests.lib import http, standin
+
+MAX_CLIENTS = 2048
+REORDER_SECONDS = 0.01
+Pair: TypeAlias = tuple[str, int]
+
+
+@frozen
+class Faults:
+    """What the fabric does to datagrams, in both directions.
+
+    ``loss``, ``duplicate`` and ``reorder`` are ratios. ``cut`` drops all
+    datagrams of all clients, ``cut_clients`` those of the named ones.
+    """
+
+    loss: float = 0
+    duplicate: float = 0
+    reorder: float = 0
+    cut: bool = False
+    cut_clients: frozenset[str] = frozenset()
+
+
+@define
+class Counts:
+    """Datagrams carried and dropped."""
+
+    to_balancer: Counter[str] = field(factory=Counter)
+    from_balancer: Counter[str] = field(factory=Counter)
+    by_client: dict[str, Counter[str]] = field(factory=dict)
+    dropped: int = 0
+
+
+class _Upstream(asyncio.DatagramProtocol):
+    """The fabric's socket towards the balancers for one client."""
+
+    def __init__(self, service: '_Service', client: Pair) -> None:
+        self.client = client
+        self.name = f'{client[0]}:{client[1]}'
+        self.early: list[bytes] = []
+        self.transport: asyncio.DatagramTransport | None = None
+        self._service = service
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        for datagram in self.early:
+            self._service.to_balancer(self, datagram)
+        self.early.clear()
+
+    def datagram_received(self, datagram: bytes, addr: Pair) -> None:
+        self._service.to_client(self, datagram, addr[0])
+
+
+class _Service(asyncio.DatagramProtocol):
+    """The socket on one service address."""
+
+    def __init__(self, fabric: 'Fabric', address: Address) -> None:
+        self._fabric = fabric
+        self._address = address
+        self._clients: OrderedDict[Pair, _Upstream] = OrderedDict()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._opening: set[asyncio.Task[None]] = set()
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+
+    def datagram_received(self, datagram: bytes, addr: Pair) -> None:
+        upstream = self._clients.get(addr)
+        if upstream is None:
+            upstream = self._open(addr)
+        self._clients.move_to_end(addr)
+        if upstream.transport is None:
+            upstream.early.append(datagram)
+            return
+        self.to_balancer(upstream, datagram)
+
+    def to_balancer(self, upstream: _Upstream, datagram: bytes) -> None:
+        fabric = self._fabric
+        for delay in fabric.plan(upstream.name):
+            balancer = fabric.choose()
+            if balancer is None or upstream.transport is None:
+                return
+            fabric.counts.to_balancer[balancer] += 1
+            by_client = fabric.counts.by_client
+            by_client.setdefault(upstream.name, Counter())[balancer] += 1
+            pair = (balancer, self._address.port)
+            fabric.send(upstream.transport, datagram, pair, delay)
+
+    def to_client(
+        self,
+        upstream: _Upstream,
+        datagram: bytes,
+        balancer: str,
+    ) -> None:
+        fabric = self._fabric
+        for delay in fabric.plan(upstream.name):
+            fabric.counts.from_balancer[balancer] += 1
+            if self._transport is not None:
+                fabric.send(self._transport, datagram, upstream.client, delay)
+
+    def names(self) -> frozenset[str]:
+        """Return the clients that have an entry."""
+        return frozenset(each.name for each in self._clients.values())
+
+    def _open(self, client: Pair) -> _Upstream:
+        upstream = _Upstream(self, client)
+        self._clients[client] = upstream
+        if len(self._clients) > MAX_CLIENTS:
+            _oldest, evicted = self._clients.popitem(last=False)
+            self._fabric.counts.by_client.pop(evicted.name, None)
+            if evicted.transport is not None:
+                evicted.transport.close()
+        task = asyncio.create_task(self._connect(upstream))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+        return upstream
+
+    async def _connect(self, upstream: _Upstream) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: upstream,
+            local_addr=(self._address.host, 0),
+        )
+
+
+class Fabric:
+    """All service addresses, the balancers behind them, and the faults."""
+
+    def __init__(self, balancers: list[str], seed: int) -> None:
+        self.balancers = balancers
+        self.faults = Faults()
+        self.counts = Counts()
+        self._rng = random.Random(seed)
+        self._services: list[_Service] = []
+
+    async def listen(self, address: Address) -> None:
+        """Open one service address."""
+        service = _Service(self, address)
+        self._services.append(service)
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: service,
+            local_addr=address.pair,
+        )
+
+    def choose(self) -> str | None:
+        """Pick the balancer for one datagram."""
+        if not self.balancers:
+            return None
+        return self._rng.choice(self.balancers)
+
+    def plan(self, client: str) -> tuple[float, ...]:
+        """Return the delay of each copy of a datagram to send."""
+        faults = self.faults
+        if faults == Faults():
+            return (0,)
+        cut = faults.cut or client in faults.cut_clients
+        if cut or self._rng.random() < faults.loss:
+            self.counts.dropped += 1
+            return ()
+        copies = 1 + (self._rng.random() < faults.duplicate)
+        late = self._rng.random() < faults.reorder
+        return (late * REORDER_SECONDS,) * copies
+
+    def send(
+        self,
+        transport: asyncio.DatagramTransport,
+        datagram: bytes,
+        pair: Pair,
+        delay: float,
+    ) -> None:
+        """Send one copy, later when it is to be reordered."""
+        if delay:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, transport.sendto, datagram, pair)
+        else:
+            transport.sendto(datagram, pair)
+
+    async def control(self, exchange: http.Exchange) -> None:
+        """Serve the control port."""
+        body = await exchange.body()
+        match exchange.request.method, exchange.request.path:
+            case 'GET', '/control/counts':
+                await exchange.reply_json(cattrs.unstructure(self.counts))
+            case 'GET', '/control/clients':
+                names = [sorted(each.names()) for each in self._services]
+                await exchange.reply_json(sum(names, []))
+            case 'PUT', '/control/faults':
+                self.faults = http.structure(body, Faults)
+                await exchange.reply(204)
+            case 'PUT', '/control/balancers':
+                self.balancers = http.structure(body, list[str])
+                await exchange.reply(204)
+            case _:
+                await exchange.reply(404)
+
+
+async def _main(args: argparse.Namespace) -> None:
+    fabric = Fabric(args.balancer, args.seed)
+    for address in args.service:
+        await fabric.listen(address)
+    control = await http.serve(
+        fabric.control,
+        args.control.host,
+        args.control.port,
+    )
+    standin.announce(port=http.bound_port(control))
+    await standin.until_stopped()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        '--service',
+        action='append',
+        type=Address.parse,
+        required=True,
+    )
+    parser.add_argument('--balancer', action='append', default=[])
+    parser.add_argument('--control', type=Address.parse, required=True)
+    parser.add_argument('--seed', type=int, default=1)
+    standin.run(_main(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/lib/h3.py
@@ -0,0 +1,351 @@
+"""HTTP/3 client on aioquic that also acts on stateless resets.
+
+aioquic keeps its peer's stateless reset tokens but never compares them, so
+a connection that was reset would only end by its idle timeout.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+from typing import Any, Self
+
+from aioquic.asyncio.protocol import QuicConnectionProtocol
+from aioquic.h3.connection import H3_ALPN, ErrorCode, H3Connection
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import (
+    ConnectionTerminated,
+    QuicEvent,
+    StreamReset,
+)
+from attrs import define, field, frozen
+
+from dragonflyshift._internal.models import Address
+
+IDLE_TIMEOUT_SECONDS = 10.0
+CONNECT_TIMEOUT_SECONDS = 5.0
+ANSWER_TIMEOUT_SECONDS = 30.0
+RESET_TOKEN_BYTES = 16
+MIN_RESET_BYTES = 21
+LONG_HEADER_BIT = 0x80
+WINDOW_BYTES = 4 * 1024 * 1024
+OUTCOME_HEADER = 'x-dragonflyshift-outcome'
+NOT_RUN = 'not-run'
+UNKNOWN = 'unknown'
+
+
+class FlowError(ConnectionError):
+    """The connection could not be opened or was lost."""
+
+
+@frozen
+class Answer:
+    """What came back for one request.
+
+    ``failure`` tells why an incomplete answer ended: ``timeout``,
+    ``reset:<code>``, ``short`` or the reason the connection was lost.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+    failure: str = ''
+
+    @property
+    def outcome(self) -> str:
+        """Tell whether the request was answered, not run or is unknown."""
+        if self.failure == f'reset:{int(ErrorCode.H3_REQUEST_REJECTED)}':
+            return NOT_RUN
+        if self.status:
+            return self.headers.get(OUTCOME_HEADER, '')
+        return UNKNOWN
+
+    @property
+    def flow_broken(self) -> bool:
+        """Tell whether a flow was lost or an answer was cut."""
+        return bool(self.failure) and self.outcome != NOT_RUN
+
+
+@define(eq=False)
+class Stream:
+    """One request whose answer can be read as it comes."""
+
+    client: 'H3Client'
+    stream_id: int
+    status: int = 0
+    headers: dict[str, str] = field(factory=dict)
+    ended: bool = False
+    failure: str = ''
+    _parts: list[bytes] = field(factory=list)
+    _news: asyncio.Event = field(factory=asyncio.Event)
+
+    def take_event(self, event: H3Event) -> None:
+        """Take note of a head or a part of the body."""
+        if isinstance(event, HeadersReceived):
+            self._take_headers(event)
+        elif isinstance(event, DataReceived):
+            self._parts.append(event.data)
+            self.ended = self.ended or event.stream_ended
+        self._news.set()
+
+    def fail(self, reason: str) -> None:
+        """End the answer before its time."""
+        if not self.ended:
+            self.ended = True
+            self.failure = reason
+        self._news.set()
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Yield the body part by part until the answer ends."""
+        while True:
+            while self._parts:
+                yield self._parts.pop(0)
+            if self.ended:
+                return
+            self._news.clear()
+            await self._news.wait()
+
+    async def answer(self, timeout: float) -> Answer:
+        """Read the whole answer; an incomplete one if it takes too long."""
+        body = bytearray()
+        try:
+            async with asyncio.timeout(timeout):
+                async for part in self.parts():
+                    body.extend(part)
+        except TimeoutError:
+            self.cancel('timeout')
+        expected = self.headers.get('content-length')
+        if not self.failure and expected not in (None, str(len(body))):
+            self.failure = 'short'
+        self.client.forget(self.stream_id)
+        complete = not self.failure
+        return Answer(
+            self.status,
+            self.headers,
+            bytes(body),
+            complete,
+            self.failure,
+        )
+
+    def cancel(self, reason: str = 'cancelled') -> None:
+        """Tell the server that the answer is no longer wanted."""
+        self.fail(reason)
+        self.client.abandon(self.stream_id)
+
+    def _take_headers(self, event: HeadersReceived) -> None:
+        fields = {
+            name.decode('ascii'): text.decode('latin-1')
+            for name, text in event.headers
+        }
+        status = int(fields.pop(':status', '0'))
+        if status >= 200:
+            self.status = status
+            self.headers = fields
+        self.ended = self.ended or event.stream_ended
+
+
+class _Protocol(QuicConnectionProtocol):
+    """Hands the connection's events to its client."""
+
+    client: 'H3Client'
+
+    def datagram_received(self, data: bytes | str, addr: Any) -> None:
+        if isinstance(data, bytes) and self._is_reset(data):
+            self.client.lost('stateless-reset')
+            return
+        super().datagram_received(data, addr)
+
+    def quic_event_received(self, event: QuicEvent) -> None:
+        self.client.take_event(event)
+
+    def abort(self) -> None:
+        """Stop without a word to the peer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._transport is not None:
+            self._transport.close()
+
+    def transmit(self) -> None:
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            super().transmit()
+
+    def _is_reset(self, datagram: bytes) -> bool:
+        if len(datagram) < MIN_RESET_BYTES or datagram[0] & LONG_HEADER_BIT:
+            return False
+        quic = self._quic
+        ids = (quic._peer_cid, *quic._peer_cid_available)
+        tail = datagram[-RESET_TOKEN_BYTES:]
+        return any(tail == each.stateless_reset_token for each in ids)
+
+
+class H3Client:
+    """One connection to a service.
+
+    Example:
+        >>> async def read(ca: str) -> Answer:
+        ...     address = Address.parse('127.0.0.1:8443')
+        ...     async with await H3Client.connect(address, ca, 'lists') as conn:
+        ...         return await conn.request('GET', '/lists/1')
+    """
+
+    def __init__(self, protocol: _Protocol, quic: QuicConnection) -> None:
+        self.failure = ''
+        self._protocol = protocol
+        self._quic = quic
+        self._http = H3Connection(quic)
+        self._streams: dict[int, Stream] = {}
+        self._lost = asyncio.Event()
+
+    @classmethod
+    async def connect(
+        cls,
+        address: Address,
+        ca: str,
+        server_name: str,
+        *,
+        timeout: float = CONNECT_TIMEOUT_SECONDS,
+        idle_timeout: float = IDLE_TIMEOUT_SECONDS,
+        local_host: str = '127.0.0.1',
+    ) -> Self:
+        """Open a connection; raise FlowError if it can't be done in time."""
+        cfg = QuicConfiguration(
+            is_client=True,
+            alpn_protocols=H3_ALPN,
+            server_name=server_name,
+            idle_timeout=idle_timeout,
+            max_data=WINDOW_BYTES,
+            max_stream_data=WINDOW_BYTES,
+            cadata=ca.encode(),
+        )
+        quic = QuicConnection(configuration=cfg)
+        loop = asyncio.get_running_loop()
+        transport, protocol = await loop.create_datagram_endpoint(
+            lambda: _Protocol(quic),
+            local_addr=(local_host, 0),
+        )
+        client = cls(protocol, quic)
+        protocol.client = client
+        protocol.connect(address.pair)
+        try:
+            async with asyncio.timeout(timeout):
+                await protocol.wait_connected()
+        except (TimeoutError, ConnectionError) as exc:
+            reason = client.failure or 'timeout'
+            protocol.abort()
+            transport.close()
+            raise FlowError(f'handshake failed: {reason}') from exc
+        return client
+
+    @property
+    def local_address(self) -> str:
+        """The client's own address, as the fabric names it."""
+        transport = self._protocol._transport
+        if transport is None:
+            return ''
+        host, port = transport.get_extra_info('sockname')[:2]
+        return f'{host}:{port}'
+
+    def open(
+        self,
+        method: str,
+        path: str,
+        headers: Iterable[tuple[str, str]] = (),
+        body: bytes = b'',
+    ) -> Stream:
+        """Send a request and return its stream."""
+        if self.failure:
+            raise FlowError(self.failure)
+        stream_id = self._quic.get_next_available_stream_id()
+        stream = Stream(self, stream_id)
+        self._streams[stream_id] = stream
+        fields = [
+            (b':method', method.encode()),
+            (b':scheme', b'https'),
+            (b':authority', b'dragonflyshift.test'),
+            (b':path', path.encode()),
+        ]
+        if body:
+            fields.append((b'content-length', str(len(body)).encode()))
+        for name, text in headers:
+            fields.append((name.encode(), text.encode()))
+        self._http.send_headers(stream_id, fields, end_stream=not body)
+        if body:
+            self._http.send_data(stream_id, body, end_stream=True)
+        self._protocol.transmit()
+        return stream
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        headers: Iterable[tuple[str, str]] = (),
+        body: bytes = b'',
+        timeout: float = ANSWER_TIMEOUT_SECONDS,
+    ) -> Answer:
+        """Send a request and read its whole answer."""
+        stream = self.open(method, path, headers, body)
+        return await stream.answer(timeout)
+
+    def abandon(self, stream_id: int) -> None:
+        """Cancel a stream in both directions."""
+        if self.failure:
+            return
+        code = int(ErrorCode.H3_REQUEST_CANCELLED)
+        self._quic.stop_stream(stream_id, code)
+        if self._quic._stream_can_send(stream_id):
+            self._quic.reset_stream(stream_id, code)
+        self._protocol.transmit()
+
+    def forget(self, stream_id: int) -> None:
+        """Drop a stream whose answer has been read."""
+        self._streams.pop(stream_id, None)
+
+    def take_event(self, event: QuicEvent) -> None:
+        """Pass a connection's event to the stream that it concerns."""
+        if isinstance(event, ConnectionTerminated):
+            self.lost(event.reason_phrase or f'closed:{event.error_code}')
+            return
+        if isinstance(event, StreamReset):
+            self._fail_stream(event)
+        for each in self._http.handle_event(event):
+            stream = self._streams.get(getattr(each, 'stream_id', -1))
+            if stream is not None:
+                stream.take_event(each)
+
+    def lost(self, reason: str) -> None:
+        """End everything on the connection."""
+        if self.failure:
+            return
+        self.failure = reason
+        self._protocol.abort()
+        for stream in tuple(self._streams.values()):
+            stream.fail(reason)
+        self._lost.set()
+
+    async def wait_lost(self) -> str:
+        """Wait until the connection ends and return the reason."""
+        await self._lost.wait()
+        return self.failure
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        if self.failure:
+            return
+        self._protocol.close()
+        self.lost('closed')
+
+    async def __aenter__(self) -> Self:
+        """Use the connection for a block."""
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close the connection after the block."""
+        await self.aclose()
+
+    def _fail_stream(self, event: StreamReset) -> None:
+        stream = self._streams.get(event.stream_id)
+        if stream is not None:
+            stream.fail(f'reset:{event.error_code}')
--- /dev/null
+++ b/tests/lib/processes.py
@@ -0,0 +1,179 @@
+"""Child processes that are started, signalled and never left behind."""
+
+import asyncio
+import atexit
+import contextlib
+import json
+import os
+import signal
+import sys
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from types import FrameType
+from typing import Any
+
+ROOT = Path(__file__).resolve().parents[2]
+READY_TIMEOUT_SECONDS = 20.0
+STOP_TIMEOUT_SECONDS = 10.0
+LOG_LINES = 5000
+LINE_LIMIT_BYTES = 1024 * 1024
+
+_live: set[int] = set()
+_hooks: list[object] = []
+
+
+class ProcessFailure(RuntimeError):
+    """A child process did not start or stop as expected."""
+
+
+class Child:
+    """One child process with the lines that it printed."""
+
+    def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
+        self.name = name
+        self.lines: deque[str] = deque(maxlen=LOG_LINES)
+        self._process = process
+        self._news = asyncio.Event()
+        self._readers = [
+            asyncio.create_task(self._read(stream))
+            for stream in (process.stdout, process.stderr)
+            if stream is not None
+        ]
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._process.pid
+
+    @property
+    def returncode(self) -> int | None:
+        """The exit status, None while it runs."""
+        return self._process.returncode
+
+    def events(self) -> list[dict[str, Any]]:
+        """Return the JSON lines printed so far."""
+        return [each for each in map(_parse, self.lines) if each]
+
+    async def wait_ready(self, timeout: float = READY_TIMEOUT_SECONDS) -> None:
+        """Wait until the process says that it serves."""
+        await self.wait_line(_is_ready, timeout)
+
+    async def wait_line(
+        self,
+        wanted: Callable[[dict[str, Any]], bool],
+        timeout: float,
+    ) -> None:
+        """Wait for a JSON line; raise ProcessFailure when none comes."""
+        try:
+            async with asyncio.timeout(timeout):
+                while not any(map(wanted, self.events())):
+                    self._check_alive()
+                    self._news.clear()
+                    await self._news.wait()
+        except TimeoutError as exc:
+            raise ProcessFailure(self._report('is not ready')) from exc
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        if self.returncode is None:
+            self._process.send_signal(number)
+
+    async def stop(self, timeout: float = STOP_TIMEOUT_SECONDS) -> int:
+        """End with SIGTERM, with SIGKILL after the timeout."""
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+        try:
+            return await self.wait(timeout)
+        except TimeoutError:
+            return await self.kill()
+
+    async def kill(self) -> int:
+        """End with SIGKILL."""
+        self.send_signal(signal.SIGKILL)
+        return await self.wait(STOP_TIMEOUT_SECONDS)
+
+    async def wait(self, timeout: float) -> int:
+        """Wait for the end; raise TimeoutError when it takes too long."""
+        async with asyncio.timeout(timeout):
+            status = await self._process.wait()
+        _live.discard(self.pid)
+        await asyncio.gather(*self._readers)
+        return status
+
+    def _check_alive(self) -> None:
+        if self.returncode is not None:
+            raise ProcessFailure(self._report('ended'))
+
+    def _report(self, verdict: str) -> str:
+        tail = '\n'.join(list(self.lines)[-20:])
+        return f'{self.name} {verdict} (status {self.returncode}):\n{tail}'
+
+    async def _read(self, stream: asyncio.StreamReader) -> None:
+        while line := await stream.readline():
+            self.lines.append(line.decode(errors='replace').rstrip())
+            self._news.set()
+        self._news.set()
+
+
+async def start(
+    name: str,
+    module: str,
+    args: Sequence[str],
+    env: Mapping[str, str] | None = None,
+) -> Child:
+    """Start ``python -m module args`` from the project's root."""
+    _install_hooks()
+    paths = (str(ROOT / 'src'), str(ROOT))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        module,
+        *args,
+        cwd=ROOT,
+        env={
+            **os.environ,
+            'PYTHONPATH': os.pathsep.join(paths),
+            **(env or {}),
+        },
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+        limit=LINE_LIMIT_BYTES,
+        start_new_session=True,
+    )
+    _live.add(process.pid)
+    return Child(name, process)
+
+
+def _parse(line: str) -> dict[str, Any]:
+    if not line.startswith('{'):
+        return {}
+    try:
+        found: dict[str, Any] = json.loads(line)
+    except ValueError:
+        return {}
+    return found
+
+
+def _is_ready(event: dict[str, Any]) -> bool:
+    return 'ready' in {event.get('event'), event.get('message')}
+
+
+def _install_hooks() -> None:
+    """Make sure that the children end with this process."""
+    if _hooks:
+        return
+    _hooks.append(atexit.register(_kill_all))
+    if signal.getsignal(signal.SIGTERM) is signal.SIG_DFL:
+        signal.signal(signal.SIGTERM, _exit)
+
+
+def _kill_all() -> None:
+    for pid in tuple(_live):
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(pid, signal.SIGKILL)
+
+
+def _exit(number: int, _frame: FrameType | None) -> None:
+    sys.exit(128 + number)
--- /dev/null
+++ b/tests/lib/waiting.py
@@ -0,0 +1,26 @@
+"""Waiting for conditions instead of sleeping."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+PERIOD_SECONDS = 0.02
+
+
+async def eventually(
+    check: Callable[[], Awaitable[bool]],
+    timeout: float = 5.0,
+    what: str = 'condition',
+) -> None:
+    """Return once a check holds; raise AssertionError when it never does."""
+    try:
+        async with asyncio.timeout(timeout):
+            await _poll(check)
+    except TimeoutError as exc:
+        raise AssertionError(f'{what} within {timeout} s') from exc
+
+
+async def _poll(check: Callable[[], Awaitable[bool]]) -> None:
+    while True:
+        if await check():
+            return
+        await asyncio.sleep(PERIOD_SECONDS)
