--- a/tests/unit/kernel/test_settings.py
+++ b/tests/unit/kernel/test_settings.py
@@ -16,7 +16,7 @@
 )
 from dragonflyshift._internal.models import Address
 from tests.lib.builders import FLEET_KEYS_TEXT
-from tests.lib.certificates import build_certificate
+from tests.lib.certificates import issue
 
 BALANCER = {
     'DRAGONFLYSHIFT_ROLE': 'balancer',
@@ -38,15 +38,15 @@
 
 class SettingsTest(unittest.TestCase):
     def sidecar(self) -> dict[str, str]:
-        certificate, private_key = build_certificate('lists.example')
+        issued = issue('lists.example')
         return {
             **BALANCER,
             'DRAGONFLYSHIFT_ROLE': 'sidecar',
             'DRAGONFLYSHIFT_SERVICE': 'parts',
             'DRAGONFLYSHIFT_INSTANCE': 'parts-1',
             'DRAGONFLYSHIFT_BACKEND': '127.0.0.1:8000',
-            'DRAGONFLYSHIFT_CERTIFICATE': certificate,
-            'DRAGONFLYSHIFT_PRIVATE_KEY': private_key,
+            'DRAGONFLYSHIFT_CERTIFICATE': issued.certificate,
+            'DRAGONFLYSHIFT_PRIVATE_KEY': issued.private_key,
         }
 
     def test_balancer(self) -> None:
@@ -100,7 +100,7 @@
 
     def test_key_of_another_certificate(self) -> None:
         environ = self.sidecar()
-        other = build_certificate('other.example')[1]
+        other = issue('other.example').private_key
         faults = faults_of(['--private-key', other], environ)
         self.assertIn('another certificate', faults[0])
 
