--- a/src/dragonflyshift/_internal/limits/adaptive.py
+++ b/src/dragonflyshift/_internal/limits/adaptive.py
@@ -116,7 +116,7 @@
         """Estimate the seconds until a slot is free, from the pace seen."""
         if self.free(now) > 0:
             return 0
-        return _bounded(self._wait(now, self._queue.waiting(now)))
+        return _bounded(self._pace.wait(now, self._queue.waiting(now)))
 
     def resize(self, slots: int, queue_limit: int) -> None:
         """Apply changed rules without losing running or queued requests."""
@@ -128,13 +128,9 @@
         if self._running >= self.capacity(now):
             self._pace.note_full(now)
 
-    def _wait(self, now: float, ahead: int) -> float:
-        """Estimate the seconds until a slot is free behind ``ahead``."""
-        return (ahead + 1) * self._pace.interval(now)
-
     def _is_hopeless(self, now: float, deadline: float) -> bool:
         ahead = self._queue.ahead_of(now, deadline)
-        return deadline <= now or now + self._wait(now, ahead) > deadline
+        return deadline <= now or now + self._pace.wait(now, ahead) > deadline
 
     def _book_return(self, now: float) -> float:
         """Return the seconds after which a refused client shall come back.
@@ -142,7 +138,7 @@
         Refused clients come back one after another at the pace seen instead
         of all together.
         """
-        wait = _bounded(self._wait(now, self._queue.waiting(now)))
+        wait = _bounded(self._pace.wait(now, self._queue.waiting(now)))
         following = self._last_return_at + self._pace.interval(now)
         wait = _bounded(max(wait, following - now))
         self._last_return_at = now + wait
--- a/src/dragonflyshift/_internal/limits/pace.py
+++ b/src/dragonflyshift/_internal/limits/pace.py
@@ -39,6 +39,10 @@
             return known
         return max(known, now - self._full_since)
 
+    def wait(self, now: float, ahead: int) -> float:
+        """Estimate the seconds until a slot is free behind ``ahead``."""
+        return (ahead + 1) * self.interval(now)
+
     def _add(self, seen: float) -> None:
         if self._interval is None:
             self._interval = seen
