--- /dev/null
+++ b/bench/naive/retries.py
@@ -0,0 +1,23 @@
+"""Naive retries: at once, on any error, without a budget."""
+
+import random
+
+from dragonflyshift._internal.retries import RetryPolicy
+
+
+class AnyError(RetryPolicy, name='any-error'):
+    """Allow every retry."""
+
+    def __init__(self, ratio: float, rng: random.Random) -> None:
+        """Ignore the ratio."""
+
+    def deposit(self, now: float) -> None:
+        """Keep no count of first attempts."""
+
+    def withdraw(self, now: float) -> bool:
+        """Allow the retry."""
+        return True
+
+    def backoff(self, attempt: int) -> float:
+        """Return no wait."""
+        return 0
--- /dev/null
+++ b/bench/naive/routing.py
@@ -0,0 +1,71 @@
+"""Naive routing: modulo on the live list, and no help from peers."""
+
+import random
+from collections.abc import Sequence
+
+import xxhash
+
+from dragonflyshift._internal.models import (
+    EndpointState,
+    MemberRecord,
+    MemberState,
+)
+from dragonflyshift._internal.routing import (
+    Candidate,
+    CandidateChoice,
+    FlowDecision,
+    LoadSnapshot,
+    PeerChoice,
+    Place,
+)
+
+_GONE = frozenset((MemberState.LEAVING, MemberState.DEAD))
+
+
+class Modulo(CandidateChoice, name='modulo'):
+    """Hash the flow and take the remainder by the number of live endpoints."""
+
+    def rank(
+        self,
+        flow_key: bytes,
+        candidates: Sequence[Candidate],
+        place: Place,
+        limit: int = 2,
+    ) -> tuple[Candidate, ...]:
+        """Return the endpoint at the remainder and those after it."""
+        live = [
+            candidate
+            for candidate in candidates
+            if candidate.endpoint.state is EndpointState.SERVING
+            and candidate.state not in _GONE
+        ]
+        if not live:
+            return ()
+        first = xxhash.xxh3_64_intdigest(flow_key) % len(live)
+        return tuple((live[first:] + live[:first])[:limit])
+
+
+class Always(FlowDecision, name='always'):
+    """Keep every flow."""
+
+    def accepts(
+        self,
+        own: LoadSnapshot,
+        second: MemberRecord | None,
+        hops: int,
+    ) -> bool:
+        """Keep the flow whatever the load."""
+        return True
+
+
+class NoPeers(PeerChoice, name='none'):
+    """Hand no request over."""
+
+    def order(
+        self,
+        peers: Sequence[MemberRecord],
+        rng: random.Random,
+        limit: int,
+    ) -> tuple[MemberRecord, ...]:
+        """Return no peer."""
+        return ()
--- a/src/dragonflyshift/_internal/limits/adaptive.py
+++ b/src/dragonflyshift/_internal/limits/adaptive.py
@@ -80,7 +80,6 @@
 
     def enqueue(self, now: float, deadline: float, client: bytes) -> Ticket:
         """Queue a request; raise QueueFullError when it can't be served."""
-        self._pace.note_full(now)
         if self._is_hopeless(now, deadline) or not self._queue.has_room(client):
             raise QueueFullError(self._book_return(now))
         ticket = Ticket(deadline=deadline, enqueued_at=now, client=client)
@@ -129,8 +128,11 @@
             self._pace.note_full(now)
 
     def _is_hopeless(self, now: float, deadline: float) -> bool:
+        if deadline <= now or self.free(now) > 0:
+            return deadline <= now
+        self._pace.note_full(now)
         ahead = self._queue.ahead_of(now, deadline)
-        return deadline <= now or now + self._pace.wait(now, ahead) > deadline
+        return now + self._pace.wait(now, ahead) > deadline
 
     def _book_return(self, now: float) -> float:
         """Return the seconds after which a refused client shall come back.
