--- a/src/dragonflyshift/_internal/membership/__init__.py
+++ b/src/dragonflyshift/_internal/membership/__init__.py
@@ -1,1 +1,19 @@
-"""Probing, suspicion and digests among a service's sidecars."""
+"""Who belongs to a service, and what the members believe of each other."""
+
+from dragonflyshift._internal.membership.digest import (
+    HASH_BYTES,
+    decode_digest,
+    digest_hash,
+    encode_digest,
+)
+from dragonflyshift._internal.membership.health import EndpointHealth
+from dragonflyshift._internal.membership.table import MemberTable
+
+__all__ = (
+    'HASH_BYTES',
+    'EndpointHealth',
+    'MemberTable',
+    'decode_digest',
+    'digest_hash',
+    'encode_digest',
+)
--- a/src/dragonflyshift/_internal/recovery/__init__.py
+++ b/src/dragonflyshift/_internal/recovery/__init__.py
@@ -1,1 +1,17 @@
 """Recovery after pauses and losses."""
+
+from dragonflyshift._internal.recovery.balancers import BalancerDirectory
+from dragonflyshift._internal.recovery.pause import (
+    PauseDetector,
+    suspended_seconds,
+    watch_pauses,
+)
+from dragonflyshift._internal.recovery.return_path import ReturnPath
+
+__all__ = (
+    'BalancerDirectory',
+    'PauseDetector',
+    'ReturnPath',
+    'suspended_seconds',
+    'watch_pauses',
+)
--- /dev/null
+++ b/tests/unit/telemetry/test_logs.py
@@ -0,0 +1,36 @@
+import contextlib
+import io
+import json
+import logging
+import unittest
+
+from dragonflyshift._internal.telemetry import configure_logging
+
+
+class LogsTest(unittest.TestCase):
+    def setUp(self):
+        root = logging.getLogger()
+        kept = (root.level, list(root.handlers))
+        self.addCleanup(root.setLevel, kept[0])
+        self.addCleanup(setattr, root, 'handlers', kept[1])
+
+    def test_one_json_object_a_line(self):
+        stderr = io.StringIO()
+        with contextlib.redirect_stderr(stderr):
+            configure_logging('info', 'sidecar', 'kl-a-1')
+            logger = logging.getLogger('example')
+            logger.info('flow-opened', extra={'port': 443})
+            logger.debug('hidden')
+        line = json.loads(stderr.getvalue())
+        self.assertRegex(line.pop('time'), r'^\d{4}-\d\d-\d\dT[\d:]{8}\.\d+Z$')
+        self.assertEqual(
+            line,
+            {
+                'level': 'INFO',
+                'logger': 'example',
+                'message': 'flow-opened',
+                'port': 443,
+                'role': 'sidecar',
+                'instance': 'kl-a-1',
+            },
+        )
