--- /dev/null
+++ b/tests/unit/sidecar/test_backend.py
@@ -0,0 +1,376 @@
+import asyncio
+import itertools
+import socket
+import unittest
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from dragonflyshift._internal.models import Address
+from dragonflyshift._internal.sidecar.backend import (
+    BackendAnswer,
+    BackendBrokenError,
+    BackendClient,
+    BackendRequest,
+    BackendUnreachableError,
+    ShortAnswerError,
+)
+
+_LATE = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate'
+_OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+_LARGE_BYTES = 3_000_000
+_WAIT_S = 5
+
+_Script = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter],
+    Awaitable[None],
+]
+
+
+class _Server:
+    """Plays one script for each connection, the last one for the rest."""
+
+    def __init__(self, *scripts: _Script) -> None:
+        self.connections = 0
+        self.closed = asyncio.Event()
+        self.errors: list[BaseException] = []
+        self._scripts = scripts
+
+    async def __aenter__(self) -> '_Server':
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.client = BackendClient(Address('127.0.0.1', port), 2)
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        await self.client.close()
+        self._server.close()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        index = min(self.connections, len(self._scripts) - 1)
+        self.connections += 1
+        try:
+            await self._scripts[index](reader, writer)
+        except (OSError, EOFError) as exc:
+            self.errors.append(exc)
+        finally:
+            self.closed.set()
+            writer.close()
+
+
+def _reply(*answers: bytes) -> _Script:
+    """Answer one request after another, then close."""
+
+    async def script(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        for answer in answers:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(answer)
+
+    return script
+
+
+async def _body(*chunks: bytes) -> AsyncIterator[bytes]:
+    for chunk in chunks:
+        yield chunk
+
+
+def _get(*, method: bytes = b'GET', fresh: bool = False) -> BackendRequest:
+    return BackendRequest(method, b'/list', (), fresh)
+
+
+async def _read(answer: BackendAnswer) -> bytes:
+    return b''.join([chunk async for chunk in answer.chunks()])
+
+
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_connection_is_reused_unless_fresh(self) -> None:
+        async with _Server(_reply(_OK, _OK, _OK)) as server:
+            for fresh in (False, False, True):
+                answer = await server.client.exchange(
+                    _get(fresh=fresh),
+                    _body(),
+                )
+                self.assertEqual(await _read(answer), b'ok')
+            self.assertEqual(server.connections, 2)
+
+    async def test_framings_and_stripped_headers(self) -> None:
+        heads = []
+
+        async def script(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            heads.append(await reader.readuntil(b'0\r\n\r\n'))
+            writer.write(
+                b'HTTP/1.1 103 Early Hints\r\n\r\n'
+                b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
+                b'Connection: x-private\r\nX-Private: 1\r\nX-Kept: 2\r\n\r\n'
+                b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n',
+            )
+
+        headers = (
+            (b'te', b'trailers'),
+            (b'connection', b'X-Mine'),
+            (b'x-mine', b'1'),
+            (b'x-kept', b'2'),
+        )
+        async with _Server(script) as server:
+            answer = await server.client.exchange(
+                BackendRequest(b'POST', b'/edit', headers),
+                _body(b'one', b'', b'two'),
+            )
+            self.assertEqual(answer.headers, ((b'x-kept', b'2'),))
+            self.assertEqual(await _read(answer), b'abcde')
+        head, _separator, body = heads[0].partition(b'\r\n\r\n')
+        self.assertEqual(body, b'3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n')
+        self.assertIn(b'x-kept: 2', head)
+        self.assertNotIn(b'mine', head)
+        self.assertNotIn(b'trailers', head)
+
+    async def test_answers_without_body(self) -> None:
+        bodiless = (
+            (b'HEAD', b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n'),
+            (b'GET', b'HTTP/1.1 204 No Content\r\n\r\n'),
+            (b'GET', b'HTTP/1.1 304 Not Modified\r\n\r\n'),
+        )
+        async with _Server(_reply(*[raw for _, raw in bodiless])) as server:
+            for method, _raw in bodiless:
+                answer = await server.client.exchange(
+                    _get(method=method),
+                    _body(),
+                )
+                self.assertEqual(await _read(answer), b'')
+            self.assertEqual(server.connections, 1)
+
+    async def test_answer_comes_while_the_upload_runs(self) -> None:
+        released = asyncio.Event()
+
+        async def script(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await reader.readuntil(b'one')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab')
+            await reader.readuntil(b'0\r\n\r\n')
+            writer.write(b'cd')
+
+        async def body() -> AsyncIterator[bytes]:
+            yield b'one'
+            await released.wait()
+            yield b'two'
+
+        async with _Server(script) as server:
+            answer = await server.client.exchange(
+                BackendRequest(b'POST', b'/photo', ()),
+                body(),
+            )
+            chunks = answer.chunks()
+            self.assertEqual(await anext(chunks), b'ab')
+            released.set()
+            self.assertEqual([chunk async for chunk in chunks], [b'cd'])
+
+    async def test_early_refusal_survives_a_reset(self) -> None:
+        async def script(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(
+                b'HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n',
+            )
+
+        async def body() -> AsyncIterator[bytes]:
+            for size in itertools.repeat(65536, 100):
+                yield bytes(size)
+                await asyncio.sleep(0)
+
+        async with _Server(script) as server:
+            answer = await server.client.exchange(
+                BackendRequest(b'POST', b'/photo', ()),
+                body(),
+            )
+            self.assertEqual(answer.status, 413)
+            self.assertEqual(await _read(answer), b'')
+
+    async def test_slow_reader_holds_the_server_back(self) -> None:
+        sent = 0
+
+        async def script(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            nonlocal sent
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_SNDBUF,
+                65536,
+            )
+            await reader.readuntil(b'\r\n\r\n')
+            head = f'HTTP/1.1 200 OK\r\nContent-Length: {_LARGE_BYTES}\r\n\r\n'
+            writer.write(head.encode())
+            while sent < _LARGE_BYTES:
+                writer.write(bytes(10_000))
+                await writer.drain()
+                sent += 10_000
+
+        async with _Server(script) as server:
+            answer = await server.client.exchange(_get(), _body())
+            chunks = answer.chunks()
+            await anext(chunks)
+            before = -1
+            while before < sent:
+                before = sent
+                await asyncio.sleep(0.05)
+            self.assertLess(sent, _LARGE_BYTES)
+            rest = sum([len(chunk) async for chunk in chunks])
+            self.assertGreater(rest, _LARGE_BYTES // 2)
+
+
+class FailureTest(unittest.IsolatedAsyncioTestCase):
+    async def test_refused_connection_has_written_nothing(self) -> None:
+        async with _Server(_reply()) as server:
+            client = server.client
+        with self.assertRaises(BackendUnreachableError) as caught:
+            await client.exchange(_get(), _body())
+        self.assertFalse(caught.exception.written)
+
+    async def test_illegal_request_has_written_nothing(self) -> None:
+        async with _Server(_reply(_OK)) as server:
+            with self.assertRaises(BackendUnreachableError):
+                await server.client.exchange(
+                    BackendRequest(b'GET', b'/a b', ()),
+                    _body(),
+                )
+
+    async def test_cut_or_garbled_head_leaves_the_outcome_unknown(
+        self,
+    ) -> None:
+        large = b'HTTP/1.1 200 OK\r\nX: '.ljust(100_000, b'x')
+        answers = (b'', b'HTTP/1.1 200 OK\r\nConte', b'\x00\x01\r\n', large)
+        for answer in answers:
+            with self.subTest(answer=answer[:30]):
+                await self._expect_broken(answer)
+
+    async def test_cut_body_is_no_end(self) -> None:
+        answers = (
+            b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc',
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab',
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n',
+        )
+        for answer in answers:
+            with self.subTest(answer=answer):
+                await self._expect_short(answer)
+
+    async def _expect_broken(self, raw: bytes) -> None:
+        async with _Server(_reply(raw)) as server:
+            with self.assertRaises(BackendBrokenError) as caught:
+                await server.client.exchange(_get(), _body())
+            self.assertTrue(caught.exception.written)
+
+    async def _expect_short(self, raw: bytes) -> None:
+        async with _Server(_reply(raw)) as server:
+            answer = await server.client.exchange(_get(), _body())
+            with self.assertRaises(ShortAnswerError):
+                await _read(answer)
+
+    async def test_failed_request_body_closes_the_connection(self) -> None:
+        async def script(
+            reader: asyncio.StreamReader,
+            _writer: asyncio.StreamWriter,
+        ) -> None:
+            await reader.read(-1)
+
+        async def body() -> AsyncIterator[bytes]:
+            yield b'one'
+            raise OSError('client reset its stream')
+
+        async with _Server(script) as server:
+            with self.assertRaises(BackendBrokenError):
+                async with asyncio.timeout(_WAIT_S):
+                    await server.client.exchange(
+                        BackendRequest(b'POST', b'/photo', ()),
+                        body(),
+                    )
+            await asyncio.wait_for(server.closed.wait(), _WAIT_S)
+
+    async def test_body_longer_than_declared_is_refused(self) -> None:
+        async with _Server(_reply(b'')) as server:
+            with self.assertRaises(BackendBrokenError):
+                await server.client.exchange(
+                    BackendRequest(b'PUT', b'/', ((b'content-length', b'1'),)),
+                    _body(b'two'),
+                )
+
+
+class AbandonedExchangeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_late_answer_reaches_no_other_request(self) -> None:
+        asked = asyncio.Event()
+
+        async def late(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            asked.set()
+            # The end of input tells the server that nobody waits.
+            await reader.read(-1)
+            writer.write(_LATE)
+
+        async with _Server(late, _reply(_OK)) as server:
+            first = asyncio.create_task(
+                server.client.exchange(_get(), _body()),
+            )
+            await asyncio.wait_for(asked.wait(), _WAIT_S)
+            first.cancel()
+            await asyncio.wait((first,))
+            await asyncio.wait_for(server.closed.wait(), _WAIT_S)
+            answer = await server.client.exchange(_get(), _body())
+            self.assertEqual(await _read(answer), b'ok')
+
+    async def test_closed_answer_is_not_reused(self) -> None:
+        part = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc'
+        async with _Server(_reply(part, _OK), _reply(_OK)) as server:
+            answer = await server.client.exchange(_get(), _body())
+            await answer.close()
+            await asyncio.wait_for(server.closed.wait(), _WAIT_S)
+            answer = await server.client.exchange(_get(), _body())
+            self.assertEqual(await _read(answer), b'ok')
+            self.assertEqual(server.connections, 2)
+
+    async def test_doubled_answer_reaches_no_other_request(self) -> None:
+        doubled = b''.join((_OK, _LATE))
+        for gap in (0, 40):
+            with self.subTest(gap=gap):
+                await self._expect_separate(doubled[:gap], doubled[gap:])
+
+    async def _expect_separate(self, early: bytes, late: bytes) -> None:
+        async def script(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(early)
+            await asyncio.sleep(0.05)
+            writer.write(late)
+            await reader.read(-1)
+
+        async with _Server(script, _reply(_OK)) as server:
+            answer = await server.client.exchange(_get(), _body())
+            self.assertEqual(await _read(answer), b'ok')
+            await asyncio.wait_for(server.closed.wait(), _WAIT_S)
+            answer = await server.client.exchange(_get(), _body())
+            self.assertEqual(await _read(answer), b'ok')
+
+    async def test_connection_closed_at_rest_is_not_used(self) -> None:
+        async with _Server(_reply(_OK)) as server:
+            for opened in (1, 2):
+                answer = await server.client.exchange(_get(), _body())
+                self.assertEqual(await _read(answer), b'ok')
+                await asyncio.wait_for(server.closed.wait(), _WAIT_S)
+                await asyncio.sleep(0.05)
+                self.assertEqual(server.connections, opened)
