--- a/src/dragonflyshift/_internal/models/__init__.py
+++ b/src/dragonflyshift/_internal/models/__init__.py
@@ -16,6 +16,7 @@
     IdempotencyKey,
     Outcome,
     OutcomeKind,
+    StoredEntry,
 )
 from dragonflyshift._internal.models.rules import Locality, ServiceRules
 
@@ -34,4 +35,5 @@
     'OutcomeKind',
     'ServiceDocument',
     'ServiceRules',
+    'StoredEntry',
 )
--- a/src/dragonflyshift/_internal/models/outcome.py
+++ b/src/dragonflyshift/_internal/models/outcome.py
@@ -37,3 +37,11 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytes = b''
+
+
+@frozen
+class StoredEntry:
+    """An outcome under its key, as a home hands it to its peers."""
+
+    key: IdempotencyKey
+    outcome: Outcome
--- /dev/null
+++ b/tests/unit/wire/test_datagram.py
@@ -0,0 +1,90 @@
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dragonflyshift._internal.exceptions import WireError
+from dragonflyshift._internal.wire.datagram import (
+    HEADER_BYTES,
+    WINDOW_PACKETS,
+    DatagramCodec,
+    Kind,
+)
+from dragonflyshift._internal.wire.keys import FleetKeys
+
+_OLD = f'1:{"11" * 32}'
+_NEW = f'2:{"22" * 32}'
+
+
+def _codec(text: str = _OLD) -> DatagramCodec:
+    return DatagramCodec(FleetKeys.parse(text))
+
+
+class DatagramTest(unittest.TestCase):
+    def test_datagram_opens_at_a_peer(self) -> None:
+        sender = _codec()
+        for kind in Kind:
+            opened = _codec().open(sender.seal(kind, b'body'))
+            self.assertEqual(opened.kind, kind)
+            self.assertEqual(opened.sender, sender.sender)
+            self.assertEqual(opened.body, b'body')
+
+    def test_unknown_key_number_and_other_secret_are_refused(self) -> None:
+        sealed = _codec().seal(Kind.PROBE, b'body')
+        for keys in (_NEW, f'1:{"33" * 32}'):
+            with self.assertRaises(WireError):
+                _codec(keys).open(sealed)
+
+    def test_keys_are_rotated(self) -> None:
+        both = (f'{_OLD},{_NEW}', f'{_NEW},{_OLD}')
+        steps = (_OLD, *both, _NEW)
+        for ours, theirs in zip(steps, steps[1:], strict=False):
+            for pair in ((ours, theirs), (theirs, ours)):
+                sealed = _codec(pair[0]).seal(Kind.ACK, b'body')
+                self.assertEqual(_codec(pair[1]).open(sealed).body, b'body')
+
+    def test_replayed_and_long_late_datagrams_are_refused(self) -> None:
+        sender, receiver = _codec(), _codec()
+        sealed = [sender.seal(Kind.FORWARD, b'') for _ in range(5)]
+        for index in (1, 0, 4, 3):
+            receiver.open(sealed[index])
+        for index in (0, 1, 3, 4):
+            with self.assertRaises(WireError):
+                receiver.open(sealed[index])
+        later = [sender.seal(Kind.FORWARD, b'') for _ in range(WINDOW_PACKETS)]
+        receiver.open(later[-1])
+        with self.assertRaises(WireError):
+            receiver.open(sealed[2])
+
+    def test_forged_datagram_leaves_the_window_as_it_was(self) -> None:
+        sender, receiver = _codec(), _codec()
+        sealed = sender.seal(Kind.FORWARD, b'body')
+        with self.assertRaises(WireError):
+            receiver.open(sealed.replace(b'body', b'bode'))
+        self.assertEqual(receiver.open(sealed).body, b'body')
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(st.binary(max_size=40), st.data())
+    def test_any_altered_bit_is_refused(
+        self,
+        body: bytes,
+        draw: st.DataObject,
+    ) -> None:
+        raw = bytearray(_codec().seal(Kind.RELAY, body))
+        bit = draw.draw(st.integers(0, len(raw) * 8 - 1))
+        raw[bit // 8] ^= 1 << bit % 8
+        with self.assertRaises(WireError):
+            _codec().open(bytes(raw))
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(st.integers(0, HEADER_BYTES + 3))
+    def test_truncated_datagram_is_refused(self, size: int) -> None:
+        sealed = _codec().seal(Kind.REPLY, b'body')
+        with self.assertRaises(WireError):
+            _codec().open(sealed[:size])
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(st.binary(max_size=120))
+    def test_odd_bytes_raise_wire_errors_only(self, raw: bytes) -> None:
+        with self.assertRaises(WireError):
+            _codec().open(raw)
