--- a/src/dragonflyshift/_internal/balancer/role.py
+++ b/src/dragonflyshift/_internal/balancer/role.py
@@ -47,7 +47,7 @@
         self._tasks = TaskGroup()
         self._feed = ConfigurationFeed(
             settings,
-            WatchScope.balancer(),
+            WatchScope(),
             self._tasks,
             random.Random(),
         )
@@ -113,7 +113,8 @@
         self._sockets.close()
         if self._datagrams is not None:
             self._datagrams.close()
-        self._tracing.close()
+        self._tracing.shutdown()
+        self._metrics.close()
 
     def _create_steering(self) -> Steering:
         choice = find_plugin(CandidateChoice, self.settings.candidate_choice)
--- a/src/dragonflyshift/_internal/balancer/views.py
+++ b/src/dragonflyshift/_internal/balancer/views.py
@@ -4,6 +4,7 @@
 and the register. The platform's list of instances is not used here: it lags.
 """
 
+import random
 import time
 from collections.abc import Callable
 
@@ -28,7 +29,7 @@
         """Start with no word on anybody: all endpoints are presumed alive."""
         self._clock = clock
         self._tables: dict[int, MemberTable] = {}
-        self.health = EndpointHealth()
+        self.health = EndpointHealth(random.Random())
 
     def table(self, tag: int) -> MemberTable:
         """Return the member table of a service."""
--- a/src/dragonflyshift/_internal/kernel/option_table.py
+++ b/src/dragonflyshift/_internal/kernel/option_table.py
@@ -147,6 +147,11 @@
         'seconds of silence after which a flow has ended',
         metavar='SECONDS',
     ),
+    options.Option(
+        'steering',
+        options.parse_name,
+        'plug-in that steers packets at a balancer',
+    ),
     options.Option(
         'candidate_choice',
         options.parse_name,
--- a/src/dragonflyshift/_internal/kernel/registry.py
+++ b/src/dragonflyshift/_internal/kernel/registry.py
@@ -24,7 +24,7 @@
 _registry: dict[str, dict[str, type['Plugin']]] = {}
 
 
-class Plugin(ABC):  # noqa: B024 -- the kinds below it are the abstract ones
+class Plugin(ABC):  # noqa: B024 -- the kinds are the abstract ones
     """Base of every plug-in kind."""
 
     plugin_kind: ClassVar[str] = ''
--- a/src/dragonflyshift/_internal/kernel/settings.py
+++ b/src/dragonflyshift/_internal/kernel/settings.py
@@ -65,6 +65,7 @@
     watch_wait: float = 30.0
     drain_timeout: float = 0
     idle_timeout: float = 10.0
+    steering: str = 'connection-id'
     candidate_choice: str = 'rendezvous'
     flow_decision: str = 'least-loaded'
     peer_choice: str = 'power-of-two'
--- a/src/dragonflyshift/_internal/sidecar/__init__.py
+++ b/src/dragonflyshift/_internal/sidecar/__init__.py
@@ -1,1 +1,5 @@
 """The sidecar role: end flows, admit and run requests."""
+
+from dragonflyshift._internal.sidecar.role import SidecarRole
+
+__all__ = ('SidecarRole',)
--- /dev/null
+++ b/src/dragonflyshift/_internal/sidecar/backend_watch.py
@@ -0,0 +1,114 @@
+"""Watch the own backend server: whether it is there, drains or is cold.
+
+What the sidecar's own requests show goes before the health endpoint, which
+may lag or mislead: a backend server that answers requests isn't taken for
+dead, and a single odd health answer changes nothing.
+"""
+
+import asyncio
+import enum
+import logging
+import time
+from collections.abc import AsyncIterator, Callable
+
+from dragonflyshift._internal.exceptions import BackendError
+from dragonflyshift._internal.sidecar.backend import (
+    BackendClient,
+    BackendRequest,
+)
+
+logger = logging.getLogger(__name__)
+
+HEALTH_TARGET = b'/health'
+DRAINING_WORD = b'draining'
+STATUS_SERVER_ERROR = 500
+POLL_PERIOD_SECONDS = 0.5
+POLL_TIMEOUT_SECONDS = 1.0
+CONFIRMING_POLLS = 2
+MAX_HEALTH_BYTES = 4096
+_REQUEST = BackendRequest(
+    method=b'GET',
+    target=HEALTH_TARGET,
+    headers=((b'host', b'backend'),),
+    fresh=True,
+)
+
+
+class BackendState(enum.StrEnum):
+    """What the backend server says of itself."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    UNREACHABLE = 'unreachable'
+    UNHEALTHY = 'unhealthy'
+
+
+class BackendWatch:
+    """Poll the health endpoint; report a state that was seen twice."""
+
+    def __init__(
+        self,
+        backend: BackendClient,
+        changed: Callable[[BackendState], None],
+        served_at: Callable[[], float],
+    ) -> None:
+        """Call ``changed``; ``served_at`` is when a request last succeeded."""
+        self._backend = backend
+        self._changed = changed
+        self._served_at = served_at
+        self._candidate = BackendState.READY
+        self._seen = 0
+        self.state = BackendState.READY
+
+    async def run(self) -> None:
+        """Poll for as long as the task lives."""
+        while True:
+            self._note(await self._poll())
+            await asyncio.sleep(POLL_PERIOD_SECONDS)
+
+    def _note(self, state: BackendState) -> None:
+        if state is not self._candidate:
+            self._candidate = state
+            self._seen = 0
+        self._seen += 1
+        if state is self.state or self._seen < CONFIRMING_POLLS:
+            return
+        if state is BackendState.UNHEALTHY and self._serves():
+            return
+        logger.info('backend-state', extra={'state': state.value})
+        self.state = state
+        self._changed(state)
+
+    def _serves(self) -> bool:
+        served_ago = time.monotonic() - self._served_at()
+        return served_ago < CONFIRMING_POLLS * POLL_PERIOD_SECONDS
+
+    async def _poll(self) -> BackendState:
+        try:
+            async with asyncio.timeout(POLL_TIMEOUT_SECONDS):
+                return await self._ask()
+        except (BackendError, TimeoutError):
+            return BackendState.UNREACHABLE
+
+    async def _ask(self) -> BackendState:
+        answer = await self._backend.exchange(_REQUEST, _no_body())
+        body = b''
+        try:
+            async for chunk in answer.chunks():
+                body = (body + chunk)[:MAX_HEALTH_BYTES]
+        finally:
+            await answer.close()
+        return _read_state(answer.status, body)
+
+
+def _read_state(status: int, body: bytes) -> BackendState:
+    if DRAINING_WORD in body:
+        return BackendState.DRAINING
+    if status >= STATUS_SERVER_ERROR:
+        return BackendState.UNHEALTHY
+    return BackendState.READY
+
+
+async def _no_body() -> AsyncIterator[bytes]:
+    for nothing in ():
+        yield nothing
--- a/src/dragonflyshift/_internal/sidecar/exchange.py
+++ b/src/dragonflyshift/_internal/sidecar/exchange.py
@@ -9,7 +9,8 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any
 
 from dragonflyshift._internal.exceptions import (
     DragonflyshiftError,
@@ -42,9 +43,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running(coroutine: object) -> AsyncIterator[asyncio.Task[None]]:
+async def running(
+    coroutine: Coroutine[Any, Any, None],
+) -> AsyncIterator[asyncio.Task[None]]:
     """Run a coroutine in a task for as long as the block lasts."""
-    task = asyncio.ensure_future(coroutine)
+    task = asyncio.create_task(coroutine)
     try:
         yield task
     finally:
--- a/src/dragonflyshift/_internal/sidecar/flow.py
+++ b/src/dragonflyshift/_internal/sidecar/flow.py
@@ -148,10 +148,16 @@
         """
         self._send_goaway(LAST_STREAM_ID)
 
-    def refuse_new(self) -> None:
-        """Process no further request; each one is rejected as not run."""
+    def close_gently(self, after: float) -> None:
+        """Reject further requests as not run, then close after a while.
+
+        The client hears before the end which requests were not processed.
+        """
+        if self._refusing or self.ended:
+            return
         self._refusing = True
         self._send_goaway(self._next_stream_id)
+        self._loop.call_later(after, self.close, ErrorCode.H3_NO_ERROR)
 
     async def wait_requests(self) -> None:
         """Wait until no request is open."""
--- a/src/dragonflyshift/_internal/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/sidecar/flows.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable, Iterator
 
-from aioquic.buffer import Buffer
+from aioquic.buffer import Buffer  # type: ignore[attr-defined] # no __all__
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.packet import (
     QuicErrorCode,
@@ -211,7 +211,7 @@
             self._configuration.idle_timeout,
         )
         path = self._sender.open_path(forward)
-        flow.connection_made(path)
+        flow.bind(path)
         known = _OpenFlow(flow, path)
         self._register(known, header.destination)
         self._deliver(known, forward)
--- /dev/null
+++ b/src/dragonflyshift/_internal/sidecar/handover.py
@@ -0,0 +1,133 @@
+"""Hand the outcomes of a stopping sidecar to its peers."""
+
+import asyncio
+import logging
+import time
+
+from attrs import evolve
+
+from dragonflyshift._internal.exceptions import PeerError, WireError
+from dragonflyshift._internal.membership import MemberTable
+from dragonflyshift._internal.models import Address, MemberState
+from dragonflyshift._internal.sidecar.exchange import receive_within
+from dragonflyshift._internal.sidecar.identity import SidecarIdentity
+from dragonflyshift._internal.state import OutcomeTable
+from dragonflyshift._internal.wire.keys import FleetKeys
+from dragonflyshift._internal.wire.messages import (
+    Message,
+    OutcomeTransfer,
+    OutcomeTransferred,
+)
+from dragonflyshift._internal.wire.stream import MessageStream, connect_stream
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+ANSWER_LIMIT_SECONDS = 2.0
+PART_BYTES = 256 * 1024
+ENTRY_OVERHEAD_BYTES = 256
+
+
+class OutcomeHandover:
+    """Send the outcome table to every peer, and adopt theirs."""
+
+    def __init__(
+        self,
+        identity: SidecarIdentity,
+        keys: FleetKeys,
+        members: MemberTable,
+        outcomes: OutcomeTable,
+    ) -> None:
+        """Hand over ``outcomes`` of ``identity``."""
+        self._identity = identity
+        self._keys = keys
+        self._members = members
+        self._outcomes = outcomes
+
+    async def hand_over(self) -> int:
+        """Freeze the table and send it; return the peers that have it."""
+        parts = self._parts()
+        peers = [
+            record.address
+            for record in self._members.records()
+            if record.address != self._identity.address
+            and record.state is not MemberState.DEAD
+        ]
+        done = await asyncio.gather(
+            *(self._send(peer, parts) for peer in peers),
+        )
+        logger.info(
+            'outcomes-handed-over',
+            extra={'peers': sum(done), 'asked': len(peers)},
+        )
+        return sum(done)
+
+    async def adopt(self, stream: MessageStream, message: Message) -> None:
+        """Take over a part of what a stopping peer knows."""
+        if not isinstance(message, OutcomeTransfer):
+            raise WireError('outcomes are expected')
+        self._outcomes.adopt(
+            message.home,
+            message.boot,
+            message.entries,
+            complete=message.complete,
+            floor=message.floor,
+            now=time.monotonic(),
+        )
+        await stream.send(OutcomeTransferred())
+
+    def _parts(self) -> tuple[OutcomeTransfer, ...]:
+        """Cut the table into messages of a bounded size."""
+        whole = OutcomeTransfer(
+            home=self._identity.address,
+            boot=self._identity.first_boot,
+            entries=(),
+            complete=False,
+            floor=self._outcomes.floor,
+        )
+        parts = []
+        entries = []
+        size = 0
+        for entry in self._outcomes.freeze():
+            entries.append(entry)
+            size += ENTRY_OVERHEAD_BYTES + len(entry.outcome.body)
+            if size >= PART_BYTES:
+                parts.append(evolve(whole, entries=tuple(entries)))
+                entries = []
+                size = 0
+        last = evolve(whole, entries=tuple(entries), complete=True)
+        return (*parts, last)
+
+    async def _send(
+        self,
+        peer: Address,
+        parts: tuple[OutcomeTransfer, ...],
+    ) -> bool:
+        try:
+            stream = await connect_stream(
+                peer,
+                self._keys,
+                CONNECT_TIMEOUT_SECONDS,
+            )
+            try:
+                await _send_parts(stream, parts)
+            finally:
+                stream.abort()
+        except (PeerError, WireError) as exc:
+            logger.warning(
+                'handover-failed',
+                extra={'peer': str(peer), 'reason': exc.message},
+            )
+            return False
+        return True
+
+
+async def _send_parts(
+    stream: MessageStream,
+    parts: tuple[OutcomeTransfer, ...],
+) -> None:
+    for part in parts:
+        await stream.send(part)
+        answer = await receive_within(stream, ANSWER_LIMIT_SECONDS)
+        if not isinstance(answer, OutcomeTransferred):
+            raise PeerError('the peer did not adopt the outcomes')
--- a/src/dragonflyshift/_internal/sidecar/identity.py
+++ b/src/dragonflyshift/_internal/sidecar/identity.py
@@ -2,31 +2,44 @@
 
 import time
 
-from attrs import define
+from attrs import define, field
 
 from dragonflyshift._internal.models import Address
 from dragonflyshift._internal.wire import ConnectionIdCodec, IssuedId
 
 BOOT_BITS = 32
+BOOTS_PER_SECOND = 10
+BOOT_EPOCH_SECONDS = 1767225600  # 2026-01-01
 
 
 def new_boot() -> int:
     """Return a boot number above that of an earlier life.
 
-    It is the time in seconds. A peer that remembers a higher one corrects
-    it, so a clock that went back does no harm.
+    It counts tenths of a second, shorter than a process takes to start. A
+    peer that remembers a higher one corrects it, so a clock that went back
+    does no harm.
     """
-    return int(time.time()) % (1 << BOOT_BITS)
+    elapsed = max(0, time.time() - BOOT_EPOCH_SECONDS)
+    return int(elapsed * BOOTS_PER_SECOND) % (1 << BOOT_BITS)
 
 
 @define(eq=False)
 class SidecarIdentity:
-    """Address, service tag and boot number of a sidecar."""
+    """Address, service tag and boot number of a sidecar.
+
+    ``first_boot`` is the number that it started with; keys name that one
+    also after a peer has corrected ``boot``.
+    """
 
     address: Address
     tag: int
     boot: int
     codec: ConnectionIdCodec
+    first_boot: int = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Keep the first boot number."""
+        self.first_boot = self.boot
 
     def new_id(self) -> bytes:
         """Issue a connection id that names this sidecar."""
--- a/src/dragonflyshift/_internal/sidecar/local.py
+++ b/src/dragonflyshift/_internal/sidecar/local.py
@@ -1,7 +1,6 @@
 """Run a request on the sidecar's own backend server."""
 
 import asyncio
-import logging
 import time
 
 from dragonflyshift._internal.exceptions import BackendError
@@ -24,15 +23,15 @@
 )
 from dragonflyshift._internal.sidecar.request import (
     OUTCOME_HEADER,
+    RETRY_AFTER_HEADER,
     TIMEOUT_HEADER,
     AnswerSink,
     Request,
     RequestCutError,
+    find_header,
 )
 from dragonflyshift._internal.telemetry import Metrics
 
-logger = logging.getLogger(__name__)
-
 _ANSWERED = (OUTCOME_HEADER, OutcomeKind.ANSWERED.encode())
 
 
@@ -49,7 +48,7 @@
         self._backend = backend
         self._admission = admission
         self._metrics = metrics
-        self.unreachable_since: float | None = None
+        self.served_at = 0.0
 
     async def run(self, req: Request, sink: AnswerSink) -> None:
         """Run a request; raise RunFailedError when it got no whole answer.
@@ -81,7 +80,6 @@
             raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         except RequestCutError as exc:
             raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
-        self.unreachable_since = None
         try:
             await self._pass_on(answer, sink)
         except BackendError as exc:
@@ -91,24 +89,22 @@
             await answer.close()
 
     async def _pass_on(self, answer: BackendAnswer, sink: AnswerSink) -> None:
-        now = time.monotonic()
-        if answer.status == STATUS_UNAVAILABLE:
+        retry_after = find_header(answer.headers, RETRY_AFTER_HEADER)
+        if answer.status == STATUS_UNAVAILABLE and retry_after:
+            # The backend server's own word that it has not run the request.
             self._metrics.incr('shed')
-            self._admission.shed(now)
-        else:
-            self._admission.served(now)
+            self._admission.shed(time.monotonic())
+            raise NotRunError('the backend server sheds load')
+        self.served_at = time.monotonic()
+        self._admission.served(self.served_at)
         await sink.send_head(answer.status, (*answer.headers, _ANSWERED))
         async for chunk in answer.chunks():
             await sink.send_chunk(chunk)
         await sink.finish()
 
     def _note_unreachable(self) -> None:
-        now = time.monotonic()
         self._metrics.incr('backend-unreachable')
-        self._admission.shed(now)
-        if self.unreachable_since is None:
-            self.unreachable_since = now
-            logger.warning('backend-unreachable')
+        self._admission.shed(time.monotonic())
 
 
 def _backend_request(req: Request) -> BackendRequest:
--- /dev/null
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -0,0 +1,346 @@
+"""A running sidecar: its sockets, members, flows and requests."""
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Sequence
+
+from aioquic.quic.configuration import QuicConfiguration
+
+from dragonflyshift._internal.config import ConfigurationChange
+from dragonflyshift._internal.control import ConfigurationFeed, ControlServer
+from dragonflyshift._internal.exceptions import (
+    MembershipError,
+    SidecarError,
+    WireError,
+)
+from dragonflyshift._internal.kernel.registry import find_plugin
+from dragonflyshift._internal.kernel.settings import Settings
+from dragonflyshift._internal.kernel.tasks import TaskGroup
+from dragonflyshift._internal.membership import Prober
+from dragonflyshift._internal.models import (
+    Address,
+    MemberRecord,
+    ServiceDocument,
+    ServiceRules,
+)
+from dragonflyshift._internal.models.documents import (
+    ServiceState,
+    service_key,
+)
+from dragonflyshift._internal.recovery import (
+    BalancerDirectory,
+    PauseDetector,
+    watch_pauses,
+)
+from dragonflyshift._internal.routing import FlowDecision, LoadSnapshot
+from dragonflyshift._internal.sidecar.backend_watch import BackendWatch
+from dragonflyshift._internal.sidecar.draining import Drainer
+from dragonflyshift._internal.sidecar.flows import FlowPolicy, FlowTable
+from dragonflyshift._internal.sidecar.handover import OutcomeHandover
+from dragonflyshift._internal.sidecar.identity import (
+    SidecarIdentity,
+    new_boot,
+)
+from dragonflyshift._internal.sidecar.lifecycle import Lifecycle
+from dragonflyshift._internal.sidecar.parts import (
+    Telemetry,
+    create_admission,
+    create_members,
+    create_requests,
+    own_slots,
+)
+from dragonflyshift._internal.sidecar.replies import ReplySender, ServiceWord
+from dragonflyshift._internal.sidecar.reports import SidecarReports
+from dragonflyshift._internal.sidecar.serving import run_for_peer
+from dragonflyshift._internal.utils.udp import DatagramSocket
+from dragonflyshift._internal.wire import (
+    ConnectionIdCodec,
+    DatagramCodec,
+    Forward,
+    Kind,
+    Opened,
+)
+from dragonflyshift._internal.wire.messages import (
+    ClaimRequest,
+    OutcomeTransfer,
+    RequestHead,
+)
+from dragonflyshift._internal.wire.stream import MessageStream
+
+logger = logging.getLogger(__name__)
+
+PAUSE_LIMIT_SECONDS = 1.0
+PUMP_PERIOD_SECONDS = 0.05
+
+
+class SidecarNode:
+    """Everything of a sidecar that needs the service's document."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        feed: ConfigurationFeed,
+        telemetry: Telemetry,
+        tasks: TaskGroup,
+        quic: QuicConfiguration,
+    ) -> None:
+        """Wire the parts together; open nothing yet."""
+        self._settings = settings
+        self._feed = feed
+        self._metrics = telemetry.metrics
+        self._tasks = tasks
+        self._codec = DatagramCodec(settings.fleet_keys)
+        self._datagrams: DatagramSocket | None = None
+        ids = ConnectionIdCodec(settings.fleet_keys)
+        service = self._service
+        self._identity = SidecarIdentity(
+            settings.listen,
+            service.tag,
+            new_boot(),
+            ids,
+        )
+        self._members = create_members(self._identity)
+        self._lifecycle = Lifecycle(settings.listen, self._members)
+        self._admission = create_admission(settings, service, time.monotonic())
+        self._requests = create_requests(
+            settings,
+            self._identity,
+            self._members,
+            self._lifecycle,
+            self._admission,
+            lambda: self._rules,
+            telemetry,
+            tasks,
+        )
+        self._directory = BalancerDirectory()
+        self._flows = FlowTable(
+            self._identity,
+            quic,
+            ids,
+            ReplySender(
+                service.tag,
+                self._codec,
+                self._send,
+                self._word,
+                self._directory,
+            ),
+            self._flow_policy(),
+            self._requests.service.handle,
+            self._metrics,
+        )
+        self._prober = Prober(
+            self._members,
+            self._peers,
+            self._send_membership,
+            random.Random(),
+            tag=service.tag,
+            version=lambda: self._service.version,
+            on_version=self._version_heard,
+        )
+        self._handover = OutcomeHandover(
+            self._identity,
+            settings.fleet_keys,
+            self._members,
+            self._requests.outcomes,
+        )
+        self._watch = BackendWatch(
+            self._requests.backend,
+            self._lifecycle.backend_changed,
+            lambda: self._requests.local.served_at,
+        )
+        self._control = self._create_control()
+
+    async def start(self) -> None:
+        """Open the sockets and start the tasks."""
+        self._datagrams = DatagramSocket.bind(
+            self._settings.listen,
+            self._receive,
+        )
+        await self._control.start()
+        self._feed.store.changes.subscribe(self._changed)
+        self._apply_document()
+        for name, coroutine in (
+            ('membership', self._prober.run()),
+            ('backend-watch', self._watch.run()),
+            ('queue', self._pump()),
+            (
+                'pauses',
+                watch_pauses(PauseDetector(PAUSE_LIMIT_SECONDS), self._paused),
+            ),
+        ):
+            self._tasks.start(coroutine, name)
+
+    async def drain(self) -> None:
+        """Leave: requests go to peers, running ones end, outcomes move."""
+        self._lifecycle.stop()
+        drainer = Drainer(self._flows, self._busy, self._handover)
+        await drainer.drain(self._settings.drain_timeout)
+
+    async def close(self) -> None:
+        """Close all sockets."""
+        await self._control.close()
+        await self._requests.backend.close()
+        if self._datagrams is not None:
+            self._datagrams.close()
+
+    @property
+    def _service(self) -> ServiceDocument:
+        service = self._feed.store.service(self._settings.service)
+        if service is None:
+            raise SidecarError('the service has no document yet')
+        return service
+
+    @property
+    def _rules(self) -> ServiceRules:
+        return self._service.rules
+
+    def _create_control(self) -> ControlServer:
+        control = ControlServer(
+            self._settings.listen,
+            self._settings.fleet_keys,
+            self._feed.store,
+            SidecarReports(
+                self._settings,
+                self._feed.store,
+                self._members,
+                self._admission,
+                lambda: len(self._flows),
+                self._metrics,
+            ),
+        )
+        control.add_handler(ClaimRequest, self._requests.claims.serve)
+        control.add_handler(RequestHead, self._serve_keyed)
+        control.add_handler(OutcomeTransfer, self._handover.adopt)
+        return control
+
+    def _flow_policy(self) -> FlowPolicy:
+        decision = find_plugin(FlowDecision, self._settings.flow_decision)
+        return FlowPolicy(
+            decision(),
+            self._load,
+            self._believed,
+            self._relay,
+            lambda: self._service.state is ServiceState.WINDING_DOWN,
+        )
+
+    def _receive(self, datagram: bytes, sender: Address) -> None:
+        try:
+            self._dispatch(self._codec.open(datagram), sender)
+        except (WireError, MembershipError) as exc:
+            self._metrics.incr('dropped.unauthentic')
+            logger.debug('datagram-refused', extra={'reason': exc.message})
+
+    def _dispatch(self, opened: Opened, sender: Address) -> None:
+        if opened.kind in {Kind.FORWARD, Kind.RELAY}:
+            forward = Forward.decode(opened.body)
+            if forward.version > self._service.version:
+                self._version_heard(forward.balancer, forward.version)
+            self._flows.receive(forward)
+        elif opened.kind is Kind.REPLY:
+            raise WireError('a sidecar takes no replies')
+        else:
+            now = time.monotonic()
+            self._prober.handle(opened.kind, opened.body, sender, now)
+
+    def _send(self, datagram: bytes, address: Address) -> None:
+        if self._datagrams is not None:
+            self._datagrams.send(datagram, address)
+
+    def _send_membership(
+        self,
+        address: Address,
+        kind: Kind,
+        body: bytes,
+    ) -> None:
+        self._metrics.incr('control-bytes', len(body))
+        self._send(self._codec.seal(kind, body), address)
+
+    def _relay(self, forward: Forward, peer: Address) -> None:
+        self._send(self._codec.seal(Kind.RELAY, forward.relayed()), peer)
+
+    def _peers(self) -> Sequence[Address]:
+        return tuple(
+            endpoint.address
+            for endpoint in self._service.endpoints
+            if endpoint.address != self._settings.listen
+        )
+
+    def _word(self) -> ServiceWord:
+        return ServiceWord(
+            self._members.hash,
+            self._members.digest,
+            self._service.version,
+        )
+
+    def _believed(self, address: Address) -> MemberRecord | None:
+        return self._members.record(address)
+
+    def _load(self, connections: int) -> LoadSnapshot:
+        own = self._members.own
+        if own is None:
+            raise SidecarError('the own record is missing')
+        return LoadSnapshot(
+            own.state,
+            connections,
+            self._rules.connections,
+            self._admission.free(time.monotonic()),
+            self._admission.queued,
+        )
+
+    def _version_heard(self, peer: Address, version: int) -> None:
+        key = service_key(self._settings.service)
+        self._feed.version_heard(key, version, peer)
+
+    def _changed(self, change: ConfigurationChange) -> None:
+        logger.info(
+            'configuration-in-force',
+            extra={'key': change.key, 'version': change.version},
+        )
+        self._apply_document()
+
+    def _apply_document(self) -> None:
+        service = self._service
+        self._admission.resize(
+            own_slots(self._settings, service),
+            service.rules.queue_limit,
+        )
+        self._members.retain(
+            [endpoint.address for endpoint in service.endpoints],
+            time.monotonic(),
+        )
+        self._lifecycle.document_changed(service)
+
+    async def _serve_keyed(
+        self,
+        stream: MessageStream,
+        head: RequestHead,
+    ) -> None:
+        if head.tag != self._identity.tag:
+            self._metrics.incr('dropped.wrong-service')
+            raise WireError('a request of another service')
+        await run_for_peer(stream, head, self._requests.keyed.serve_peer)
+
+    async def _pump(self) -> None:
+        """Move the queue on, and tell the load, for as long as it runs."""
+        while True:
+            now = time.monotonic()
+            self._requests.finder.pump()
+            self._requests.outcomes.expire(now)
+            self._members.set_load(
+                self._admission.free(now),
+                self._admission.queued,
+            )
+            await asyncio.sleep(PUMP_PERIOD_SECONDS)
+
+    def _busy(self) -> int:
+        return self._admission.running + self._requests.keyed.running
+
+    def _paused(self, _length: float) -> None:
+        """Trust nothing from before a pause."""
+        now = time.monotonic()
+        self._metrics.incr('pauses')
+        self._requests.claims.claims.drop_all()
+        self._members.forget_beliefs(now)
+        self._directory.reset()
--- /dev/null
+++ b/src/dragonflyshift/_internal/sidecar/parts.py
@@ -0,0 +1,174 @@
+"""The parts of a sidecar and how they are wired together."""
+
+import random
+from collections.abc import Callable
+
+from attrs import frozen
+
+from dragonflyshift._internal.kernel.registry import find_plugin
+from dragonflyshift._internal.kernel.settings import Settings
+from dragonflyshift._internal.kernel.tasks import TaskGroup
+from dragonflyshift._internal.limits import Admission
+from dragonflyshift._internal.membership import MemberTable
+from dragonflyshift._internal.models import (
+    Incarnation,
+    MemberRecord,
+    MemberState,
+    ServiceDocument,
+    ServiceRules,
+)
+from dragonflyshift._internal.retries import RetryPolicy
+from dragonflyshift._internal.routing import PeerChoice
+from dragonflyshift._internal.sidecar.backend import BackendClient
+from dragonflyshift._internal.sidecar.identity import SidecarIdentity
+from dragonflyshift._internal.sidecar.keyed import KeyedRequests
+from dragonflyshift._internal.sidecar.lifecycle import Lifecycle
+from dragonflyshift._internal.sidecar.local import LocalRunner
+from dragonflyshift._internal.sidecar.peers import PeerClaims
+from dragonflyshift._internal.sidecar.placing import SlotFinder
+from dragonflyshift._internal.sidecar.requests import (
+    RequestRunner,
+    RequestService,
+)
+from dragonflyshift._internal.sidecar.serving import ClaimServer
+from dragonflyshift._internal.state import KeyIssuer, OutcomeTable
+from dragonflyshift._internal.telemetry import Metrics, Tracing
+
+MAX_IDLE_BACKEND_CONNECTIONS = 16
+MAX_OUTCOMES = 16384
+OUTCOME_RETENTION_SECONDS = 900.0
+
+
+@frozen
+class Telemetry:
+    """Metrics and traces of a process."""
+
+    metrics: Metrics
+    tracing: Tracing
+
+
+@frozen
+class RequestParts:
+    """What serves requests."""
+
+    backend: BackendClient
+    admission: Admission
+    local: LocalRunner
+    finder: SlotFinder
+    service: RequestService
+    keyed: KeyedRequests
+    claims: ClaimServer
+    outcomes: OutcomeTable
+
+
+def create_members(identity: SidecarIdentity) -> MemberTable:
+    """Return a member table with the own record in it, still cold."""
+    return MemberTable(
+        MemberRecord(
+            identity.address,
+            Incarnation(identity.boot),
+            MemberState.COLD,
+        ),
+    )
+
+
+def create_admission(
+    settings: Settings,
+    service: ServiceDocument,
+    now: float,
+) -> Admission:
+    """Return the admission policy for this endpoint's slots."""
+    plugin = find_plugin(Admission, settings.admission)
+    return plugin(
+        own_slots(settings, service),
+        service.rules.queue_limit,
+        service.rules.slow_start,
+        now,
+    )
+
+
+def own_slots(settings: Settings, service: ServiceDocument) -> int:
+    """Return the slots that the register gives this endpoint."""
+    for endpoint in service.endpoints:
+        if endpoint.address == settings.listen:
+            return endpoint.slots
+    return 1
+
+
+def create_requests(
+    settings: Settings,
+    identity: SidecarIdentity,
+    members: MemberTable,
+    lifecycle: Lifecycle,
+    admission: Admission,
+    rules: Callable[[], ServiceRules],
+    telemetry: Telemetry,
+    tasks: TaskGroup,
+) -> RequestParts:
+    """Wire together what serves requests."""
+    rng = random.Random()
+    metrics = telemetry.metrics
+    if settings.backend is None:
+        raise ValueError('a sidecar has a backend server')
+    backend = BackendClient(settings.backend, MAX_IDLE_BACKEND_CONNECTIONS)
+    local = LocalRunner(backend, admission, metrics)
+    claims = PeerClaims(
+        identity,
+        settings.fleet_keys,
+        members,
+        find_plugin(PeerChoice, settings.peer_choice)(),
+        rng,
+    )
+    finder = SlotFinder(
+        admission,
+        local,
+        claims,
+        lambda: lifecycle.takes_work,
+        metrics,
+    )
+    retries = find_plugin(RetryPolicy, settings.retry_policy)
+    runner = RequestRunner(
+        finder,
+        retries(rules().retry_ratio, rng),
+        metrics,
+    )
+    issuer = KeyIssuer(
+        settings.fleet_keys,
+        identity.address,
+        identity.first_boot,
+        identity.tag,
+    )
+    outcomes = OutcomeTable(
+        MAX_OUTCOMES,
+        OUTCOME_RETENTION_SECONDS,
+        home=identity.address,
+        boot=identity.first_boot,
+        issued=lambda: issuer.issued,
+    )
+    keyed = KeyedRequests(
+        identity,
+        settings.fleet_keys,
+        issuer,
+        outcomes,
+        runner,
+        tasks,
+    )
+    return RequestParts(
+        backend,
+        admission,
+        local,
+        finder,
+        RequestService(runner, keyed, rules, metrics, telemetry.tracing),
+        keyed,
+        ClaimServer(
+            identity,
+            admission,
+            local,
+            lambda: lifecycle.takes_work,
+            metrics,
+            telemetry.tracing,
+        ),
+        outcomes,
+    )
+
+
--- a/src/dragonflyshift/_internal/sidecar/quic.py
+++ b/src/dragonflyshift/_internal/sidecar/quic.py
@@ -30,6 +30,10 @@
         super().__init__(quic)
         self.quic = quic
 
+    def bind(self, transport: Any) -> None:
+        """Send through ``transport``, anything with a ``sendto`` method."""
+        self.connection_made(transport)
+
     def on_ids(
         self,
         issued: IdHandler,
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -30,6 +30,7 @@
     RequestBody,
     RequestInfo,
 )
+from dragonflyshift._internal.sidecar.running import Runs
 from dragonflyshift._internal.telemetry import Metrics, Tracing, trace_id_for
 
 logger = logging.getLogger(__name__)
@@ -38,7 +39,7 @@
 _NOT_RUN = (OUTCOME_HEADER, OutcomeKind.NOT_RUN.encode())
 
 
-class RequestRunner:
+class RequestRunner(Runs):
     """Run a request on some instance, at most as often as is safe."""
 
     def __init__(
--- a/src/dragonflyshift/_internal/sidecar/serving.py
+++ b/src/dragonflyshift/_internal/sidecar/serving.py
@@ -3,7 +3,8 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from dragonflyshift._internal.exceptions import (
     DragonflyshiftError,
@@ -122,7 +123,7 @@
             )
         finally:
             if not redeemed:
-                self.claims.cancel(claim.claim_id)
+                self.claims.expire(time.monotonic())
                 self._admission.finish(time.monotonic(), 0)
         if not isinstance(head, RequestHead):
             raise WireError('a request is expected under the claim')
@@ -148,7 +149,7 @@
 async def run_for_peer(
     stream: MessageStream,
     head: RequestHead,
-    run: Callable[[Request, AnswerSink], object],
+    run: Callable[[Request, AnswerSink], Coroutine[Any, Any, None]],
 ) -> None:
     """Run a peer's request and send it the answer.
 
--- a/src/dragonflyshift/_internal/telemetry/__init__.py
+++ b/src/dragonflyshift/_internal/telemetry/__init__.py
@@ -1,5 +1,9 @@
 """Logs, metrics and traces."""
 
+from dragonflyshift._internal.telemetry.factory import (
+    create_metrics,
+    create_tracing,
+)
 from dragonflyshift._internal.telemetry.logs import configure_logging
 from dragonflyshift._internal.telemetry.metrics import (
     Metrics,
@@ -21,5 +25,7 @@
     'StatsdMetrics',
     'Tracing',
     'configure_logging',
+    'create_metrics',
+    'create_tracing',
     'trace_id_for',
 )
--- a/src/dragonflyshift/_internal/wire/envelope.py
+++ b/src/dragonflyshift/_internal/wire/envelope.py
@@ -9,7 +9,7 @@
 import struct
 from typing import Self
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from dragonflyshift._internal.exceptions import WireError
 from dragonflyshift._internal.models import Address
@@ -84,6 +84,10 @@
         )
         return head + self.packet
 
+    def relayed(self) -> bytes:
+        """Return the body with one hop more, to pass it on."""
+        return evolve(self, hops=self.hops + 1, second=None).encode()
+
     @classmethod
     def decode(cls, body: bytes) -> Self:
         """Read a datagram body; raise WireError if it is malformed."""
