Watch the platform, pull from peers and read the list of instances

All daemons lose the service at once, so the first retry is spread over 4 s: 6,150 of them stay below 2,000 reads in each second (seeded test). A balancer pulls only the documents whose version rose in the index.

--- a/src/dragonflyshift/_internal/config/store.py
+++ b/src/dragonflyshift/_internal/config/store.py
@@ -45,11 +45,13 @@
     """Hold the index and the services' documents in force.
 
     A service that a newer index no longer names keeps its document, so that
-    its running flows can end; ``is_retired`` tells.
+    its running flows can end; ``is_retired`` tells. ``pulling`` holds the
+    keys that are being pulled from a peer.
     """
 
     def __init__(self) -> None:
         """Start empty; every version is 0."""
+        self.pulling: set[str] = set()
         self._index: IndexDocument | None = None
         self._entries: dict[str, IndexEntry] = {}
         self._owners: dict[Address, str] = {}
@@ -158,10 +160,15 @@
         """Return the version in force under every key."""
         return {key: self.version(key) for key in self._raw}
 
-    def wanted_version(self, key: str) -> int:
-        """Return the version that the index names for a service's key."""
+    def is_stale(self, key: str) -> bool:
+        """Tell whether the index names a higher version of a service's key."""
         entry = self._entries.get(_service_name(key))
-        return 0 if entry is None else entry.version
+        return entry is not None and self.version(key) < entry.version
+
+    def stale_keys(self) -> list[str]:
+        """Return the services' keys whose version is behind the index."""
+        keys = (service_key(name) for name in self._entries)
+        return [key for key in keys if self.is_stale(key)]
 
     def raw(self, key: str) -> bytes | None:
         """Return the document in force as it was read, to hand to a peer."""
--- /dev/null
+++ b/tests/unit/config/test_watcher.py
@@ -0,0 +1,200 @@
+import asyncio
+import contextlib
+import random
+import statistics
+import unittest
+from collections.abc import AsyncIterator, Callable
+from unittest.mock import patch
+
+import httpx
+
+from dragonflyshift._internal.config import backoff, pulls
+from dragonflyshift._internal.config.client import (
+    PlatformClient,
+    PlatformRequestError,
+)
+from dragonflyshift._internal.config.documents import encode_document
+from dragonflyshift._internal.config.store import ConfigurationStore
+from dragonflyshift._internal.config.watcher import (
+    ConfigurationWatcher,
+    WatchScope,
+)
+from dragonflyshift._internal.models.documents import INDEX_KEY, service_key
+from tests.lib.builders import (
+    SERVICE,
+    build_address,
+    build_index,
+    build_service,
+    build_service_raw,
+)
+from tests.unit.config.platform import FakePlatform
+
+KEY = service_key(SERVICE)
+EXPORTS_KEY = service_key('exports')
+URL = 'http://platform.test'
+DEADLINE_SECONDS = 5
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    for _ in range(1000):
+        if condition():
+            return
+        await asyncio.sleep(DEADLINE_SECONDS / 1000)
+    raise AssertionError('the condition was not met in time')
+
+
+class WatcherTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        for module, name in (
+            (backoff, 'FIRST_CEILING_SECONDS'),
+            (backoff, 'MAX_CEILING_SECONDS'),
+            (pulls, 'SPREAD_SECONDS'),
+        ):
+            patcher = patch.object(module, name, 0.02)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+        self.platform = FakePlatform()
+        self.store = ConfigurationStore()
+
+    @contextlib.asynccontextmanager
+    async def watching(self, service: str = '') -> AsyncIterator[None]:
+        transport = self.platform.transport
+        async with PlatformClient(URL, transport=transport) as client:
+            watcher = ConfigurationWatcher(
+                self.store,
+                client,
+                WatchScope(service),
+                wait=0.5,
+                rng=random.Random(7),
+            )
+            task = asyncio.create_task(watcher.run())
+            yield
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    def publish(self, version: int) -> None:
+        lists = build_service(version=version)
+        exports = build_service(
+            'exports',
+            addresses=(build_address(201),),
+        )
+        index = build_index(lists, exports, version=version)
+        self.platform.publish(KEY, encode_document(lists))
+        self.platform.publish(EXPORTS_KEY, encode_document(exports))
+        self.platform.publish(INDEX_KEY, encode_document(index))
+
+    async def test_balancer_pulls_only_what_rose(self) -> None:
+        self.publish(1)
+        async with self.watching():
+            await until(lambda: self.store.versions().get(EXPORTS_KEY) == 1)
+            await until(lambda: self.store.version(KEY) == 1)
+            self.publish(2)
+            await until(lambda: self.store.version(KEY) == 2)
+        self.assertEqual(self.platform.reads.count(EXPORTS_KEY), 1)
+        self.assertEqual(self.platform.reads.count(KEY), 2)
+
+    async def test_sidecar_reads_its_own_key_alone(self) -> None:
+        self.publish(1)
+        async with self.watching(SERVICE):
+            await until(lambda: self.store.version(KEY) == 1)
+            self.publish(2)
+            await until(lambda: self.store.version(KEY) == 2)
+        self.assertEqual(set(self.platform.reads), {KEY})
+
+    async def test_outage_and_older_version_stop_nothing(self) -> None:
+        self.publish(4)
+        async with self.watching():
+            await until(lambda: self.store.version(KEY) == 4)
+            self.platform.failure = lambda: httpx.Response(503)
+            self.publish(3)
+            failed = len(self.platform.reads) + 3
+            await until(lambda: len(self.platform.reads) >= failed)
+            self.platform.failure = None
+            await until(
+                lambda: (
+                    self.platform.reads[-3:] == [INDEX_KEY for _ in range(3)]
+                )
+            )
+            self.assertEqual(self.store.version(KEY), 4)
+            self.publish(5)
+            await until(lambda: self.store.version(KEY) == 5)
+
+    async def test_document_behind_the_index_is_asked_for_again(self) -> None:
+        self.publish(1)
+        lists = build_service(version=2)
+        index = build_index(lists, version=2)
+        self.platform.publish(INDEX_KEY, encode_document(index))
+        async with self.watching():
+            await until(lambda: self.platform.reads.count(KEY) >= 3)
+            self.assertEqual(self.store.version(KEY), 1)
+            self.platform.publish(KEY, encode_document(lists))
+            await until(lambda: self.store.version(KEY) == 2)
+
+    async def test_invalid_document_is_refused_whole(self) -> None:
+        self.publish(1)
+        async with self.watching(SERVICE):
+            await until(lambda: self.store.version(KEY) == 1)
+            with self.assertLogs(level='ERROR'):
+                self.platform.publish(KEY, b'{"version": 9}')
+                await until(lambda: self.platform.reads.count(KEY) > 2)
+            self.platform.publish(KEY, build_service_raw(version=3))
+            await until(lambda: self.store.version(KEY) == 3)
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    async def failure(
+        self,
+        answer: Callable[[httpx.Request], httpx.Response],
+    ) -> PlatformRequestError:
+        transport = httpx.MockTransport(answer)
+        async with PlatformClient(URL, transport=transport) as client:
+            with self.assertRaises(PlatformRequestError) as caught:
+                await client.fetch('a/b')
+        return caught.exception
+
+    async def test_failures(self) -> None:
+        busy = httpx.Response(429, headers={'Retry-After': '7'})
+        exc = await self.failure(lambda _request: busy)
+        self.assertEqual((exc.status, exc.retry_after), (429, 7))
+        exc = await self.failure(lambda _request: httpx.Response(404))
+        self.assertTrue(exc.is_missing)
+        large = httpx.Response(200, content=b'x' * 1_048_577)
+        exc = await self.failure(lambda _request: large)
+        self.assertIn('more than 1048576 bytes', exc.message)
+
+    async def test_no_connection(self) -> None:
+        def refuse(request: httpx.Request) -> httpx.Response:
+            raise httpx.ConnectError('refused', request=request)
+
+        exc = await self.failure(refuse)
+        self.assertEqual(exc.status, 0)
+
+    async def test_silent_service(self) -> None:
+        async def hang(_request: httpx.Request) -> httpx.Response:
+            await asyncio.sleep(DEADLINE_SECONDS)
+            return httpx.Response(200)
+
+        transport = httpx.MockTransport(hang)
+        async with PlatformClient(URL, 0.05, transport) as client:
+            with self.assertRaisesRegex(PlatformRequestError, 'no answer'):
+                await client.watch('a', '"1"', 0.05)
+
+
+class BackoffTest(unittest.TestCase):
+    def test_herd_spreads_below_the_rate_of_the_service(self) -> None:
+        rng = random.Random(3)
+        delays = [backoff.Backoff(rng).next_delay() for _ in range(6150)]
+        each_second = [
+            sum(second <= delay < second + 1 for delay in delays)
+            for second in range(4)
+        ]
+        self.assertLess(max(each_second), 2000)
+
+    def test_named_wait_is_a_floor_with_jitter(self) -> None:
+        exc = PlatformRequestError('busy', context='', retry_after=3)
+        each = backoff.Backoff(random.Random(3))
+        delays = [each.next_delay(exc) for _ in range(20)]
+        self.assertGreaterEqual(min(delays), 3)
+        self.assertLessEqual(max(delays), 11)
+        self.assertGreater(statistics.stdev(delays), 1)
