--- /dev/null
+++ b/src/dragonflyshift/_internal/config/conflicts.py
@@ -0,0 +1,64 @@
+"""Conflicts between the services of one declaration."""
+
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+
+from dragonflyshift._internal.models.documents import ServiceDocument
+from dragonflyshift._internal.models.fault import Fault
+
+
+def check_conflicts(
+    source: str,
+    documents: Sequence[ServiceDocument],
+) -> Iterator[Fault]:
+    """Yield a fault for whatever two services both claim."""
+    yield from _check_shared(
+        source,
+        'the address',
+        'give each service and each endpoint an address of its own',
+        _address_claims(documents),
+    )
+    yield from _check_shared(
+        source,
+        'the endpoint',
+        'list an endpoint in one service only',
+        (
+            (endpoint.name, document.name, f'endpoints[{position}]')
+            for document in documents
+            for position, endpoint in enumerate(document.endpoints)
+        ),
+    )
+    yield from _check_shared(
+        source,
+        'the service tag',
+        'rename one of the services; the tag follows from the name',
+        ((document.tag, document.name, '') for document in documents),
+    )
+
+
+def _address_claims(
+    documents: Sequence[ServiceDocument],
+) -> Iterator[tuple[object, str, str]]:
+    for document in documents:
+        for position, address in enumerate(document.addresses):
+            yield address, document.name, f'addresses[{position}]'
+        for number, endpoint in enumerate(document.endpoints):
+            place = f'endpoints[{number}].address'
+            yield endpoint.address, document.name, place
+
+
+def _check_shared(
+    source: str,
+    what: str,
+    hint: str,
+    claims: Iterator[tuple[object, str, str]],
+) -> Iterator[Fault]:
+    places: dict[object, dict[str, str]] = defaultdict(dict)
+    for thing, service, place in claims:
+        path = f'services.{service}'
+        places[thing][service] = f'{path}.{place}' if place else path
+    for thing, claimed in places.items():
+        first, *others = claimed.values()
+        for other in others:
+            message = f'{what} {thing} is also that of {first}'
+            yield Fault(source, other, message, hint)
--- a/src/dragonflyshift/_internal/config/converter.py
+++ b/src/dragonflyshift/_internal/config/converter.py
@@ -15,17 +15,15 @@
 import cattrs
 from cattrs.gen import make_dict_structure_fn
 
-from dragonflyshift._internal.config.faults import InvalidConfigurationError
-from dragonflyshift._internal.exceptions import (
-    ConfigurationError,
-    DragonflyshiftError,
+from dragonflyshift._internal.config.explanations import (
+    STRUCTURE_ERRORS,
+    explain,
 )
+from dragonflyshift._internal.config.faults import InvalidConfigurationError
+from dragonflyshift._internal.exceptions import ConfigurationError
 from dragonflyshift._internal.models.address import Address
-from dragonflyshift._internal.models.fault import Fault
 
 MAX_TEXT_CHARACTERS = 2048
-MAX_SHOWN_CHARACTERS = 120
-_ROOT = '$'
 
 _ModelT = TypeVar('_ModelT')
 
@@ -39,29 +37,9 @@
     """Return the model of plain data; raise InvalidConfigurationError."""
     try:
         return _converter.structure(plain, model)
-    except cattrs.BaseValidationError as exc:
-        lines = cattrs.transform_error(exc, _ROOT, _explain)
-        faults = [_to_fault(line) for line in lines]
+    except STRUCTURE_ERRORS as exc:
+        faults = explain(exc)
         raise InvalidConfigurationError(model.__name__, faults) from exc
-    except (ValueError, TypeError, DragonflyshiftError) as exc:
-        fault = Fault('', '', _explain(exc, model))
-        raise InvalidConfigurationError(model.__name__, (fault,)) from exc
-
-
-def _explain(exc: BaseException, _expected: object) -> str:
-    if isinstance(exc, KeyError):
-        return 'a required key is missing'
-    if isinstance(exc, cattrs.ForbiddenExtraKeysError):
-        names = sorted(repr(name) for name in exc.extra_fields)
-        return f'unknown key {", ".join(names)[:MAX_SHOWN_CHARACTERS]}'
-    if isinstance(exc, DragonflyshiftError):
-        return str(exc)
-    return str(exc) or 'the value has another type'
-
-
-def _to_fault(line: str) -> Fault:
-    message, _separator, path = line.rpartition(f' @ {_ROOT}')
-    return Fault('', path.lstrip('.'), message)
 
 
 def _structure_text(plain: object, _type: object) -> str:
--- /dev/null
+++ b/src/dragonflyshift/_internal/config/rules.py
@@ -0,0 +1,92 @@
+"""Read the rules file: defaults, and what differs for a service."""
+
+import difflib
+from collections.abc import Collection, Iterator
+from typing import Any
+
+from dragonflyshift._internal.config.converter import structure
+from dragonflyshift._internal.config.faults import InvalidConfigurationError
+from dragonflyshift._internal.models.fault import Fault
+from dragonflyshift._internal.models.rules import ServiceRules
+
+DEFAULTS_KEY = 'defaults'
+SERVICES_KEY = 'services'
+
+
+class RulesReader:
+    """The rules of each service; ``faults`` holds what is wrong with them.
+
+    Example:
+        >>> table = {'defaults': {'queue_limit': 8}}
+        >>> RulesReader('rules.toml', table).rules_of('exports').queue_limit
+        8
+    """
+
+    def __init__(self, source: str, table: dict[str, Any]) -> None:
+        """Read the tables of a parsed rules file."""
+        self.faults: list[Fault] = []
+        self._source = source
+        for key in table.keys() - {DEFAULTS_KEY, SERVICES_KEY}:
+            self._add(key, 'unknown key', 'use defaults and services')
+        self._defaults = self._table(table, DEFAULTS_KEY, '')
+        if self._structure(self._defaults, DEFAULTS_KEY) is None:
+            self._defaults = {}
+        services = self._table(table, SERVICES_KEY, '')
+        self._rules = {
+            name: self._read_service(services, name) for name in services
+        }
+
+    def rules_of(self, service: str) -> ServiceRules:
+        """Return a service's rules."""
+        found = self._rules.get(service)
+        return found or structure(self._defaults, ServiceRules)
+
+    def check_names(self, services: Collection[str]) -> Iterator[Fault]:
+        """Yield a fault for rules of a service that isn't declared."""
+        for name in self._rules.keys() - set(services):
+            close = difflib.get_close_matches(name, services, 1)
+            yield Fault(
+                self._source,
+                f'{SERVICES_KEY}.{name}',
+                'the inventory declares no such service',
+                f'did you mean {close[0]}?' if close else 'remove the rules',
+            )
+
+    def _read_service(
+        self,
+        services: dict[str, Any],
+        name: str,
+    ) -> ServiceRules | None:
+        own = self._table(services, name, f'{SERVICES_KEY}.')
+        return self._structure(
+            {**self._defaults, **own},
+            f'{SERVICES_KEY}.{name}',
+        )
+
+    def _structure(
+        self,
+        table: dict[str, Any],
+        place: str,
+    ) -> ServiceRules | None:
+        try:
+            return structure(table, ServiceRules)
+        except InvalidConfigurationError as exc:
+            for fault in exc.faults:
+                key = f'{place}.{fault.key}'.rstrip('.')
+                self._add(key, fault.message, fault.hint)
+            return None
+
+    def _table(
+        self,
+        parent: dict[str, Any],
+        key: str,
+        prefix: str,
+    ) -> dict[str, Any]:
+        table = parent.get(key, {})
+        if isinstance(table, dict):
+            return table
+        self._add(f'{prefix}{key}', 'a table is expected', '')
+        return {}
+
+    def _add(self, key: str, message: str, hint: str) -> None:
+        self.faults.append(Fault(self._source, key, message, hint))
--- /dev/null
+++ b/src/dragonflyshift/_internal/models/declaration.py
@@ -0,0 +1,67 @@
+"""What operators declare: the inventory and the rules, as one whole."""
+
+from attrs import field, frozen
+
+from dragonflyshift._internal.models.address import Address
+from dragonflyshift._internal.models.documents import (
+    ServiceDocument,
+    ServiceState,
+)
+from dragonflyshift._internal.models.endpoint import EndpointState
+
+
+@frozen
+class DataCenterEntry:
+    """A data centre of the inventory."""
+
+    region: str
+
+
+@frozen
+class EndpointEntry:
+    """An endpoint of the inventory."""
+
+    name: str
+    address: Address
+    data_center: str
+    slots: int
+    weight: float = 1.0
+    state: EndpointState = EndpointState.SERVING
+
+
+@frozen
+class ServiceEntry:
+    """A service of the inventory."""
+
+    organisation: str
+    addresses: tuple[Address, ...]
+    endpoints: tuple[EndpointEntry, ...]
+    state: ServiceState = ServiceState.SERVING
+
+
+@frozen
+class Inventory:
+    """The inventory file; ``revision`` comes from version control."""
+
+    revision: int
+    data_centers: dict[str, DataCenterEntry]
+    services: dict[str, ServiceEntry]
+
+
+@frozen
+class Declaration:
+    """A valid declaration: each service as it is to be published.
+
+    Every document has ``revision`` as its version.
+    """
+
+    revision: int
+    services: tuple[ServiceDocument, ...]
+    data_centers: dict[str, DataCenterEntry] = field(factory=dict)
+
+    def service(self, name: str) -> ServiceDocument | None:
+        """Return a service by name."""
+        for document in self.services:
+            if document.name == name:
+                return document
+        return None
--- a/tests/lib/builders.py
+++ b/tests/lib/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data: endpoints, documents, declarations, settings."""
 
+from pathlib import Path
 from typing import Any
 
 from dragonflyshift._internal.config.documents import encode_document
@@ -88,3 +89,51 @@
 def build_service_raw(**arguments: Any) -> bytes:
     """Return a service's document as it is published."""
     return encode_document(build_service(**arguments))
+
+
+def build_inventory_text(revision: int = 4) -> str:
+    """Return an inventory file with two services."""
+    text = f"""
+revision = {revision}
+
+[data_centers.klang]
+region = "selangor"
+
+[services.reading-lists]
+organisation = "association"
+addresses = ["127.0.1.1:443"]
+endpoints = [
+  {build_endpoint_text('lists-1', '127.1.1.1')},
+  {build_endpoint_text('lists-2', '127.1.1.2')},
+]
+
+[services.exports]
+organisation = "association"
+addresses = ["127.0.1.2:443"]
+endpoints = [
+  {build_endpoint_text('exports-1', '127.1.2.1')},
+]
+"""
+    return text.lstrip()
+
+
+def build_endpoint_text(name: str, host: str) -> str:
+    """Return an endpoint of an inventory file."""
+    pairs = (
+        f'name = "{name}"',
+        f'address = "{host}:7000"',
+        'slots = 3',
+        'data_center = "klang"',
+    )
+    return f'{{ {", ".join(pairs)} }}'
+
+
+def write_declaration(
+    directory: Path,
+    inventory: str,
+    rules: str = '',
+) -> Path:
+    """Write a declaration's files and return the directory."""
+    (directory / 'inventory.toml').write_text(inventory)
+    (directory / 'rules.toml').write_text(rules)
+    return directory
