--- a/tests/lib/answers.py
+++ b/tests/lib/answers.py
@@ -3,6 +3,7 @@
 import hashlib
 
 BLOCK_BYTES = 16
+BOARD_PERIOD_SECONDS = 0.2
 LINE = b'{"part":"chain","stock":4}\n'
 
 
@@ -28,3 +29,13 @@
 def board_line(number: int) -> bytes:
     """Return one event line of a board."""
     return b'%d ' % number + LINE
+
+
+def board_lines(seconds: float) -> int:
+    """Return the number of lines that a board streams."""
+    return max(1, int(seconds / BOARD_PERIOD_SECONDS))
+
+
+def board_body(seconds: float) -> bytes:
+    """Return the whole body of a board that stays open for some seconds."""
+    return b''.join(map(board_line, range(board_lines(seconds))))
--- a/tests/lib/backend.py
+++ b/tests/lib/backend.py
@@ -21,7 +21,6 @@
 
 JOURNAL_ENTRIES = 200_000
 EXPORT_PART_BYTES = 16_384
-BOARD_PERIOD_SECONDS = 0.2
 SHED_RETRY_SECONDS = 1
 LATE_SECONDS = 3.0
 
@@ -39,6 +38,7 @@
         self.behavior = behavior
         self.journal: OrderedDict[int, JournalEntry] = OrderedDict()
         self.peak = 0
+        self.echo = False
         self._thaw = asyncio.Event()
         self._thaw.set()
         self._service = service
@@ -98,6 +98,9 @@
             self._service,
             time.time(),
         )
+        if self.echo:
+            line = {'event': 'run', 'entry': cattrs.unstructure(entry)}
+            print(json.dumps(line), flush=True)
         self._entries += 1
         self.journal[self._entries] = entry
         if len(self.journal) > JOURNAL_ENTRIES:
@@ -226,10 +229,9 @@
     ) -> None:
         """Stream numbered event lines for some seconds."""
         await exchange.start(200, self.origin)
-        count = max(1, int(float(seconds) / BOARD_PERIOD_SECONDS))
-        for number in range(count):
+        for number in range(answers.board_lines(float(seconds))):
             await exchange.send(answers.board_line(number))
-            await asyncio.sleep(BOARD_PERIOD_SECONDS)
+            await asyncio.sleep(answers.BOARD_PERIOD_SECONDS)
             await self._thaw.wait()
             if self.behavior.cut:
                 exchange.cut()
@@ -271,6 +273,7 @@
 async def _main(args: argparse.Namespace) -> None:
     behavior = Behavior(delay=args.delay, cold=args.cold)
     backend = Backend(args.service, args.instance, args.slots, behavior)
+    backend.echo = args.echo
     listen = args.listen
     server = await http.serve(backend.handle, listen.host, listen.port)
     standin.announce(port=http.bound_port(server))
@@ -285,6 +288,11 @@
     parser.add_argument('--slots', type=int, default=3)
     parser.add_argument('--delay', type=float, default=0.005)
     parser.add_argument('--cold', type=float, default=0)
+    parser.add_argument(
+        '--echo',
+        action='store_true',
+        help='print each request that is run, for tests that kill this one',
+    )
     standin.run(_main(parser.parse_args()))
 
 
--- a/tests/lib/certificates.py
+++ b/tests/lib/certificates.py
@@ -41,6 +41,12 @@
     return Certificates(_pem(ca), _pem(server), _key_pem(key))
 
 
+def build_certificate(host: str) -> tuple[str, str]:
+    """Return a server certificate and its private key, in PEM."""
+    issued = issue(host)
+    return issued.certificate, issued.private_key
+
+
 def _name(text: str) -> x509.Name:
     return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
 
--- a/tests/lib/h3.py
+++ b/tests/lib/h3.py
@@ -5,12 +5,11 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import Iterable
 from typing import Any, Self
 
 from aioquic.asyncio.protocol import QuicConnectionProtocol
 from aioquic.h3.connection import H3_ALPN, ErrorCode, H3Connection
-from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import (
@@ -18,9 +17,9 @@
     QuicEvent,
     StreamReset,
 )
-from attrs import define, field, frozen
 
 from dragonflyshift._internal.models import Address
+from tests.lib.stream import Answer, Stream, StreamOwner
 
 IDLE_TIMEOUT_SECONDS = 10.0
 CONNECT_TIMEOUT_SECONDS = 5.0
@@ -29,122 +28,12 @@
 MIN_RESET_BYTES = 21
 LONG_HEADER_BIT = 0x80
 WINDOW_BYTES = 4 * 1024 * 1024
-OUTCOME_HEADER = 'x-dragonflyshift-outcome'
-NOT_RUN = 'not-run'
-UNKNOWN = 'unknown'
 
 
 class FlowError(ConnectionError):
     """The connection could not be opened or was lost."""
 
 
-@frozen
-class Answer:
-    """What came back for one request.
-
-    ``failure`` tells why an incomplete answer ended: ``timeout``,
-    ``reset:<code>``, ``short`` or the reason the connection was lost.
-    """
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    complete: bool
-    failure: str = ''
-
-    @property
-    def outcome(self) -> str:
-        """Tell whether the request was answered, not run or is unknown."""
-        if self.failure == f'reset:{int(ErrorCode.H3_REQUEST_REJECTED)}':
-            return NOT_RUN
-        if self.status:
-            return self.headers.get(OUTCOME_HEADER, '')
-        return UNKNOWN
-
-    @property
-    def flow_broken(self) -> bool:
-        """Tell whether a flow was lost or an answer was cut."""
-        return bool(self.failure) and self.outcome != NOT_RUN
-
-
-@define(eq=False)
-class Stream:
-    """One request whose answer can be read as it comes."""
-
-    client: 'H3Client'
-    stream_id: int
-    status: int = 0
-    headers: dict[str, str] = field(factory=dict)
-    ended: bool = False
-    failure: str = ''
-    _parts: list[bytes] = field(factory=list)
-    _news: asyncio.Event = field(factory=asyncio.Event)
-
-    def take_event(self, event: H3Event) -> None:
-        """Take note of a head or a part of the body."""
-        if isinstance(event, HeadersReceived):
-            self._take_headers(event)
-        elif isinstance(event, DataReceived):
-            self._parts.append(event.data)
-            self.ended = self.ended or event.stream_ended
-        self._news.set()
-
-    def fail(self, reason: str) -> None:
-        """End the answer before its time."""
-        if not self.ended:
-            self.ended = True
-            self.failure = reason
-        self._news.set()
-
-    async def parts(self) -> AsyncIterator[bytes]:
-        """Yield the body part by part until the answer ends."""
-        while True:
-            while self._parts:
-                yield self._parts.pop(0)
-            if self.ended:
-                return
-            self._news.clear()
-            await self._news.wait()
-
-    async def answer(self, timeout: float) -> Answer:
-        """Read the whole answer; an incomplete one if it takes too long."""
-        body = bytearray()
-        try:
-            async with asyncio.timeout(timeout):
-                async for part in self.parts():
-                    body.extend(part)
-        except TimeoutError:
-            self.cancel('timeout')
-        expected = self.headers.get('content-length')
-        if not self.failure and expected not in (None, str(len(body))):
-            self.failure = 'short'
-        self.client.forget(self.stream_id)
-        complete = not self.failure
-        return Answer(
-            self.status,
-            self.headers,
-            bytes(body),
-            complete,
-            self.failure,
-        )
-
-    def cancel(self, reason: str = 'cancelled') -> None:
-        """Tell the server that the answer is no longer wanted."""
-        self.fail(reason)
-        self.client.abandon(self.stream_id)
-
-    def _take_headers(self, event: HeadersReceived) -> None:
-        fields = {
-            name.decode('ascii'): text.decode('latin-1')
-            for name, text in event.headers
-        }
-        status = int(fields.pop(':status', '0'))
-        if status >= 200:
-            self.status = status
-            self.headers = fields
-        self.ended = self.ended or event.stream_ended
-
-
 class _Protocol(QuicConnectionProtocol):
     """Hands the connection's events to its client."""
 
@@ -181,7 +70,7 @@
         return any(tail == each.stateless_reset_token for each in ids)
 
 
-class H3Client:
+class H3Client(StreamOwner):
     """One connection to a service.
 
     Example:
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -146,6 +146,59 @@
     return Child(name, process)
 
 
+class Program:
+    """A program that can be started again after it ended."""
+
+    def __init__(
+        self,
+        name: str,
+        module: str,
+        args: Sequence[str],
+        env: Mapping[str, str] | None = None,
+    ) -> None:
+        self.name = name
+        self.lives: list[Child] = []
+        self._module = module
+        self._args = args
+        self._env = env
+
+    @property
+    def child(self) -> Child:
+        """The process of the present life."""
+        return self.lives[-1]
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process runs."""
+        return bool(self.lives) and self.child.returncode is None
+
+    async def start(self) -> None:
+        """Start the process and wait until it serves."""
+        child = await start(self.name, self._module, self._args, self._env)
+        self.lives.append(child)
+        await child.wait_ready()
+
+    async def stop(self, timeout: float = STOP_TIMEOUT_SECONDS) -> int:
+        """End with SIGTERM; the exit status tells how it ended."""
+        return await self.child.stop(timeout) if self.lives else 0
+
+    async def kill(self) -> None:
+        """End with SIGKILL."""
+        await self.child.kill()
+
+    def pause(self) -> None:
+        """Freeze the process with SIGSTOP."""
+        self.child.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        self.child.send_signal(signal.SIGCONT)
+
+    def events(self) -> list[dict[str, Any]]:
+        """Return the JSON lines of all lives."""
+        return [event for child in self.lives for event in child.events()]
+
+
 def _parse(line: str) -> dict[str, Any]:
     if not line.startswith('{'):
         return {}
--- /dev/null
+++ b/tests/lib/summary.py
@@ -0,0 +1,177 @@
+"""What clients saw, and whether it agrees with the backends' journals."""
+
+import math
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+from attrs import Factory, define, frozen
+
+from tests.lib.journal import JournalEntry
+
+MAX_PROBLEMS = 40
+ID_SEPARATOR = '~'
+QUANTILES = (0.5, 0.9, 0.99, 1.0)
+
+
+@define
+class Summary:
+    """Counts of one load run.
+
+    ``broken_flows`` counts connections that were lost and answers that were
+    cut after they began. ``refused_ids`` are the attempts that the system
+    called "not run".
+    """
+
+    requests: int = 0
+    whole: int = 0
+    flows: int = 0
+    broken_flows: int = 0
+    failed_handshakes: int = 0
+    refused_not_run: int = 0
+    refused_other: int = 0
+    unknown: int = 0
+    wrong_body: int = 0
+    wrong_service: int = 0
+    saves: int = 0
+    saves_confirmed: int = 0
+    confirmed_ids: list[str] = Factory(list)
+    refused_ids: list[str] = Factory(list)
+    problems: list[str] = Factory(list)
+    latencies: dict[str, list[float]] = Factory(dict)
+
+    def note(self, problem: str) -> None:
+        """Keep a problem's description, bounded in number."""
+        if len(self.problems) < MAX_PROBLEMS:
+            self.problems.append(problem)
+
+    def confirm(self, name: str) -> None:
+        """Take note of a save whose answer was whole."""
+        self.saves_confirmed += 1
+        self.confirmed_ids.append(name)
+
+    def count_error(self, outcome: str, problem: str) -> None:
+        """Take note of a whole answer that reports an error."""
+        if outcome == 'unknown':
+            self.unknown += 1
+        else:
+            self.refused_other += 1
+        self.note(problem)
+
+    def took(self, kind: str, seconds: float) -> None:
+        """Keep the latency of one whole answer."""
+        self.latencies.setdefault(kind, []).append(seconds)
+
+    def merge(self, other: 'Summary') -> None:
+        """Add another run's counts to this one."""
+        for name in _COUNTS:
+            total = getattr(self, name) + getattr(other, name)
+            setattr(self, name, total)
+        self.confirmed_ids.extend(other.confirmed_ids)
+        self.refused_ids.extend(other.refused_ids)
+        for problem in other.problems:
+            self.note(problem)
+        for kind, seconds in other.latencies.items():
+            self.latencies.setdefault(kind, []).extend(seconds)
+
+    def quantiles(self) -> dict[str, list[float]]:
+        """Return latency quantiles in seconds for each kind of request."""
+        return {
+            kind: [round(quantile(seconds, each), 4) for each in QUANTILES]
+            for kind, seconds in sorted(self.latencies.items())
+        }
+
+
+_COUNTS = (
+    'requests',
+    'whole',
+    'flows',
+    'broken_flows',
+    'failed_handshakes',
+    'refused_not_run',
+    'refused_other',
+    'unknown',
+    'wrong_body',
+    'wrong_service',
+    'saves',
+    'saves_confirmed',
+)
+
+
+@frozen
+class Verdict:
+    """What the journals say about the promises.
+
+    ``imbalance`` is, over the instances of a service, the largest number of
+    slot-seconds divided by the mean.
+    """
+
+    ran: int
+    run_twice: tuple[str, ...]
+    refused_but_ran: tuple[str, ...]
+    lost_saves: tuple[str, ...]
+    wrong_service: tuple[str, ...]
+    imbalance: dict[str, float]
+
+    @property
+    def holds(self) -> bool:
+        """Tell whether no promise was broken."""
+        return not (
+            self.run_twice
+            or self.refused_but_ran
+            or self.lost_saves
+            or self.wrong_service
+        )
+
+
+def logical_id(request_id: str) -> str:
+    """Return the id that all attempts of one request share."""
+    return request_id.rpartition(ID_SEPARATOR)[0]
+
+
+def judge(summary: Summary, journal: Sequence[JournalEntry]) -> Verdict:
+    """Compare what clients were told with what the backends ran."""
+    ours = [entry for entry in journal if ID_SEPARATOR in entry.id]
+    saves = Counter(
+        logical_id(entry.id) for entry in ours if entry.method == 'POST'
+    )
+    ran = {entry.id for entry in ours}
+    return Verdict(
+        ran=len(ours),
+        run_twice=tuple(each for each, runs in saves.items() if runs > 1),
+        refused_but_ran=tuple(
+            each for each in summary.refused_ids if each in ran
+        ),
+        lost_saves=tuple(
+            each for each in summary.confirmed_ids if each not in saves
+        ),
+        wrong_service=tuple(
+            entry.id
+            for entry in ours
+            if not entry.id.startswith(entry.service + ID_SEPARATOR)
+        ),
+        imbalance=_imbalance(ours),
+    )
+
+
+def quantile(numbers: Sequence[float], share: float) -> float:
+    """Return the smallest number that ``share`` of all don't exceed."""
+    ranked = sorted(numbers)
+    place = max(0, math.ceil(share * len(ranked)) - 1)
+    return ranked[place]
+
+
+def _imbalance(journal: Iterable[JournalEntry]) -> dict[str, float]:
+    held: dict[str, Counter[str]] = {}
+    for entry in journal:
+        seconds = max(0, entry.ended - entry.started)
+        instances = held.setdefault(entry.service, Counter())
+        instances[entry.instance] += seconds  # type: ignore[assignment]  # a Counter also sums floats
+    return {
+        service: _max_to_mean(list(instances.values()))
+        for service, instances in sorted(held.items())
+    }
+
+
+def _max_to_mean(numbers: Sequence[float]) -> float:
+    mean = sum(numbers) / len(numbers)
+    return round(max(numbers) / mean, 3) if mean else 0
