--- a/src/dragonflyshift/_internal/balancer/views.py
+++ b/src/dragonflyshift/_internal/balancer/views.py
@@ -88,5 +88,3 @@
             MemberState.ALIVE if state is None else state,
             self.health.reachable(endpoint.address, now),
         )
-
-
--- a/src/dragonflyshift/_internal/control/configuration.py
+++ b/src/dragonflyshift/_internal/control/configuration.py
@@ -123,5 +123,3 @@
             return
         for entry in index.services:
             await self._pull(service_key(entry.name), entry.version, seed)
-
-
--- a/src/dragonflyshift/_internal/sidecar/classify.py
+++ b/src/dragonflyshift/_internal/sidecar/classify.py
@@ -43,8 +43,7 @@
         headers=_end_to_end(headers),
         deadline=time.monotonic() + _limit(headers, timeout),
         idempotent=(
-            method in SAFE_METHODS
-            or _matches(rules.idempotent, method, target)
+            method in SAFE_METHODS or _matches(rules.idempotent, method, target)
         ),
         streaming=streaming,
         client=client,
--- a/src/dragonflyshift/_internal/sidecar/flow.py
+++ b/src/dragonflyshift/_internal/sidecar/flow.py
@@ -303,4 +303,3 @@
     async def abort(self) -> None:
         """Reset the stream."""
         self._flow.abort(self._stream_id)
-
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -154,5 +154,3 @@
             self._metrics.incr(f'failed.{exc.kind}')
             await send_failure(sink, exc)
         self._metrics.timing('request', time.monotonic() - started)
-
-
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -6,7 +6,7 @@
 from typing import Any, Self
 
 import cattrs
-from attrs import Factory, define, frozen
+from attrs import Factory, define
 
 from dragonflyshift._internal.models import Address, Endpoint
 from tests.lib import certificates
@@ -16,44 +16,35 @@
 from tests.lib.journal import JournalEntry
 from tests.lib.load import Target
 from tests.lib.network import Network
+from tests.lib.plan import (
+    BACKEND_PORT,
+    CLIENT_HOST,
+    CONTROL_PORT,
+    FABRIC_HOST,
+    FIRST_ENDPOINT_HOST,
+    LISTS,
+    PARTS,
+    PLATFORM_HOST,
+    SMALL_SERVICES,
+    ClusterPlan,
+    Programs,
+    backend_address,
+)
 from tests.lib.processes import Program
 from tests.lib.register import Register, ServicePlan
 
-DAEMON = 'dragonflyshift.daemon'
-DAEMON_PORT = 7000
-BACKEND_PORT = 8080
-CONTROL_PORT = 9000
-FIRST_SERVICE_PORT = 8441
-FABRIC_HOST = 1
-PLATFORM_HOST = 2
-CLIENT_HOST = 3
-FIRST_BALANCER_HOST = 10
-FIRST_ENDPOINT_HOST = 60
-STARTS_AT_A_TIME = 8
-FLEET_KEYS = f'1:{"5a" * 32}'
-LISTS = 'reading-lists'
-PARTS = 'parts-and-tickets'
-SMALL_SERVICES = (
-    ServicePlan(LISTS, 'association', endpoints=2, slots=3),
-    ServicePlan(PARTS, 'tesfa', endpoints=2, slots=4),
+__all__ = (
+    'LISTS',
+    'PARTS',
+    'SMALL_SERVICES',
+    'Balancer',
+    'Cluster',
+    'ClusterPlan',
+    'Instance',
+    'ServicePlan',
 )
-
-
-@frozen
-class ClusterPlan:
-    """What a cluster consists of.
-
-    ``lag`` is the delay of the platform's instance list in seconds;
-    ``backend_flags`` and ``daemon_flags`` go to every such process.
-    """
-
-    services: tuple[ServicePlan, ...] = SMALL_SERVICES
-    balancers: int = 3
-    seed: int = 1
-    lag: float = 2.0
-    fleet_keys: str = FLEET_KEYS
-    backend_flags: tuple[str, ...] = ()
-    daemon_flags: tuple[str, ...] = ('--log-level=info',)
+STARTS_AT_A_TIME = 8
+DRAIN_SECONDS = 30.0
 
 
 @define(eq=False)
@@ -69,25 +60,39 @@
     """One endpoint: a backend server and the sidecar beside it."""
 
     service: str
-    name: str
-    declared: Endpoint
+    endpoint: Endpoint
     sidecar: Program
     backend: Program
     control: ControlClient
     retired: list[JournalEntry] = Factory(list)
 
+    @property
+    def name(self) -> str:
+        """The instance's name in the register."""
+        return self.endpoint.name
+
     async def set_behavior(self, **changes: Any) -> None:
         """Change how the backend server behaves."""
         await self.control.put('/control/behavior', changes)
 
     async def journal(self) -> list[JournalEntry]:
-        """Return what the backend server ran, in all of its lives."""
+        """Return what the backend server ran.
+
+        Of one that was killed this is only known when it ran with --echo.
+        """
         if self.backend.running:
             plain = await self.control.get('/control/journal')
             return [*self.retired, *_structure(plain)]
         return [*self.retired, *self._echoed()]
 
+    async def kill_backend(self) -> None:
+        """Kill the backend server, keeping what it echoed."""
+        await self.backend.kill()
+        self.retired.extend(self._echoed())
+
     def _echoed(self) -> list[JournalEntry]:
+        if self.retired or not self.backend.lives:
+            return []
         events = self.backend.child.events()
         return _structure(each['entry'] for each in events if 'entry' in each)
 
@@ -106,15 +111,16 @@
         self.plan = plan or ClusterPlan()
         self.network = Network.claim()
         self.issued = certificates.issue()
+        self.programs = Programs(self.plan, self.network, self.issued)
         self.balancers: list[Balancer] = []
         self.instances: list[Instance] = []
         self.platform_control = self._control(PLATFORM_HOST, BACKEND_PORT)
         self.fabric_control = self._control(FABRIC_HOST, CONTROL_PORT)
         self.register = Register(self.platform_control)
-        self.platform = self._build_platform()
-        self.fabric = self._build_fabric()
+        self.platform = self.programs.platform()
+        self.fabric = self.programs.fabric()
         self._limit = asyncio.Semaphore(STARTS_AT_A_TIME)
-        self._balancers_built = 0
+        self._built = 0
         self._declare()
 
     async def __aenter__(self) -> Self:
@@ -192,7 +198,8 @@
     async def add_balancer(self) -> Balancer:
         """Start a fresh balancer and let the fabric use it."""
         balancer = self._build_balancer()
-        await self._start_program(balancer.program)
+        await balancer.program.start()
+        self.balancers.append(balancer)
         await self.update_fabric()
         return balancer
 
@@ -204,6 +211,7 @@
 
     async def kill_balancer(self, balancer: Balancer) -> None:
         """Kill a balancer; the fabric goes on sending to it until told."""
+        self.balancers.remove(balancer)
         await balancer.program.kill()
 
     async def update_fabric(self) -> None:
@@ -213,26 +221,23 @@
 
     async def stop_instance(self, instance: Instance) -> int:
         """Stop a sidecar as planned, then its backend server."""
-        status = await instance.sidecar.stop(timeout=30)
+        status = await instance.sidecar.stop(DRAIN_SECONDS)
         instance.retired = await instance.journal()
         await instance.backend.stop()
         return status
 
     async def aclose(self) -> None:
         """End all processes, whatever state they are in."""
-        programs = [
+        programs = (
             self.fabric,
             *(each.program for each in self.balancers),
             *(each.sidecar for each in self.instances),
             *(each.backend for each in self.instances),
             self.platform,
-        ]
-        for program in programs:
-            if program.running:
-                program.resume()
+        )
         await asyncio.gather(*(_end(program) for program in programs))
-        for control in (self.platform_control, self.fabric_control):
-            await control.aclose()
+        await self.platform_control.aclose()
+        await self.fabric_control.aclose()
         for instance in self.instances:
             await instance.control.aclose()
         self.network.release()
@@ -240,18 +245,13 @@
     async def _start(self) -> None:
         await self.platform.start()
         await self.register.publish()
-        balancers = (self._build_balancer() for _ in range(self.plan.balancers))
-        await _gather(
-            self._start_program(program)
-            for program in (
-                *(each.backend for each in self.instances),
-                *(each.program for each in balancers),
-            )
-        )
-        await _gather(
-            self._start_program(each.sidecar) for each in self.instances
-        )
-        await self.fabric.start()
+        for _ in range(self.plan.balancers):
+            self.balancers.append(self._build_balancer())
+        backends = [each.backend for each in self.instances]
+        sidecars = [each.sidecar for each in self.instances]
+        balancers = [each.program for each in self.balancers]
+        await _gather(map(self._start_program, (*backends, *balancers)))
+        await _gather(map(self._start_program, (*sidecars, self.fabric)))
         await self.update_fabric()
 
     async def _start_program(self, program: Program) -> None:
@@ -264,134 +264,31 @@
     def _declare(self) -> None:
         """Build all instances and declare them in the register."""
         for offset, plan in enumerate(self.plan.services):
-            port = FIRST_SERVICE_PORT + offset
-            built = [
+            endpoints = [
                 self._build_instance(plan, number)
                 for number in range(plan.endpoints)
             ]
-            self.register.add(
-                plan,
-                self.network.address(FABRIC_HOST, port),
-                tuple(each.declared for each in built),
-            )
-
-    def _build_platform(self) -> Program:
-        listen = self.network.address(PLATFORM_HOST, BACKEND_PORT)
-        flags = (f'--listen={listen}', f'--lag={self.plan.lag}')
-        return Program('platform', 'tests.lib.platform', flags)
-
-    def _build_fabric(self) -> Program:
-        control = self.network.address(FABRIC_HOST, CONTROL_PORT)
-        ports = range(len(self.plan.services))
-        services = [
-            f'--service={self.network.address(FABRIC_HOST, port)}'
-            for port in map(FIRST_SERVICE_PORT.__add__, ports)
-        ]
-        flags = (f'--control={control}', f'--seed={self.plan.seed}')
-        return Program('fabric', 'tests.lib.fabric', (*flags, *services))
+            address = self.programs.service_address(offset)
+            self.register.add(plan, address, tuple(endpoints))
 
     def _build_balancer(self) -> Balancer:
-        number = self._balancers_built
-        self._balancers_built += 1
-        plan = self.plan.services[0]
-        host = self.network.host(FIRST_BALANCER_HOST + number)
-        flags = (
-            '--role=balancer',
-            f'--listen={host}:{DAEMON_PORT}',
-            f'--entry-ip={host}',
-        )
-        program = self._build_daemon(
-            f'balancer-{number}',
-            flags,
-            plan.data_centers[0],
-            plan.region,
-        )
-        balancer = Balancer(host, program)
-        self.balancers.append(balancer)
-        return balancer
+        program = self.programs.balancer(self._built)
+        host = self.programs.balancer_host(self._built)
+        self._built += 1
+        return Balancer(host, program)
 
-    def _build_instance(self, plan: ServicePlan, number: int) -> Instance:
+    def _build_instance(self, plan: ServicePlan, number: int) -> Endpoint:
         host = FIRST_ENDPOINT_HOST + len(self.instances)
-        name = f'{plan.name}-{number + 1}'
-        places = plan.data_centers
-        declared = Endpoint(
-            name=name,
-            address=self.network.address(host, DAEMON_PORT),
-            data_center=places[number % len(places)],
-            region=plan.region,
-            slots=plan.slots,
-        )
-        backend_address = self.network.address(host, BACKEND_PORT)
-        flags = (
-            '--role=sidecar',
-            f'--listen={declared.address}',
-            f'--service={plan.name}',
-            f'--instance={name}',
-            f'--backend={backend_address}',
-        )
-        sidecar = self._build_daemon(
-            f'sidecar-{name}',
-            flags,
-            declared.data_center,
-            declared.region,
-        )
+        endpoint = self.programs.endpoint(plan, number, host)
         instance = Instance(
             plan.name,
-            name,
-            declared,
-            sidecar,
-            self._build_backend(plan, name, backend_address),
-            ControlClient(str(backend_address)),
+            endpoint,
+            self.programs.sidecar(plan.name, endpoint),
+            self.programs.backend(plan.name, endpoint),
+            ControlClient(str(backend_address(endpoint))),
         )
         self.instances.append(instance)
-        return instance
-
-    def _build_backend(
-        self,
-        plan: ServicePlan,
-        name: str,
-        listen: Address,
-    ) -> Program:
-        flags = (
-            f'--listen={listen}',
-            f'--service={plan.name}',
-            f'--instance={name}',
-            f'--slots={plan.slots}',
-            *self.plan.backend_flags,
-        )
-        return Program(f'backend-{name}', 'tests.lib.backend', flags)
-
-    def _build_daemon(
-        self,
-        name: str,
-        flags: Iterable[str],
-        data_center: str,
-        region: str,
-    ) -> Program:
-        platform = self.network.address(PLATFORM_HOST, BACKEND_PORT)
-        return Program(
-            name,
-            DAEMON,
-            (
-                *flags,
-                f'--data-center={data_center}',
-                f'--region={region}',
-                f'--platform=http://{platform}',
-                *self.plan.daemon_flags,
-            ),
-            {
-                'DRAGONFLYSHIFT_FLEET_KEYS': self.plan.fleet_keys,
-                **self._certificate_settings(flags),
-            },
-        )
-
-    def _certificate_settings(self, flags: Iterable[str]) -> dict[str, str]:
-        if '--role=sidecar' not in flags:
-            return {}
-        return {
-            'DRAGONFLYSHIFT_CERTIFICATE': self.issued.certificate,
-            'DRAGONFLYSHIFT_PRIVATE_KEY': self.issued.private_key,
-        }
+        return endpoint
 
 
 async def _gather(starts: Iterable[Awaitable[None]]) -> None:
@@ -404,7 +301,7 @@
 
 async def _end(program: Program) -> None:
     if program.running:
-        await program.child.kill()
+        await program.kill()
 
 
 def _structure(plain: Iterable[Any]) -> list[JournalEntry]:
