--- /dev/null
+++ b/tests/lib/demo.py
@@ -0,0 +1,264 @@
+"""Show the system at work: real traffic, one balancer killed, one drain.
+
+Everything runs on loopback as separate processes. The exit status is 0 only
+if every promise held.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import sys
+import time
+from collections.abc import AsyncIterator
+
+from attrs import Factory, define, evolve, frozen
+
+from tests.lib.cluster import Cluster, ClusterPlan, Instance
+from tests.lib.load import Load, Target
+from tests.lib.register import ANYWHERE, ServicePlan
+from tests.lib.summary import Summary, Verdict, judge, late_work
+
+TRAFFIC_SECONDS = 16.0
+KILL_AT = 0.25
+NOTICE_SECONDS = 1.0
+DRAIN_AT = 0.5
+LEAVING_SECONDS = 5.0
+KUALA_LUMPUR = ('kl-bangsar', 'kl-cheras', 'kl-sentul')
+OROMIA = ('adama', 'bishoftu', 'batu')
+EXPORT_BYTES = 600_000
+BOARD_SECONDS = 4.0
+INTERRUPTED = 130
+
+
+@frozen
+class Traffic:
+    """One service of the demo: its shape, mix of requests and clients."""
+
+    plan: ServicePlan
+    mix: dict[str, float]
+    clients: int
+
+    def scaled(self, scale: float) -> 'Traffic':
+        """Return the same with fewer endpoints and clients."""
+        endpoints = max(2, round(self.plan.endpoints * scale))
+        plan = evolve(self.plan, endpoints=endpoints)
+        clients = max(2, round(self.clients * scale))
+        return evolve(self, plan=plan, clients=clients)
+
+
+def _association(name: str, endpoints: int) -> ServicePlan:
+    return ServicePlan(
+        name,
+        'association',
+        endpoints=endpoints,
+        slots=3,
+        data_centers=KUALA_LUMPUR,
+        region='kuala-lumpur',
+        rules=ANYWHERE,
+    )
+
+
+def _tesfa(name: str, endpoints: int) -> ServicePlan:
+    return ServicePlan(
+        name,
+        'tesfa',
+        endpoints=endpoints,
+        slots=4,
+        data_centers=OROMIA,
+        region='oromia',
+        rules=ANYWHERE,
+    )
+
+
+SERVICES = (
+    Traffic(_association('reading-lists', 7), {'list': 8, 'edit': 2}, 8),
+    Traffic(_association('exports', 3), {'export': 1}, 3),
+    Traffic(
+        _tesfa('parts-and-tickets', 7),
+        {'list': 4, 'ticket': 3, 'board': 3},
+        10,
+    ),
+    Traffic(_tesfa('warranty-review', 3), {'photo': 1}, 3),
+)
+
+
+@define
+class Outcome:
+    """What the demo found."""
+
+    summary: Summary
+    verdict: Verdict
+    late: int
+    drain_status: int
+    left: list[str] = Factory(list)
+
+    def rows(self) -> list[tuple[str, object, bool]]:
+        """Return what was counted and whether it is as promised."""
+        summary = self.summary
+        verdict = self.verdict
+        not_run = summary.refused_not_run
+        twice = len(verdict.run_twice)
+        wrong = summary.wrong_service + len(verdict.wrong_service)
+        refused = len(verdict.refused_but_ran)
+        return [
+            ('requests', summary.requests, summary.requests > 0),
+            ('whole answers', summary.whole, summary.whole > 0),
+            ('flows', summary.flows, summary.flows > 0),
+            ('broken flows', summary.broken_flows, not summary.broken_flows),
+            ('failed handshakes', summary.failed_handshakes, True),
+            ('refused as not run', not_run, True),
+            ('refused, yet it ran', refused, not refused),
+            ('outcome unknown', summary.unknown, not summary.unknown),
+            ('other errors', summary.refused_other, not summary.refused_other),
+            ('wrong body', summary.wrong_body, not summary.wrong_body),
+            ('run twice', twice, not twice),
+            ('confirmed, yet lost', len(verdict.lost_saves), not self.lost),
+            ('delivered to the wrong service', wrong, not wrong),
+            ('work begun on the drained one', self.late, not self.late),
+            ('exit status of the drained one', self.drain_status, self.clean),
+        ]
+
+    @property
+    def lost(self) -> bool:
+        """Tell whether a confirmed save was lost."""
+        return bool(self.verdict.lost_saves)
+
+    @property
+    def clean(self) -> bool:
+        """Tell whether the drained sidecar ended by itself."""
+        return self.drain_status == 0
+
+    @property
+    def holds(self) -> bool:
+        """Tell whether every promise held."""
+        return all(held for _name, _count, held in self.rows())
+
+
+class Demo:
+    """Drives the demo's steps."""
+
+    def __init__(self, cluster: Cluster, services: list[Traffic]) -> None:
+        self._cluster = cluster
+        self._services = services
+        self._began = time.monotonic()
+
+    def say(self, text: str) -> None:
+        """Print a line of progress."""
+        seconds = time.monotonic() - self._began
+        print(f'[{seconds:5.1f} s] {text}', flush=True)
+
+    async def run(self, seconds: float) -> Outcome:
+        """Drive traffic, kill a balancer, drain an endpoint, and judge."""
+        cluster = self._cluster
+        options = cluster.options(
+            export_bytes=EXPORT_BYTES,
+            board_seconds=BOARD_SECONDS,
+        )
+        targets = [self._target(each) for each in self._services]
+        load = Load(targets, options)
+        self.say(f'traffic for {seconds:.0f} s')
+        load.start()
+        async with self._progress(load.summary):
+            await asyncio.sleep(seconds * KILL_AT)
+            await self._kill_balancer()
+            await asyncio.sleep(seconds * (DRAIN_AT - KILL_AT))
+            leaving = cluster.of_service('parts-and-tickets')[0]
+            left_at = time.time()
+            status = await self._drain(leaving)
+            spent = time.time() - left_at
+            await asyncio.sleep(max(0, seconds * (1 - DRAIN_AT) - spent))
+            summary = await load.stop()
+        self.say('traffic ended; comparing with the journals')
+        journal = await cluster.journal()
+        since = left_at + LEAVING_SECONDS
+        late = late_work(journal, leaving.name, since)
+        verdict = judge(summary, journal)
+        return Outcome(summary, verdict, len(late), status)
+
+    def _target(self, traffic: Traffic) -> Target:
+        name = traffic.plan.name
+        return self._cluster.target(name, traffic.mix, traffic.clients)
+
+    async def _kill_balancer(self) -> None:
+        victim = self._cluster.balancers[0]
+        self.say(f'killing {victim.program.name} with SIGKILL')
+        await self._cluster.kill_balancer(victim)
+        await asyncio.sleep(NOTICE_SECONDS)
+        await self._cluster.update_fabric()
+        self.say('the fabric stopped sending to it')
+
+    async def _drain(self, leaving: Instance) -> int:
+        self.say(f'draining {leaving.name}')
+        await self._cluster.register.leave(leaving.service, leaving.name)
+        status = await self._cluster.stop_instance(leaving)
+        self.say(f'{leaving.name} ended with status {status}')
+        return status
+
+    @contextlib.asynccontextmanager
+    async def _progress(self, summary: Summary) -> AsyncIterator[None]:
+        task = asyncio.create_task(self._show(summary))
+        try:
+            yield
+        finally:
+            task.cancel()
+
+    async def _show(self, summary: Summary) -> None:
+        while True:
+            await asyncio.sleep(2)
+            self.say(
+                f'{summary.requests} requests, {summary.whole} whole, '
+                f'{summary.broken_flows} broken flows',
+            )
+
+
+def show_table(outcome: Outcome) -> None:
+    """Print what was counted."""
+    print()
+    for name, count, held in outcome.rows():
+        mark = '' if held else '  <- promise broken'
+        print(f'  {name:<32}{count:>8}{mark}')
+    print('\n  imbalance (largest to mean slot-seconds of an instance)')
+    for service, ratio in outcome.verdict.imbalance.items():
+        print(f'    {service:<30}{ratio:>8.2f}')
+    print('\n  latency in seconds: median, 90 %, 99 %, largest')
+    for kind, quantiles in outcome.summary.quantiles().items():
+        cells = ''.join(f'{each:>9.3f}' for each in quantiles)
+        print(f'    {kind:<12}{cells}')
+    for problem in outcome.summary.problems:
+        print(f'  problem: {problem}')
+    print(flush=True)
+
+
+async def run_demo(seconds: float, scale: float, seed: int) -> int:
+    """Run the demo and return the exit status."""
+    services = [each.scaled(scale) for each in SERVICES]
+    plans = tuple(each.plan for each in services)
+    plan = ClusterPlan(services=plans, seed=seed)
+    cluster = Cluster(plan)
+    demo = Demo(cluster, services)
+    count = sum(each.endpoints for each in plans)
+    demo.say(f'starting {plan.balancers} balancers and {count} endpoints')
+    async with cluster:
+        outcome = await demo.run(seconds)
+    demo.say('all processes ended')
+    show_table(outcome)
+    verdict = 'all promises held' if outcome.holds else 'a promise broke'
+    print(verdict, flush=True)
+    return 0 if outcome.holds else 1
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=float, default=TRAFFIC_SECONDS)
+    parser.add_argument('--scale', type=float, default=1.0)
+    parser.add_argument('--seed', type=int, default=1)
+    args = parser.parse_args()
+    try:
+        return asyncio.run(run_demo(args.seconds, args.scale, args.seed))
+    except KeyboardInterrupt:
+        print('interrupted; all processes ended', file=sys.stderr)
+        return INTERRUPTED
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/lib/h3.py
+++ b/tests/lib/h3.py
@@ -9,7 +9,12 @@
 from typing import Any, Self
 
 from aioquic.asyncio.protocol import QuicConnectionProtocol
-from aioquic.h3.connection import H3_ALPN, ErrorCode, H3Connection
+from aioquic.h3.connection import (
+    H3_ALPN,
+    ErrorCode,
+    FrameType,
+    H3Connection,
+)
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import (
@@ -34,6 +39,19 @@
     """The connection could not be opened or was lost."""
 
 
+class _Connection(H3Connection):
+    """Notes the server's GOAWAY, which aioquic skips."""
+
+    def __init__(self, quic: QuicConnection) -> None:
+        super().__init__(quic)
+        self.goaway = False
+
+    def _check_control_frame_type(self, frame_type: int) -> None:
+        super()._check_control_frame_type(frame_type)
+        if frame_type == FrameType.GOAWAY:
+            self.goaway = True
+
+
 class _Protocol(QuicConnectionProtocol):
     """Hands the connection's events to its client."""
 
@@ -84,7 +102,7 @@
         self.failure = ''
         self._protocol = protocol
         self._quic = quic
-        self._http = H3Connection(quic)
+        self._http = _Connection(quic)
         self._streams: dict[int, Stream] = {}
         self._lost = asyncio.Event()
 
@@ -137,6 +155,11 @@
         host, port = transport.get_extra_info('sockname')[:2]
         return f'{host}:{port}'
 
+    @property
+    def leaving(self) -> bool:
+        """Tell whether new requests belong on another connection."""
+        return bool(self.failure) or self._http.goaway
+
     def open(
         self,
         method: str,
--- a/tests/lib/load.py
+++ b/tests/lib/load.py
@@ -178,8 +178,9 @@
         return answer
 
     async def _connected(self) -> H3Client | None:
-        if self._conn is not None and not self._conn.failure:
+        if self._conn is not None and not self._conn.leaving:
             return self._conn
+        await self.aclose()
         options = self.options
         try:
             self._conn = await H3Client.connect(
--- a/tests/lib/summary.py
+++ b/tests/lib/summary.py
@@ -153,6 +153,19 @@
     )
 
 
+def late_work(
+    journal: Iterable[JournalEntry],
+    instance: str,
+    since: float,
+) -> list[JournalEntry]:
+    """Return what an instance began to run after a time (Unix seconds)."""
+    return [
+        entry
+        for entry in journal
+        if entry.instance == instance and entry.started > since
+    ]
+
+
 def quantile(numbers: Sequence[float], share: float) -> float:
     """Return the smallest number that ``share`` of all don't exceed."""
     ranked = sorted(numbers)
