--- a/src/dragonflyshift/_internal/balancer/role.py
+++ b/src/dragonflyshift/_internal/balancer/role.py
@@ -86,7 +86,7 @@
             'pauses',
         )
         await self._feed.start(INDEX_KEY)
-        await self._wait_for_services()
+        await self._feed.wait_until(self._has_services)
 
     async def drain(self) -> None:
         """Ask for no more replies; forward until the fabric stops sending.
@@ -172,13 +172,11 @@
             extra={'key': change.key, 'version': change.version},
         )
 
-    async def _wait_for_services(self) -> None:
-        """Wait until each service of the index is known."""
+    def _has_services(self) -> bool:
+        """Tell whether each service of the index is known."""
         store = self._feed.store
-        while store.index is not None and not all(
-            store.service(entry.name) for entry in store.index.services
-        ):
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        services = store.index.services if store.index else ()
+        return all(store.service(entry.name) for entry in services)
 
     def _paused(self, length: float) -> None:
         logger.warning('pause-noticed', extra={'seconds': round(length, 3)})
--- a/src/dragonflyshift/_internal/control/configuration.py
+++ b/src/dragonflyshift/_internal/control/configuration.py
@@ -8,6 +8,9 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
+
+from reactivex import operators
 
 from dragonflyshift._internal.config import (
     ConfigurationStore,
@@ -32,7 +35,6 @@
 
 PEER_TIMEOUT_SECONDS = 2.0
 SEED_PERIOD_SECONDS = 0.5
-POLL_PERIOD_SECONDS = 0.02
 
 
 async def fetch_document(peer: Address, keys: FleetKeys, key: str) -> bytes:
@@ -78,8 +80,16 @@
         self._tasks.start(self._watcher.run(), 'configuration-watch')
         if self._settings.seeds:
             self._tasks.start(self._read_seeds(key), 'configuration-seeds')
-        while self.store.raw(key) is None:
-            await asyncio.sleep(POLL_PERIOD_SECONDS)
+        await self.wait_until(lambda: self.store.raw(key) is not None)
+
+    async def wait_until(self, holds: Callable[[], bool]) -> None:
+        """Wait until a condition on the store holds."""
+        if holds():
+            return
+        changes = self.store.changes.pipe(
+            operators.filter(lambda _change: holds()),
+        )
+        await changes.pipe(operators.first())
 
     async def close(self) -> None:
         """Close the connection to the platform."""
--- a/src/dragonflyshift/_internal/sidecar/backend_watch.py
+++ b/src/dragonflyshift/_internal/sidecar/backend_watch.py
@@ -9,13 +9,14 @@
 import enum
 import logging
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 from dragonflyshift._internal.exceptions import BackendError
 from dragonflyshift._internal.sidecar.backend import (
     BackendClient,
     BackendRequest,
 )
+from dragonflyshift._internal.sidecar.request import ReplayBody
 
 logger = logging.getLogger(__name__)
 
@@ -91,7 +92,7 @@
             return BackendState.UNREACHABLE
 
     async def _ask(self) -> BackendState:
-        answer = await self._backend.exchange(_REQUEST, _no_body())
+        answer = await self._backend.exchange(_REQUEST, ReplayBody().chunks())
         body = b''
         try:
             async for chunk in answer.chunks():
@@ -107,8 +108,3 @@
     if status >= STATUS_SERVER_ERROR:
         return BackendState.UNHEALTHY
     return BackendState.READY
-
-
-async def _no_body() -> AsyncIterator[bytes]:
-    for nothing in ():
-        yield nothing
--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -282,7 +282,7 @@
         if own is None:
             raise SidecarError('the own record is missing')
         return LoadSnapshot(
-            own.state,
+            own.record.state,
             connections,
             self._rules.connections,
             self._admission.free(time.monotonic()),
--- a/src/dragonflyshift/_internal/sidecar/parts.py
+++ b/src/dragonflyshift/_internal/sidecar/parts.py
@@ -170,5 +170,3 @@
         ),
         outcomes,
     )
-
-
