--- a/src/dragonflyshift/_internal/membership/__init__.py
+++ b/src/dragonflyshift/_internal/membership/__init__.py
@@ -7,12 +7,15 @@
     encode_digest,
 )
 from dragonflyshift._internal.membership.health import EndpointHealth
+from dragonflyshift._internal.membership.probing import Prober, ProbeTimes
 from dragonflyshift._internal.membership.table import MemberTable
 
 __all__ = (
     'HASH_BYTES',
     'EndpointHealth',
     'MemberTable',
+    'ProbeTimes',
+    'Prober',
     'decode_digest',
     'digest_hash',
     'encode_digest',
--- a/src/dragonflyshift/_internal/membership/roster.py
+++ b/src/dragonflyshift/_internal/membership/roster.py
@@ -7,7 +7,6 @@
 from dragonflyshift._internal.membership.entry import Entry
 from dragonflyshift._internal.models import Address, MemberRecord, MemberState
 
-SUSPICION_TIMEOUT_S = 3.0
 REMOVED_RETENTION_S = 300.0
 MAX_REMOVED = 256
 MAX_MEMBERS = 8192
@@ -21,8 +20,9 @@
     ``retain`` is called the first time, every member counts.
     """
 
-    def __init__(self) -> None:
-        """Start empty."""
+    def __init__(self, suspicion_timeout: float) -> None:
+        """Start empty; a suspect dies after ``suspicion_timeout`` seconds."""
+        self._suspicion_timeout = suspicion_timeout
         self._entries: dict[Address, Entry] = {}
         self._allowed: frozenset[Address] | None = None
 
@@ -62,7 +62,7 @@
     def doubt(self, now: float) -> list[Address]:
         """Doubt all entries and start the timeouts of suspicions anew."""
         for entry in self._entries.values():
-            entry.doubtful = True
+            entry.doubtful = entry.record.state is not MemberState.DEAD
             if entry.suspected_at is not None:
                 entry.suspected_at = now
         return [known.record.address for known in self.visible()]
@@ -73,7 +73,7 @@
             evolve(entry.record, state=MemberState.DEAD)
             for entry in self.visible()
             if entry.suspected_at is not None
-            and now - entry.suspected_at >= SUSPICION_TIMEOUT_S
+            and now - entry.suspected_at >= self._suspicion_timeout
         )
 
     def retain(self, addresses: Iterable[Address], now: float) -> None:
--- a/src/dragonflyshift/_internal/membership/table.py
+++ b/src/dragonflyshift/_internal/membership/table.py
@@ -24,6 +24,8 @@
     MemberState,
 )
 
+SUSPICION_TIMEOUT_S = 3.0
+
 
 class MemberTable:
     """Member records of one service, merged by precedence.
@@ -43,10 +45,18 @@
         'LEAVING'
     """
 
-    def __init__(self, own: MemberRecord | None) -> None:
-        """Start with the own record alone."""
+    def __init__(
+        self,
+        own: MemberRecord | None,
+        suspicion_timeout: float = SUSPICION_TIMEOUT_S,
+    ) -> None:
+        """Start with the own record alone.
+
+        A suspect that does not refute within ``suspicion_timeout`` seconds
+        is declared dead.
+        """
         self.own = OwnMember(own) if own else None
-        self._roster = Roster()
+        self._roster = Roster(suspicion_timeout)
         self._changes: Subject[tuple[MemberRecord, ...]] = Subject()
         self._digest: bytes | None = None
 
--- a/tests/unit/membership/test_table.py
+++ b/tests/unit/membership/test_table.py
@@ -8,8 +8,8 @@
 from dragonflyshift._internal.membership.roster import (
     MAX_REMOVED,
     REMOVED_RETENTION_S,
-    SUSPICION_TIMEOUT_S,
 )
+from dragonflyshift._internal.membership.table import SUSPICION_TIMEOUT_S
 from dragonflyshift._internal.models import Incarnation, MemberState
 from tests.lib.members import address_of, build_member
 
