--- a/src/dragonflyshift/_internal/balancer/reports.py
+++ b/src/dragonflyshift/_internal/balancer/reports.py
@@ -58,7 +58,7 @@
             'slots': 0,
             'running': 0,
             'queued': 0,
-            'counters': self._metrics.snapshot(),
+            'counters': dict(self._metrics.snapshot()),
         }
 
     def route(self, request: RouteRequest) -> dict[str, Any]:
--- a/src/dragonflyshift/_internal/balancer/role.py
+++ b/src/dragonflyshift/_internal/balancer/role.py
@@ -81,6 +81,7 @@
         )
         await self._control.start()
         self._feed.store.changes.subscribe(self._changed)
+        self._tasks.start(self._metrics.run(), 'metrics')
         self._tasks.start(
             watch_pauses(PauseDetector(PAUSE_LIMIT_SECONDS), self._paused),
             'pauses',
--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -165,6 +165,7 @@
             ('membership', self._prober.run()),
             ('backend-watch', self._watch.run()),
             ('queue', self._pump()),
+            ('metrics', self._metrics.run()),
             (
                 'pauses',
                 watch_pauses(PauseDetector(PAUSE_LIMIT_SECONDS), self._paused),
--- a/src/dragonflyshift/_internal/telemetry/metrics.py
+++ b/src/dragonflyshift/_internal/telemetry/metrics.py
@@ -4,6 +4,7 @@
 counts in memory, so that ``status`` can print the counters.
 """
 
+import asyncio
 from abc import abstractmethod
 from collections import Counter
 from collections.abc import Mapping
@@ -16,22 +17,41 @@
 
 PREFIX = 'dragonflyshift'
 MS_PER_S = 1000
+FLUSH_PERIOD_S = 1.0
 DEFAULT_SERVER = Address('127.0.0.1', 8125)
 
 
 class Metrics(Plugin, kind='metrics'):
-    """Count, gauge and time; no call blocks or raises."""
+    """Count, gauge and time; no call blocks or raises.
+
+    Counts are gathered and sent by ``flush``: one datagram for each packet
+    forwarded would cost a balancer as much as the packet.
+    """
 
     def __init__(self, role: str, server: Address | None = None) -> None:
         """Send to ``server``, where the plug-in sends at all."""
         self._role = role
         self._counts: Counter[str] = Counter()
+        self._unsent: Counter[str] = Counter()
         self._gauges: dict[str, float] = {}
 
     def incr(self, name: str, count: int = 1) -> None:
         """Add to a counter."""
-        self._counts[name] += count
-        self._send_count(name, count)
+        self._unsent[name] += count
+
+    def flush(self) -> None:
+        """Send what was counted since the last time."""
+        unsent = self._unsent
+        self._unsent = Counter()
+        self._counts.update(unsent)
+        for name, count in unsent.items():
+            self._send_count(name, count)
+
+    async def run(self) -> None:
+        """Flush for as long as the task lives."""
+        while True:
+            await asyncio.sleep(FLUSH_PERIOD_S)
+            self.flush()
 
     def gauge(self, name: str, level: float) -> None:
         """Set a gauge."""
@@ -44,7 +64,7 @@
 
     def snapshot(self) -> Mapping[str, float]:
         """Return all counters and gauges by full name."""
-        merged = {**self._counts, **self._gauges}
+        merged = {**(self._counts + self._unsent), **self._gauges}
         return MappingProxyType(
             {
                 f'{PREFIX}.{self._role}.{name}': level
@@ -109,7 +129,8 @@
         )
 
     def close(self) -> None:
-        """Close the socket."""
+        """Send what is left and close the socket."""
+        self.flush()
         self._client.close()
 
     def _send_count(self, name: str, count: int) -> None:
--- a/tests/unit/telemetry/test_metrics.py
+++ b/tests/unit/telemetry/test_metrics.py
@@ -16,7 +16,9 @@
                 Address(*server.getsockname()),
             )
             self.addCleanup(metrics.close)
-            metrics.incr('forwarded', 2)
+            metrics.incr('forwarded')
+            metrics.incr('forwarded')
+            metrics.flush()
             metrics.gauge('members', 7)
             metrics.timing('answer', 0.25)
             received = [server.recv(512) for _datagram in range(3)]
@@ -40,11 +42,12 @@
         metrics = find_plugin(Metrics, 'statsd')(
             'balancer', Address('127.0.0.1', 9)
         )
-        metrics.incr('forwarded')
-        metrics.incr('forwarded')
-        metrics.incr('forwarded')
+        for _ in range(3):
+            metrics.incr('forwarded')
+            metrics.flush()
         metrics.close()
         metrics.incr('forwarded')
+        metrics.flush()
         self.assertEqual(sum(metrics.snapshot().values()), 4)
 
     def test_none_counts_in_memory(self):
