--- /dev/null
+++ b/tests/lib/cases.py
@@ -0,0 +1,144 @@
+"""Base of the functional tests: a cluster, load on it, and its promises."""
+
+import asyncio
+import contextlib
+import json
+import unittest
+from collections.abc import AsyncIterator, Iterable
+from typing import Any
+
+from dragonflyshift._internal.models import Address
+from dragonflyshift._internal.wire import ConnectionIdCodec
+from dragonflyshift._internal.wire.keys import FleetKeys
+from dragonflyshift._internal.wire.messages import StatusReply, StatusRequest
+from dragonflyshift._internal.wire.stream import connect_stream
+from tests.lib.cluster import LISTS, Cluster, ClusterPlan, Instance
+from tests.lib.h3 import H3Client
+from tests.lib.load import Load, Target
+from tests.lib.register import ServicePlan
+from tests.lib.summary import Summary, judge
+from tests.lib.waiting import eventually
+
+STATUS_TIMEOUT_SECONDS = 3.0
+ONE_SERVICE = ClusterPlan(
+    services=(ServicePlan(LISTS, 'association', endpoints=2, slots=3),),
+    balancers=2,
+)
+MIX = {'list': 6.0, 'edit': 2.0, 'export': 1.0, 'photo': 1.0, 'board': 1.0}
+
+
+class ClusterTest(unittest.IsolatedAsyncioTestCase):
+    """Starts the cluster of ``plan`` for each test."""
+
+    plan = ONE_SERVICE
+
+    async def asyncSetUp(self) -> None:
+        """Start all processes."""
+        self.cluster = Cluster(self.plan)
+        await self.enterAsyncContext(self.cluster)
+
+    def target(self, clients: int = 6, **mix: float) -> Target:
+        """Return a target on the first service."""
+        service = self.plan.services[0].name
+        return self.cluster.target(service, mix or MIX, clients)
+
+    @contextlib.asynccontextmanager
+    async def load(
+        self,
+        *targets: Target,
+        **options: Any,
+    ) -> AsyncIterator[Summary]:
+        """Drive load during a block; the block gets the summary."""
+        shared = {'board_seconds': 2.0, 'export_bytes': 200_000, **options}
+        load = Load(
+            targets or (self.target(),),
+            self.cluster.options(**shared),
+        )
+        load.start()
+        try:
+            yield load.summary
+        finally:
+            await load.stop()
+
+    async def assert_promises(self, summary: Summary) -> None:
+        """Fail unless all answers and journals are as promised."""
+        self.assertGreater(summary.whole, 0, summary)
+        self.assert_counts(
+            summary,
+            broken_flows=0,
+            wrong_body=0,
+            wrong_service=0,
+            unknown=0,
+            refused_other=0,
+        )
+        await self.assert_journals(summary)
+
+    async def assert_journals(self, summary: Summary) -> None:
+        """Fail unless the backends ran what the clients were told."""
+        verdict = judge(summary, await self.cluster.journal())
+        self.assertTrue(verdict.holds, verdict)
+
+    def assert_counts(self, summary: Summary, **wanted: int) -> None:
+        """Compare some of a summary's counts."""
+        found = {name: getattr(summary, name) for name in wanted}
+        self.assertEqual(found, wanted, summary.problems)
+
+    def home(self, conn: H3Client) -> Instance:
+        """Return the instance whose sidecar holds a flow."""
+        codec = ConnectionIdCodec(FleetKeys.parse(self.plan.fleet_keys))
+        issued = codec.decode(conn.peer_id)
+        self.assertIsNotNone(issued)
+        return next(
+            each
+            for each in self.cluster.instances
+            if issued and each.endpoint.address == issued.address
+        )
+
+    async def status(self, address: Address) -> dict[str, Any]:
+        """Ask a daemon for its view."""
+        keys = FleetKeys.parse(self.plan.fleet_keys)
+        async with asyncio.timeout(STATUS_TIMEOUT_SECONDS):
+            stream = await connect_stream(
+                address,
+                keys,
+                STATUS_TIMEOUT_SECONDS,
+            )
+            await stream.send(StatusRequest())
+            reply = await stream.receive()
+            await stream.close()
+        self.assertIsInstance(reply, StatusReply)
+        report: dict[str, Any] = json.loads(reply.raw)  # type: ignore[attr-defined]  # checked one line above
+        return report
+
+    def daemons(self) -> list[Address]:
+        """Return the addresses of all daemons."""
+        return [
+            *(each.address for each in self.cluster.balancers),
+            *(each.endpoint.address for each in self.cluster.instances),
+        ]
+
+    async def wait_version(
+        self,
+        key: str,
+        version: int,
+        daemons: Iterable[Address],
+        timeout: float = 5.0,
+    ) -> None:
+        """Wait until a document's version is in force on daemons."""
+        for daemon in daemons:
+
+            async def in_force(daemon: Address = daemon) -> bool:
+                report = await self.status(daemon)
+                found: int = report['version'].get(key, 0)
+                return found >= version
+
+            what = f'version {version} of {key} on {daemon}'
+            await eventually(in_force, timeout, what)
+
+    async def wait_work(self, count: int = 1) -> None:
+        """Wait until the backend servers have run some requests."""
+
+        async def has_run() -> bool:
+            return len(await self.cluster.journal()) >= count
+
+        await eventually(has_run, what=f'{count} requests run')
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Iterable
+from collections.abc import Iterable
 from typing import Any, Self
 
 import cattrs
@@ -20,6 +20,7 @@
     BACKEND_PORT,
     CLIENT_HOST,
     CONTROL_PORT,
+    DAEMON_PORT,
     FABRIC_HOST,
     FIRST_ENDPOINT_HOST,
     LISTS,
@@ -54,6 +55,11 @@
     host: str
     program: Program
 
+    @property
+    def address(self) -> Address:
+        """Where it takes status requests."""
+        return Address(self.host, DAEMON_PORT)
+
 
 @define(eq=False)
 class Instance:
@@ -120,6 +126,7 @@
         self.platform = self.programs.platform()
         self.fabric = self.programs.fabric()
         self._limit = asyncio.Semaphore(STARTS_AT_A_TIME)
+        self._failed = False
         self._built = 0
         self._declare()
 
@@ -250,13 +257,31 @@
         backends = [each.backend for each in self.instances]
         sidecars = [each.sidecar for each in self.instances]
         balancers = [each.program for each in self.balancers]
-        await _gather(map(self._start_program, (*backends, *balancers)))
-        await _gather(map(self._start_program, (*sidecars, self.fabric)))
+        await self._start_programs(*backends, *balancers)
+        await self._start_programs(*sidecars, self.fabric)
         await self.update_fabric()
 
-    async def _start_program(self, program: Program) -> None:
+    async def _start_programs(self, *programs: Program) -> None:
+        """Start programs side by side; the first failure ends all."""
+        tasks = [
+            asyncio.create_task(self._start_one(program))
+            for program in programs
+        ]
+        done, pending = await asyncio.wait(
+            tasks,
+            return_when=asyncio.FIRST_EXCEPTION,
+        )
+        if pending:
+            self._failed = True
+            await asyncio.gather(*(_end(program) for program in programs))
+            await asyncio.wait(pending)
+        for task in done:
+            task.result()
+
+    async def _start_one(self, program: Program) -> None:
         async with self._limit:
-            await program.start()
+            if not self._failed:
+                await program.start()
 
     def _control(self, host: int, port: int) -> ControlClient:
         return ControlClient(str(self.network.address(host, port)))
@@ -291,14 +316,6 @@
         return endpoint
 
 
-async def _gather(starts: Iterable[Awaitable[None]]) -> None:
-    """Wait for all, also for those that go on when one fails."""
-    ended = await asyncio.gather(*starts, return_exceptions=True)
-    for each in ended:
-        if isinstance(each, BaseException):
-            raise each
-
-
 async def _end(program: Program) -> None:
     if program.running:
         await program.kill()
--- a/tests/lib/h3.py
+++ b/tests/lib/h3.py
@@ -155,6 +155,11 @@
         host, port = transport.get_extra_info('sockname')[:2]
         return f'{host}:{port}'
 
+    @property
+    def peer_id(self) -> bytes:
+        """The connection id that the client's packets carry."""
+        return self._quic._peer_cid.cid
+
     @property
     def leaving(self) -> bool:
         """Tell whether new requests belong on another connection."""
--- a/tests/lib/load.py
+++ b/tests/lib/load.py
@@ -53,7 +53,7 @@
     number: int
     summary: Summary
     _conn: H3Client | None = None
-    _ids: itertools.count[int] = Factory(itertools.count)
+    _ids: 'itertools.count[int]' = Factory(itertools.count)
 
     async def run(self, stopped: asyncio.Event) -> None:
         """Send requests until told to stop; the last one is finished."""
