--- /dev/null
+++ b/bench/policy_alternatives.py
@@ -0,0 +1,96 @@
+"""Ways that were weighed against the chosen policies, as plug-ins."""
+
+import random
+from collections.abc import Sequence
+
+from dragonflyshift._internal.limits import Adaptive, Ticket
+from dragonflyshift._internal.limits.queue import DeadlineQueue
+from dragonflyshift._internal.models import MemberRecord, MemberState
+from dragonflyshift._internal.routing import PeerChoice
+
+
+def _alive(peers: Sequence[MemberRecord]) -> list[MemberRecord]:
+    return [peer for peer in peers if peer.state is MemberState.ALIVE]
+
+
+def _room(peer: MemberRecord) -> int:
+    return peer.free_slots - peer.queued
+
+
+class BestOfAll(PeerChoice, name='best-of-all'):
+    """Ask the peer that was freest when the view was taken."""
+
+    def order(
+        self,
+        peers: Sequence[MemberRecord],
+        rng: random.Random,
+        limit: int,
+    ) -> tuple[MemberRecord, ...]:
+        """Sort by room."""
+        ordered = sorted(_alive(peers), key=_room, reverse=True)
+        return tuple(ordered[:limit])
+
+
+class RandomPeers(PeerChoice, name='random'):
+    """Ask any peer."""
+
+    def order(
+        self,
+        peers: Sequence[MemberRecord],
+        rng: random.Random,
+        limit: int,
+    ) -> tuple[MemberRecord, ...]:
+        """Shuffle."""
+        alive = _alive(peers)
+        rng.shuffle(alive)
+        return tuple(alive[:limit])
+
+
+class PowerOfThree(PeerChoice, name='power-of-three'):
+    """Take the freest of three random peers, again and again."""
+
+    def order(
+        self,
+        peers: Sequence[MemberRecord],
+        rng: random.Random,
+        limit: int,
+    ) -> tuple[MemberRecord, ...]:
+        """Sample and take the best until the limit."""
+        left = _alive(peers)
+        ordered: list[MemberRecord] = []
+        while left and len(ordered) < limit:
+            best = max(rng.sample(left, min(3, len(left))), key=_room)
+            left.remove(best)
+            ordered.append(best)
+        return tuple(ordered)
+
+
+class _ArrivalQueue(DeadlineQueue):
+    """First come, first served."""
+
+    def ahead_of(self, now: float, deadline: float) -> int:
+        """Count all that wait."""
+        return self.waiting(now)
+
+    def pop_earliest(self, now: float) -> Ticket | None:
+        """Remove and return the oldest that can meet its deadline."""
+        for ticket in self._tickets:
+            if ticket.deadline > now:
+                self.discard(ticket)
+                return ticket
+        return None
+
+
+class ArrivalOrder(Adaptive, name='adaptive-fifo'):
+    """Adaptive admission that serves in order of arrival."""
+
+    def __init__(
+        self,
+        slots: int,
+        queue_limit: int,
+        slow_start: float,
+        now: float,
+    ) -> None:
+        """Exchange the queue."""
+        super().__init__(slots, queue_limit, slow_start, now)
+        self._queue = _ArrivalQueue(queue_limit)
