--- a/src/dragonflyshift/_internal/sidecar/exchange.py
+++ b/src/dragonflyshift/_internal/sidecar/exchange.py
@@ -147,8 +147,7 @@
         if isinstance(message, ResponseHead):
             await sink.send_head(message.status, message.headers)
         elif isinstance(message, BodyChunk):
-            if message.data:
-                await sink.send_chunk(message.data)
+            await sink.send_chunk(message.data)
             if message.end:
                 await sink.finish()
                 return
@@ -169,7 +168,7 @@
         body.cut()
 
 
-class StreamSink(AnswerSink):
+class PeerSink(AnswerSink):
     """Send an answer to the sidecar that passed the request on."""
 
     def __init__(self, stream: MessageStream) -> None:
--- a/src/dragonflyshift/_internal/sidecar/flow.py
+++ b/src/dragonflyshift/_internal/sidecar/flow.py
@@ -8,7 +8,6 @@
 
 from aioquic.h3.connection import H3_ALPN, ErrorCode, H3Connection
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
-from aioquic.h3.exceptions import H3Error
 from aioquic.quic.events import (
     ConnectionTerminated,
     HandshakeCompleted,
@@ -18,7 +17,6 @@
     StreamReset,
 )
 
-from dragonflyshift._internal.exceptions import SidecarError
 from dragonflyshift._internal.sidecar.quic import (
     IssuedConnection,
     IssuedProtocol,
@@ -29,20 +27,20 @@
     HeaderList,
     RequestBody,
 )
+from dragonflyshift._internal.sidecar.sending import (
+    FlowClosedError,
+    StreamSender,
+    StreamSink,
+)
 
 logger = logging.getLogger(__name__)
 
-SEND_HIGH_BYTES = 256 * 1024
 MAX_STREAMS_PER_FLOW = 64
 KEEPALIVES_PER_IDLE_TIMEOUT = 3
 LAST_STREAM_ID = (1 << 62) - 4
 STREAM_ID_STEP = 4
 
 
-class FlowClosedError(SidecarError):
-    """The client's connection or stream ended."""
-
-
 RequestHandler = Callable[
     ['Flow', HeaderList, RequestBody, AnswerSink],
     Awaitable[None],
@@ -65,9 +63,9 @@
         self._handler = handler
         self._keepalive_period = idle_timeout / KEEPALIVES_PER_IDLE_TIMEOUT
         self._http: H3Connection | None = None
+        self._sender: StreamSender | None = None
         self._bodies: dict[int, RequestBody] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
-        self._progress = asyncio.Event()
         self._keepalive = self._loop.call_later(
             self._keepalive_period,
             self._send_keepalive,
@@ -85,10 +83,10 @@
 
     def quic_event_received(self, event: QuicEvent) -> None:
         """React to an event of the connection."""
-        self._progress.set()
         if isinstance(event, ProtocolNegotiated):
             if event.alpn_protocol in H3_ALPN:
                 self._http = H3Connection(self.quic)
+                self._sender = StreamSender(self, self._http)
         elif isinstance(event, HandshakeCompleted):
             self.confirmed = True
         elif isinstance(event, ConnectionTerminated):
@@ -102,44 +100,8 @@
     def datagram_received(self, data: bytes | str, addr: object) -> None:
         """Take in a packet; answers that waited for room may go on."""
         super().datagram_received(data, addr)
-        self._progress.set()
-
-    def send_head(
-        self,
-        stream_id: int,
-        status: int,
-        headers: HeaderList,
-    ) -> None:
-        """Send the head of an answer."""
-        lines = [(b':status', str(status).encode()), *headers]
-        self._send(
-            stream_id,
-            lambda http: http.send_headers(stream_id, lines),
-        )
-
-    async def send_chunk(self, stream_id: int, chunk: bytes) -> None:
-        """Send a part of an answer; wait while much is unacknowledged."""
-        self._send(
-            stream_id,
-            lambda http: http.send_data(stream_id, chunk, end_stream=False),
-        )
-        while self.quic.unsent_bytes(stream_id) > SEND_HIGH_BYTES:
-            self._progress.clear()
-            await self._progress.wait()
-            self._require_open(stream_id)
-
-    def finish(self, stream_id: int) -> None:
-        """End a whole answer."""
-        self._send(
-            stream_id,
-            lambda http: http.send_data(stream_id, b'', end_stream=True),
-        )
-
-    def abort(self, stream_id: int) -> None:
-        """Reset a stream, so that the client sees a broken answer."""
-        if not self.ended and self.quic.can_send(stream_id):
-            self.quic.reset_stream(stream_id, ErrorCode.H3_INTERNAL_ERROR)
-            self.transmit()
+        if self._sender is not None:
+            self._sender.progress.set()
 
     def announce_leaving(self) -> None:
         """Ask the client to open its next requests on another connection.
@@ -159,35 +121,12 @@
         self._send_goaway(self._next_stream_id)
         self._loop.call_later(after, self.close, ErrorCode.H3_NO_ERROR)
 
-    async def wait_requests(self) -> None:
-        """Wait until no request is open."""
-        while self._tasks:
-            await asyncio.wait(tuple(self._tasks.values()))
-
-    def _send(
-        self,
-        stream_id: int,
-        action: Callable[[H3Connection], None],
-    ) -> None:
-        self._require_open(stream_id)
-        if self._http is None:
-            raise FlowClosedError('no HTTP/3 was negotiated')
-        try:
-            action(self._http)
-        except (H3Error, AssertionError, ValueError) as exc:
-            raise FlowClosedError(f'the stream is closed: {exc}') from exc
-        self.transmit_soon()
-
     def _send_goaway(self, stream_id: int) -> None:
         if self._http is None or self.ended:
             return
         send_goaway(self.quic, self._http, stream_id)
         self.transmit()
 
-    def _require_open(self, stream_id: int) -> None:
-        if self.ended or not self.quic.can_send(stream_id):
-            raise FlowClosedError('the client ended the stream')
-
     def _http_event(self, event: H3Event) -> None:
         if isinstance(event, HeadersReceived):
             self._request_started(event)
@@ -196,9 +135,10 @@
 
     def _request_started(self, event: HeadersReceived) -> None:
         stream_id = event.stream_id
-        if stream_id in self._bodies:
+        present = self._bodies.get(stream_id)
+        if present is not None:
             # Trailers: their fields are dropped, the end is taken in.
-            self._bodies[stream_id].feed(b'', event.stream_ended)
+            present.feed(b'', event.stream_ended)
             return
         if self._refusing or len(self._tasks) >= MAX_STREAMS_PER_FLOW:
             self.quic.reset_stream(stream_id, ErrorCode.H3_REQUEST_REJECTED)
@@ -234,14 +174,16 @@
         headers: HeaderList,
         body: RequestBody,
     ) -> None:
-        sink = FlowSink(self, stream_id)
+        if self._sender is None:
+            return
+        sink = StreamSink(self._sender, stream_id)
         try:
             await self._handler(self, headers, body, sink)
         except FlowClosedError:
             logger.debug('client-gone', extra={'stream': stream_id})
         except Exception:
             logger.exception('request-failed')
-            self.abort(stream_id)
+            await sink.abort()
         finally:
             self._forget(stream_id)
 
@@ -261,6 +203,8 @@
     def _end(self) -> None:
         self.ended = True
         self._keepalive.cancel()
+        if self._sender is not None:
+            self._sender.end()
         for stream_id in tuple(self._tasks):
             self._cancel(stream_id)
 
@@ -277,35 +221,3 @@
             self._keepalive_period,
             self._send_keepalive,
         )
-
-
-class FlowSink(AnswerSink):
-    """Send an answer on a stream of a flow."""
-
-    def __init__(self, flow: Flow, stream_id: int) -> None:
-        """Bind the stream."""
-        self._flow = flow
-        self._stream_id = stream_id
-        self._started = False
-
-    @property
-    def started(self) -> bool:
-        """Whether the head has been sent."""
-        return self._started
-
-    async def send_head(self, status: int, headers: HeaderList) -> None:
-        """Send status and headers."""
-        self._started = True
-        self._flow.send_head(self._stream_id, status, headers)
-
-    async def send_chunk(self, chunk: bytes) -> None:
-        """Send a part of the body, waiting while the client is slow."""
-        await self._flow.send_chunk(self._stream_id, chunk)
-
-    async def finish(self) -> None:
-        """End a whole answer."""
-        self._flow.finish(self._stream_id)
-
-    async def abort(self) -> None:
-        """Reset the stream."""
-        self._flow.abort(self._stream_id)
--- a/src/dragonflyshift/_internal/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/sidecar/flows.py
@@ -4,6 +4,7 @@
 a new flow on. Replies leave through a balancer of the flow's return path.
 """
 
+import functools
 import logging
 import time
 from collections.abc import Callable, Iterator
@@ -229,9 +230,9 @@
         for cid in flow.quic.issued_ids:
             self._add_id(known, cid)
         flow.on_ids(
-            issued=lambda cid: self._add_id(known, cid),
-            retired=lambda cid: self._drop_id(known, cid),
-            ended=lambda: self._drop_flow(known),
+            issued=functools.partial(self._add_id, known),
+            retired=functools.partial(self._drop_id, known),
+            ended=functools.partial(self._drop_flow, known),
         )
 
     def _add_id(self, known: _OpenFlow, cid: bytes) -> None:
--- a/src/dragonflyshift/_internal/sidecar/handover.py
+++ b/src/dragonflyshift/_internal/sidecar/handover.py
@@ -104,15 +104,7 @@
         parts: tuple[OutcomeTransfer, ...],
     ) -> bool:
         try:
-            stream = await connect_stream(
-                peer,
-                self._keys,
-                CONNECT_TIMEOUT_SECONDS,
-            )
-            try:
-                await _send_parts(stream, parts)
-            finally:
-                stream.abort()
+            await self._send_parts(peer, parts)
         except (PeerError, WireError) as exc:
             logger.warning(
                 'handover-failed',
@@ -121,13 +113,21 @@
             return False
         return True
 
-
-async def _send_parts(
-    stream: MessageStream,
-    parts: tuple[OutcomeTransfer, ...],
-) -> None:
-    for part in parts:
-        await stream.send(part)
-        answer = await receive_within(stream, ANSWER_LIMIT_SECONDS)
-        if not isinstance(answer, OutcomeTransferred):
-            raise PeerError('the peer did not adopt the outcomes')
+    async def _send_parts(
+        self,
+        peer: Address,
+        parts: tuple[OutcomeTransfer, ...],
+    ) -> None:
+        stream = await connect_stream(
+            peer,
+            self._keys,
+            CONNECT_TIMEOUT_SECONDS,
+        )
+        try:
+            for part in parts:
+                await stream.send(part)
+                answer = await receive_within(stream, ANSWER_LIMIT_SECONDS)
+                if not isinstance(answer, OutcomeTransferred):
+                    raise PeerError('the peer did not adopt the outcomes')
+        finally:
+            stream.abort()
--- a/src/dragonflyshift/_internal/sidecar/keyed.py
+++ b/src/dragonflyshift/_internal/sidecar/keyed.py
@@ -51,6 +51,7 @@
 from dragonflyshift._internal.sidecar.running import Runs
 from dragonflyshift._internal.state import (
     Begun,
+    Fenced,
     KeyIssuer,
     NeverRan,
     OutcomeTable,
@@ -154,15 +155,8 @@
             await self._run(key, req, sink)
         elif isinstance(beginning, Running):
             await _send_ended(sink, await beginning.wait())
-        elif isinstance(beginning, Stored):
-            await _send_ended(sink, beginning.outcome)
-        elif isinstance(beginning, NeverRan):
-            raise NotRunError('the instance is stopping; take a new key')
         else:
-            raise RunFailedError(
-                OutcomeKind.UNKNOWN,
-                'the key is older than the stored outcomes',
-            )
+            await _send_ended(sink, _known_outcome(beginning))
 
     async def _run(
         self,
@@ -254,6 +248,17 @@
             )
 
 
+def _known_outcome(beginning: Stored | Fenced | NeverRan) -> Outcome:
+    """Return the outcome of a request that does not begin."""
+    if isinstance(beginning, Stored):
+        return beginning.outcome
+    if isinstance(beginning, NeverRan):
+        reason = b'the instance is stopping; take a new key'
+        return Outcome(OutcomeKind.NOT_RUN, 0, (), reason)
+    reason = b'the key is older than the stored outcomes'
+    return Outcome(OutcomeKind.UNKNOWN, 0, (), reason)
+
+
 async def _send_ended(sink: AnswerSink, outcome: Outcome) -> None:
     if outcome.kind is OutcomeKind.ANSWERED:
         await send_outcome(sink, outcome)
--- a/src/dragonflyshift/_internal/sidecar/local.py
+++ b/src/dragonflyshift/_internal/sidecar/local.py
@@ -48,7 +48,7 @@
         self._backend = backend
         self._admission = admission
         self._metrics = metrics
-        self.served_at = 0.0
+        self.served_at = time.monotonic()
 
     async def run(self, req: Request, sink: AnswerSink) -> None:
         """Run a request; raise RunFailedError when it got no whole answer.
@@ -63,9 +63,7 @@
             self._metrics.incr('timeouts')
             raise RequestTimeoutError from exc
         finally:
-            now = time.monotonic()
-            self._admission.finish(now, now - started)
-            self._metrics.timing('held', now - started)
+            self._give_back(started)
 
     async def _exchange(self, req: Request, sink: AnswerSink) -> None:
         try:
@@ -102,6 +100,11 @@
             await sink.send_chunk(chunk)
         await sink.finish()
 
+    def _give_back(self, started: float) -> None:
+        now = time.monotonic()
+        self._admission.finish(now, now - started)
+        self._metrics.timing('held', now - started)
+
     def _note_unreachable(self) -> None:
         self._metrics.incr('backend-unreachable')
         self._admission.shed(time.monotonic())
--- a/src/dragonflyshift/_internal/sidecar/placing.py
+++ b/src/dragonflyshift/_internal/sidecar/placing.py
@@ -8,7 +8,6 @@
 import asyncio
 import time
 from collections.abc import Callable
-from contextlib import suppress
 
 from attrs import define
 
@@ -123,18 +122,20 @@
         """Wait for a slot here, and ask peers with growing pauses."""
         pause = ASK_AGAIN_SECONDS
         while True:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(pause):
-                    place = await asyncio.shield(waiter)
-                    if place is None:
-                        raise self._expired()
-                    return place
+            await asyncio.wait((waiter,), timeout=pause)
+            if waiter.done():
+                return self._own_place(waiter.result())
             peer = await self._claims.claim(req)
             if peer is not None:
                 self._metrics.incr('handed-over')
                 return peer
             pause = min(pause * 2, MAX_ASK_AGAIN_SECONDS)
 
+    def _own_place(self, place: LocalPlace | None) -> LocalPlace:
+        if place is None:
+            raise self._expired()
+        return place
+
     def _expired(self) -> NotRunError:
         self._metrics.incr('refused.expired')
         retry_after = self._admission.retry_after(time.monotonic())
--- a/src/dragonflyshift/_internal/sidecar/replies.py
+++ b/src/dragonflyshift/_internal/sidecar/replies.py
@@ -29,7 +29,7 @@
     """What a balancer was last seen to know."""
 
     digest_hash: bytes
-    told_at: float = 0.0
+    told_at: float = -DIGEST_PERIOD_SECONDS
 
 
 @define
--- a/src/dragonflyshift/_internal/sidecar/request.py
+++ b/src/dragonflyshift/_internal/sidecar/request.py
@@ -153,7 +153,10 @@
 
     @abstractmethod
     async def send_chunk(self, chunk: bytes) -> None:
-        """Send a part of the body, waiting while the receiver is slow."""
+        """Send a part of the body, waiting while the receiver is slow.
+
+        An empty part is allowed and changes nothing.
+        """
 
     @abstractmethod
     async def finish(self) -> None:
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -79,15 +79,12 @@
     ) -> None:
         """Return if the request may be tried again; else raise ``exc``."""
         safe = exc.kind is OutcomeKind.NOT_RUN or req.info.idempotent
-        again = (
-            safe
-            and not sink.started
-            and req.resendable
-            and req.attempts < MAX_ATTEMPTS
-            and not isinstance(exc, RequestTimeoutError)
-            and self._retries.withdraw(time.monotonic())
-        )
-        if not again:
+        if not safe or isinstance(exc, RequestTimeoutError):
+            raise exc
+        possible = not sink.started and req.resendable
+        if not possible or req.attempts >= MAX_ATTEMPTS:
+            raise exc
+        if not self._retries.withdraw(time.monotonic()):
             raise exc
         self._metrics.incr('retries')
 
--- a/src/dragonflyshift/_internal/sidecar/serving.py
+++ b/src/dragonflyshift/_internal/sidecar/serving.py
@@ -13,7 +13,7 @@
 from dragonflyshift._internal.limits import Admission
 from dragonflyshift._internal.sidecar.classify import MS_PER_SECOND
 from dragonflyshift._internal.sidecar.exchange import (
-    StreamSink,
+    PeerSink,
     info_of,
     receive_body,
     receive_within,
@@ -157,7 +157,7 @@
     """
     body = RequestBody()
     req = Request(info_of(head), body)
-    sink = StreamSink(stream)
+    sink = PeerSink(stream)
     async with (
         running(receive_body(stream, body)) as reader,
         running(send_keepalives(stream)),
