Add idempotency keys, the outcome table, claims and placements

A key runs at most once at its home. Nonces count up, and dropping an entry raises a floor, so a key that is old, unused or forgotten is fenced without a record of its own. Ruled out: a time inside the key (two clocks would have to agree after a pause), and a tombstone for each dropped key (unbounded).

--- a/src/dragonflyshift/_internal/state/__init__.py
+++ b/src/dragonflyshift/_internal/state/__init__.py
@@ -1,1 +1,29 @@
 """Outcomes, claims and other short-lived state."""
+
+from dragonflyshift._internal.state.adopted import NeverRan, Stored
+from dragonflyshift._internal.state.claims import Claim, ClaimTable
+from dragonflyshift._internal.state.idempotency import KeyIssuer
+from dragonflyshift._internal.state.outcomes import (
+    Begun,
+    Fenced,
+    OutcomeTable,
+    OutcomeTableFullError,
+    Running,
+)
+from dragonflyshift._internal.state.placements import PlacementMemory
+from dragonflyshift._internal.state.transfer import transfer_parts
+
+__all__ = (
+    'Begun',
+    'Claim',
+    'ClaimTable',
+    'Fenced',
+    'KeyIssuer',
+    'NeverRan',
+    'OutcomeTable',
+    'OutcomeTableFullError',
+    'PlacementMemory',
+    'Running',
+    'Stored',
+    'transfer_parts',
+)
--- /dev/null
+++ b/src/dragonflyshift/_internal/state/idempotency.py
@@ -0,0 +1,102 @@
+"""Idempotency keys that a sidecar issues and any sidecar can check.
+
+A key is text for a header: base64url without padding of key number (1 byte),
+home IPv4 (4) and port (2), boot (4), service tag (4), nonce (8) and a keyed
+BLAKE2s tag (16). Nonces count up from 1 in each life of a home, so that its
+outcome table tells by a nonce alone whether a key is old, known or not issued.
+"""
+
+__all__ = ('KeyIssuer',)
+
+import base64
+import hashlib
+import ipaddress
+import struct
+from contextlib import suppress
+
+from dragonflyshift._internal.exceptions import StateError, WireError
+from dragonflyshift._internal.models import Address, IdempotencyKey
+from dragonflyshift._internal.wire.keys import FleetKeys, same_tag
+
+TAG_BYTES = 16
+_PURPOSE = b'idempotency'
+_FIELDS = struct.Struct('!B4sHIIQ')
+_RAW_BYTES = _FIELDS.size + TAG_BYTES
+# 39 bytes are a whole number of base64 groups, so no padding arises.
+ENCODED_BYTES = _RAW_BYTES * 4 // 3
+
+
+class KeyIssuer:
+    """Issue keys for one life of a home; check those of any home."""
+
+    def __init__(
+        self,
+        keys: FleetKeys,
+        home: Address,
+        boot: int,
+        tag: int,
+    ) -> None:
+        """Start counting; ``boot`` must differ from that of earlier lives."""
+        self._keys = keys
+        self._home = home
+        self._boot = boot
+        self._tag = tag
+        self._issued = 0
+
+    @property
+    def issued(self) -> int:
+        """The highest nonce issued so far; 0 before the first."""
+        return self._issued
+
+    def issue(self) -> bytes:
+        """Return a new key as ASCII text."""
+        self._issued += 1
+        key = IdempotencyKey(self._home, self._boot, self._tag, self._issued)
+        fields = _encode(key, self._keys.current.key_id)
+        raw = fields + _key_tag(self._keys, fields)
+        return base64.urlsafe_b64encode(raw)
+
+    def parse(self, raw: bytes) -> IdempotencyKey:
+        """Check a key; raise StateError if it is forged or another's."""
+        decoded = b''
+        if len(raw) == ENCODED_BYTES:
+            with suppress(ValueError):
+                decoded = base64.b64decode(raw, b'-_', validate=True)
+        if len(decoded) != _RAW_BYTES:
+            raise StateError('idempotency key is malformed')
+        fields = decoded[: _FIELDS.size]
+        try:
+            tag = _key_tag(self._keys, fields)
+        except WireError as exc:
+            raise StateError(f'idempotency key is too old: {exc}') from exc
+        if not same_tag(tag, decoded[_FIELDS.size :]):
+            raise StateError('idempotency key is forged')
+        key = _decode(fields)
+        if key.tag != self._tag:
+            raise StateError('idempotency key is of another service')
+        return key
+
+
+def _encode(key: IdempotencyKey, key_id: int) -> bytes:
+    return _FIELDS.pack(
+        key_id,
+        ipaddress.IPv4Address(key.home.host).packed,
+        key.home.port,
+        key.boot,
+        key.tag,
+        key.nonce,
+    )
+
+
+def _decode(fields: bytes) -> IdempotencyKey:
+    _key_id, packed, port, *numbers = _FIELDS.unpack(fields)
+    host = str(ipaddress.IPv4Address(packed))
+    return IdempotencyKey(Address(host, port), *numbers)
+
+
+def _key_tag(keys: FleetKeys, fields: bytes) -> bytes:
+    return hashlib.blake2s(
+        fields,
+        digest_size=TAG_BYTES,
+        key=keys.find(fields[0]).derive(_PURPOSE),
+    ).digest()
--- /dev/null
+++ b/tests/unit/state/test_idempotency.py
@@ -0,0 +1,61 @@
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dragonflyshift._internal.exceptions import StateError
+from dragonflyshift._internal.models import Address, IdempotencyKey
+from dragonflyshift._internal.state import KeyIssuer
+from dragonflyshift._internal.wire.keys import FleetKeys
+
+_OLD = f'1:{"11" * 32}'
+_NEW = f'2:{"22" * 32}'
+_HOME = Address('127.0.0.1', 4433)
+_PEER = Address('127.0.0.2', 4433)
+
+
+def _issuer(text: str = _OLD, home: Address = _HOME, tag: int = 3) -> KeyIssuer:
+    return KeyIssuer(FleetKeys.parse(text), home, boot=7, tag=tag)
+
+
+class KeyIssuerTest(unittest.TestCase):
+    def test_any_sidecar_of_the_service_reads_the_key(self) -> None:
+        issuer = _issuer()
+        for nonce in (1, 2):
+            raw = issuer.issue()
+            self.assertEqual(issuer.issued, nonce)
+            self.assertEqual(
+                _issuer(home=_PEER).parse(raw),
+                IdempotencyKey(_HOME, 7, 3, nonce),
+            )
+
+    def test_keys_are_rotated(self) -> None:
+        raw = _issuer().issue()
+        self.assertEqual(_issuer(f'{_NEW},{_OLD}').parse(raw).nonce, 1)
+        with self.assertRaises(StateError):
+            _issuer(_NEW).parse(raw)
+
+    def test_key_of_another_service_or_secret_is_refused(self) -> None:
+        for issuer in (_issuer(tag=4), _issuer(f'1:{"33" * 32}')):
+            with self.assertRaises(StateError):
+                issuer.parse(_issuer().issue())
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(st.data())
+    def test_any_altered_character_is_refused(
+        self,
+        draw: st.DataObject,
+    ) -> None:
+        raw = bytearray(_issuer().issue())
+        position = draw.draw(st.integers(0, len(raw) - 1))
+        raw[position] = draw.draw(
+            st.integers(0, 255).filter(lambda byte: byte != raw[position]),
+        )
+        with self.assertRaises(StateError):
+            _issuer().parse(bytes(raw))
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(st.binary(max_size=80) | st.binary(min_size=52, max_size=52))
+    def test_odd_bytes_raise_state_errors_only(self, raw: bytes) -> None:
+        with self.assertRaises(StateError):
+            _issuer().parse(raw)
