--- /dev/null
+++ b/tests/lib/cluster.py
@@ -0,0 +1,325 @@
+"""The whole path as separate processes on loopback."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any, Self
+
+import cattrs
+from attrs import Factory, define
+
+from dragonflyshift._internal.models import Address, Endpoint
+from tests.lib import certificates
+from tests.lib.h3 import H3Client
+from tests.lib.http import ControlClient
+from tests.lib.jobs import Options
+from tests.lib.journal import JournalEntry
+from tests.lib.load import Target
+from tests.lib.network import Network
+from tests.lib.plan import (
+    BACKEND_PORT,
+    CLIENT_HOST,
+    CONTROL_PORT,
+    DAEMON_PORT,
+    FABRIC_HOST,
+    FIRST_ENDPOINT_HOST,
+    LISTS,
+    PARTS,
+    PLATFORM_HOST,
+    SMALL_SERVICES,
+    ClusterPlan,
+    Programs,
+    backend_address,
+)
+from tests.lib.processes import Program
+from tests.lib.register import Register, ServicePlan
+
+__all__ = (
+    'LISTS',
+    'PARTS',
+    'SMALL_SERVICES',
+    'Balancer',
+    'Cluster',
+    'ClusterPlan',
+    'Instance',
+    'ServicePlan',
+)
+STARTS_AT_A_TIME = 8
+DRAIN_SECONDS = 30.0
+
+
+@define(eq=False)
+class Balancer:
+    """One balancer and the IP on which the fabric reaches it."""
+
+    host: str
+    program: Program
+
+    @property
+    def address(self) -> Address:
+        """Where it takes status requests."""
+        return Address(self.host, DAEMON_PORT)
+
+
+@define(eq=False)
+class Instance:
+    """One endpoint: a backend server and the sidecar beside it."""
+
+    service: str
+    endpoint: Endpoint
+    sidecar: Program
+    backend: Program
+    control: ControlClient
+    retired: list[JournalEntry] = Factory(list)
+
+    @property
+    def name(self) -> str:
+        """The instance's name in the register."""
+        return self.endpoint.name
+
+    async def set_behavior(self, **changes: Any) -> None:
+        """Change how the backend server behaves."""
+        await self.control.put('/control/behavior', changes)
+
+    async def journal(self) -> list[JournalEntry]:
+        """Return what the backend server ran.
+
+        Of one that was killed this is only known when it ran with --echo.
+        """
+        if self.backend.running:
+            plain = await self.control.get('/control/journal')
+            return [*self.retired, *_structure(plain)]
+        return [*self.retired, *self._echoed()]
+
+    async def kill_backend(self) -> None:
+        """Kill the backend server, keeping what it echoed."""
+        await self.backend.kill()
+        self.retired.extend(self._echoed())
+
+    def _echoed(self) -> list[JournalEntry]:
+        if self.retired or not self.backend.lives:
+            return []
+        events = self.backend.child.events()
+        return _structure(each['entry'] for each in events if 'entry' in each)
+
+
+class Cluster:
+    """Fabric, platform, balancers, sidecars and backend servers.
+
+    Example:
+        >>> async def read() -> bytes:
+        ...     async with Cluster() as cluster:
+        ...         conn = await cluster.connect('reading-lists')
+        ...         return (await conn.request('GET', '/lists/1')).body
+    """
+
+    def __init__(self, plan: ClusterPlan | None = None) -> None:
+        self.plan = plan or ClusterPlan()
+        self.network = Network.claim()
+        self.issued = certificates.issue()
+        self.programs = Programs(self.plan, self.network, self.issued)
+        self.balancers: list[Balancer] = []
+        self.instances: list[Instance] = []
+        self.platform_control = self._control(PLATFORM_HOST, BACKEND_PORT)
+        self.fabric_control = self._control(FABRIC_HOST, CONTROL_PORT)
+        self.register = Register(self.platform_control)
+        self.platform = self.programs.platform()
+        self.fabric = self.programs.fabric()
+        self._limit = asyncio.Semaphore(STARTS_AT_A_TIME)
+        self._failed = False
+        self._built = 0
+        self._declare()
+
+    async def __aenter__(self) -> Self:
+        """Start everything; nothing stays behind if a part fails."""
+        try:
+            await self._start()
+        except BaseException:
+            await self.aclose()
+            raise
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """End all processes."""
+        await self.aclose()
+
+    def address(self, service: str) -> Address:
+        """Return the address of a service."""
+        return self.register.documents[service].addresses[0]
+
+    def target(
+        self,
+        service: str,
+        mix: dict[str, float],
+        clients: int = 4,
+    ) -> Target:
+        """Return a target for load on a service."""
+        return Target(self.address(service), service, mix, clients)
+
+    def options(self, **changes: Any) -> Options:
+        """Return options for load, with the cluster's certificate."""
+        return Options(
+            ca=self.issued.ca,
+            local_host=self.network.host(CLIENT_HOST),
+            **{'seed': self.plan.seed, **changes},
+        )
+
+    async def connect(self, service: str, **options: Any) -> H3Client:
+        """Open a flow to a service through the fabric."""
+        return await H3Client.connect(
+            self.address(service),
+            self.issued.ca,
+            certificates.SERVER_NAME,
+            local_host=self.network.host(CLIENT_HOST),
+            **options,
+        )
+
+    def of_service(self, service: str) -> list[Instance]:
+        """Return the instances of a service."""
+        return [each for each in self.instances if each.service == service]
+
+    def find(self, name: str) -> Instance:
+        """Return an instance by name."""
+        return next(each for each in self.instances if each.name == name)
+
+    async def journal(self) -> list[JournalEntry]:
+        """Return what all backend servers ran."""
+        parts = [await each.journal() for each in self.instances]
+        return [entry for part in parts for entry in part]
+
+    async def spread(self, client: str = '') -> Counter[str]:
+        """Return datagrams to each balancer, of one client or of all."""
+        counts = await self.fabric_control.get('/control/counts')
+        if client:
+            return Counter(counts['by_client'].get(client, {}))
+        return Counter(counts['to_balancer'])
+
+    async def set_faults(self, **faults: Any) -> None:
+        """Set what the fabric does to datagrams; all others are cleared."""
+        await self.fabric_control.put('/control/faults', faults)
+
+    async def set_mode(self, mode: str) -> None:
+        """Set how the platform treats its readers."""
+        await self.platform_control.put('/control/mode', mode)
+
+    async def add_balancer(self) -> Balancer:
+        """Start a fresh balancer and let the fabric use it."""
+        balancer = self._build_balancer()
+        await balancer.program.start()
+        self.balancers.append(balancer)
+        await self.update_fabric()
+        return balancer
+
+    async def remove_balancer(self, balancer: Balancer) -> int:
+        """Stop a balancer as planned and return its exit status."""
+        self.balancers.remove(balancer)
+        await self.update_fabric()
+        return await balancer.program.stop()
+
+    async def kill_balancer(self, balancer: Balancer) -> None:
+        """Kill a balancer; the fabric goes on sending to it until told."""
+        self.balancers.remove(balancer)
+        await balancer.program.kill()
+
+    async def update_fabric(self) -> None:
+        """Tell the fabric which balancers there are."""
+        hosts = [each.host for each in self.balancers]
+        await self.fabric_control.put('/control/balancers', hosts)
+
+    async def stop_instance(self, instance: Instance) -> int:
+        """Stop a sidecar as planned, then its backend server."""
+        status = await instance.sidecar.stop(DRAIN_SECONDS)
+        instance.retired = await instance.journal()
+        await instance.backend.stop()
+        return status
+
+    async def aclose(self) -> None:
+        """End all processes, whatever state they are in."""
+        programs = (
+            self.fabric,
+            *(each.program for each in self.balancers),
+            *(each.sidecar for each in self.instances),
+            *(each.backend for each in self.instances),
+            self.platform,
+        )
+        await asyncio.gather(*(_end(program) for program in programs))
+        await self.platform_control.aclose()
+        await self.fabric_control.aclose()
+        for instance in self.instances:
+            await instance.control.aclose()
+        self.network.release()
+
+    async def _start(self) -> None:
+        await self.platform.start()
+        await self.register.publish()
+        for _ in range(self.plan.balancers):
+            self.balancers.append(self._build_balancer())
+        backends = [each.backend for each in self.instances]
+        sidecars = [each.sidecar for each in self.instances]
+        balancers = [each.program for each in self.balancers]
+        await self._start_programs(*backends, *balancers)
+        await self._start_programs(*sidecars, self.fabric)
+        await self.update_fabric()
+
+    async def _start_programs(self, *programs: Program) -> None:
+        """Start programs side by side; the first failure ends all."""
+        tasks = [
+            asyncio.create_task(self._start_one(program))
+            for program in programs
+        ]
+        done, pending = await asyncio.wait(
+            tasks,
+            return_when=asyncio.FIRST_EXCEPTION,
+        )
+        if pending:
+            self._failed = True
+            await asyncio.gather(*(_end(program) for program in programs))
+            await asyncio.wait(pending)
+        for task in done:
+            task.result()
+
+    async def _start_one(self, program: Program) -> None:
+        async with self._limit:
+            if not self._failed:
+                await program.start()
+
+    def _control(self, host: int, port: int) -> ControlClient:
+        return ControlClient(str(self.network.address(host, port)))
+
+    def _declare(self) -> None:
+        """Build all instances and declare them in the register."""
+        for offset, plan in enumerate(self.plan.services):
+            endpoints = [
+                self._build_instance(plan, number)
+                for number in range(plan.endpoints)
+            ]
+            address = self.programs.service_address(offset)
+            self.register.add(plan, address, tuple(endpoints))
+
+    def _build_balancer(self) -> Balancer:
+        program = self.programs.balancer(self._built)
+        host = self.programs.balancer_host(self._built)
+        self._built += 1
+        return Balancer(host, program)
+
+    def _build_instance(self, plan: ServicePlan, number: int) -> Endpoint:
+        host = FIRST_ENDPOINT_HOST + len(self.instances)
+        endpoint = self.programs.endpoint(plan, number, host)
+        instance = Instance(
+            plan.name,
+            endpoint,
+            self.programs.sidecar(plan.name, endpoint),
+            self.programs.backend(plan.name, endpoint),
+            ControlClient(str(backend_address(endpoint))),
+        )
+        self.instances.append(instance)
+        return endpoint
+
+
+async def _end(program: Program) -> None:
+    if program.running:
+        await program.kill()
+
+
+def _structure(plain: Iterable[Any]) -> list[JournalEntry]:
+    return [cattrs.structure(each, JournalEntry) for each in plain]
