--- a/src/dragonflyshift/_internal/sidecar/keyed.py
+++ b/src/dragonflyshift/_internal/sidecar/keyed.py
@@ -49,6 +49,7 @@
     RequestInfo,
 )
 from dragonflyshift._internal.sidecar.running import Runs
+from dragonflyshift._internal.sidecar.serving import run_for_peer
 from dragonflyshift._internal.state import (
     Begun,
     Fenced,
@@ -60,7 +61,11 @@
     Stored,
 )
 from dragonflyshift._internal.wire.keys import FleetKeys
-from dragonflyshift._internal.wire.stream import connect_stream
+from dragonflyshift._internal.wire.messages import Message, RequestHead
+from dragonflyshift._internal.wire.stream import (
+    MessageStream,
+    connect_stream,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -115,6 +120,18 @@
         else:
             await self._ask_home(key, whole, sink)
 
+    async def serve_stream(
+        self,
+        stream: MessageStream,
+        message: Message,
+    ) -> None:
+        """Serve a request that a peer sent to its home."""
+        if not isinstance(message, RequestHead):
+            raise WireError('a request is expected')
+        if message.tag != self._identity.tag:
+            raise WireError('a request of another service')
+        await run_for_peer(stream, message, self.serve_peer)
+
     async def serve_peer(self, req: Request, sink: AnswerSink) -> None:
         """Answer a request that a peer sent to its home."""
         try:
--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -10,18 +10,13 @@
 
 from dragonflyshift._internal.config import ConfigurationChange
 from dragonflyshift._internal.control import ConfigurationFeed, ControlServer
-from dragonflyshift._internal.exceptions import (
-    MembershipError,
-    SidecarError,
-    WireError,
-)
+from dragonflyshift._internal.exceptions import SidecarError
 from dragonflyshift._internal.kernel.registry import find_plugin
 from dragonflyshift._internal.kernel.settings import Settings
 from dragonflyshift._internal.kernel.tasks import TaskGroup
 from dragonflyshift._internal.membership import Prober
 from dragonflyshift._internal.models import (
     Address,
-    MemberRecord,
     ServiceDocument,
     ServiceRules,
 )
@@ -44,6 +39,7 @@
     new_boot,
 )
 from dragonflyshift._internal.sidecar.lifecycle import Lifecycle
+from dragonflyshift._internal.sidecar.link import DatagramLink
 from dragonflyshift._internal.sidecar.parts import (
     Telemetry,
     create_admission,
@@ -53,21 +49,12 @@
 )
 from dragonflyshift._internal.sidecar.replies import ReplySender, ServiceWord
 from dragonflyshift._internal.sidecar.reports import SidecarReports
-from dragonflyshift._internal.sidecar.serving import run_for_peer
-from dragonflyshift._internal.utils.udp import DatagramSocket
-from dragonflyshift._internal.wire import (
-    ConnectionIdCodec,
-    DatagramCodec,
-    Forward,
-    Kind,
-    Opened,
-)
+from dragonflyshift._internal.wire import ConnectionIdCodec, Forward
 from dragonflyshift._internal.wire.messages import (
     ClaimRequest,
     OutcomeTransfer,
     RequestHead,
 )
-from dragonflyshift._internal.wire.stream import MessageStream
 
 logger = logging.getLogger(__name__)
 
@@ -91,8 +78,7 @@
         self._feed = feed
         self._metrics = telemetry.metrics
         self._tasks = tasks
-        self._codec = DatagramCodec(settings.fleet_keys)
-        self._datagrams: DatagramSocket | None = None
+        self._link = DatagramLink(settings, self._metrics)
         ids = ConnectionIdCodec(settings.fleet_keys)
         service = self._service
         self._identity = SidecarIdentity(
@@ -121,8 +107,8 @@
             ids,
             ReplySender(
                 service.tag,
-                self._codec,
-                self._send,
+                self._link.codec,
+                self._link.send,
                 self._word,
                 self._directory,
             ),
@@ -133,7 +119,7 @@
         self._prober = Prober(
             self._members,
             self._peers,
-            self._send_membership,
+            self._link.send_membership,
             random.Random(),
             tag=service.tag,
             version=lambda: self._service.version,
@@ -154,10 +140,7 @@
 
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
-        self._datagrams = DatagramSocket.bind(
-            self._settings.listen,
-            self._receive,
-        )
+        self._link.open(self._forwarded, self._prober.handle)
         await self._control.start()
         self._feed.store.changes.subscribe(self._changed)
         self._apply_document()
@@ -183,8 +166,7 @@
         """Close all sockets."""
         await self._control.close()
         await self._requests.backend.close()
-        if self._datagrams is not None:
-            self._datagrams.close()
+        self._link.close()
 
     @property
     def _service(self) -> ServiceDocument:
@@ -212,7 +194,7 @@
             ),
         )
         control.add_handler(ClaimRequest, self._requests.claims.serve)
-        control.add_handler(RequestHead, self._serve_keyed)
+        control.add_handler(RequestHead, self._requests.keyed.serve_stream)
         control.add_handler(OutcomeTransfer, self._handover.adopt)
         return control
 
@@ -221,45 +203,15 @@
         return FlowPolicy(
             decision(),
             self._load,
-            self._believed,
-            self._relay,
+            self._members.record,
+            self._link.relay,
             lambda: self._service.state is ServiceState.WINDING_DOWN,
         )
 
-    def _receive(self, datagram: bytes, sender: Address) -> None:
-        try:
-            self._dispatch(self._codec.open(datagram), sender)
-        except (WireError, MembershipError) as exc:
-            self._metrics.incr('dropped.unauthentic')
-            logger.debug('datagram-refused', extra={'reason': exc.message})
-
-    def _dispatch(self, opened: Opened, sender: Address) -> None:
-        if opened.kind in {Kind.FORWARD, Kind.RELAY}:
-            forward = Forward.decode(opened.body)
-            if forward.version > self._service.version:
-                self._version_heard(forward.balancer, forward.version)
-            self._flows.receive(forward)
-        elif opened.kind is Kind.REPLY:
-            raise WireError('a sidecar takes no replies')
-        else:
-            now = time.monotonic()
-            self._prober.handle(opened.kind, opened.body, sender, now)
-
-    def _send(self, datagram: bytes, address: Address) -> None:
-        if self._datagrams is not None:
-            self._datagrams.send(datagram, address)
-
-    def _send_membership(
-        self,
-        address: Address,
-        kind: Kind,
-        body: bytes,
-    ) -> None:
-        self._metrics.incr('control-bytes', len(body))
-        self._send(self._codec.seal(kind, body), address)
-
-    def _relay(self, forward: Forward, peer: Address) -> None:
-        self._send(self._codec.seal(Kind.RELAY, forward.relayed()), peer)
+    def _forwarded(self, forward: Forward) -> None:
+        if forward.version > self._service.version:
+            self._version_heard(forward.balancer, forward.version)
+        self._flows.receive(forward)
 
     def _peers(self) -> Sequence[Address]:
         return tuple(
@@ -275,9 +227,6 @@
             self._service.version,
         )
 
-    def _believed(self, address: Address) -> MemberRecord | None:
-        return self._members.record(address)
-
     def _load(self, connections: int) -> LoadSnapshot:
         own = self._members.own
         if own is None:
@@ -313,16 +262,6 @@
         )
         self._lifecycle.document_changed(service)
 
-    async def _serve_keyed(
-        self,
-        stream: MessageStream,
-        head: RequestHead,
-    ) -> None:
-        if head.tag != self._identity.tag:
-            self._metrics.incr('dropped.wrong-service')
-            raise WireError('a request of another service')
-        await run_for_peer(stream, head, self._requests.keyed.serve_peer)
-
     async def _pump(self) -> None:
         """Move the queue on, and tell the load, for as long as it runs."""
         while True:
