--- a/bench/naive/retries.py
+++ b/bench/naive/retries.py
@@ -2,6 +2,7 @@
 
 import random
 
+from dragonflyshift._internal.models import OutcomeKind
 from dragonflyshift._internal.retries import RetryPolicy
 
 
@@ -18,6 +19,10 @@
         """Allow the retry."""
         return True
 
+    def allows(self, kind: OutcomeKind, *, idempotent: bool) -> bool:
+        """Retry whatever may have happened."""
+        return True
+
     def backoff(self, attempt: int) -> float:
         """Return no wait."""
         return 0
--- a/src/dragonflyshift/_internal/kernel/option_table.py
+++ b/src/dragonflyshift/_internal/kernel/option_table.py
@@ -177,6 +177,11 @@
         options.parse_name,
         'plug-in that limits retries',
     ),
+    options.Option(
+        'keyed_requests',
+        options.parse_name,
+        'plug-in that serves requests with an idempotency key',
+    ),
     options.Option(
         'plugin_modules',
         options.parse_modules,
--- a/src/dragonflyshift/_internal/kernel/settings.py
+++ b/src/dragonflyshift/_internal/kernel/settings.py
@@ -71,6 +71,7 @@
     peer_choice: str = 'power-of-two'
     admission: str = 'adaptive'
     retry_policy: str = 'budget'
+    keyed_requests: str = 'home'
     plugin_modules: tuple[str, ...] = ()
 
 
--- a/src/dragonflyshift/_internal/retries/base.py
+++ b/src/dragonflyshift/_internal/retries/base.py
@@ -4,6 +4,7 @@
 from abc import abstractmethod
 
 from dragonflyshift._internal.kernel.registry import Plugin
+from dragonflyshift._internal.models import OutcomeKind
 
 
 class RetryPolicy(Plugin, kind='retry-policy'):
@@ -17,6 +18,13 @@
     def deposit(self, now: float) -> None:
         """Take note of a first attempt."""
 
+    def allows(self, kind: OutcomeKind, *, idempotent: bool) -> bool:
+        """Tell whether another attempt is safe after a failure.
+
+        It is if nothing ran, or if running twice does no harm.
+        """
+        return kind is OutcomeKind.NOT_RUN or idempotent
+
     @abstractmethod
     def withdraw(self, now: float) -> bool:
         """Take one retry from the budget; False when it is spent."""
--- a/src/dragonflyshift/_internal/sidecar/keyed.py
+++ b/src/dragonflyshift/_internal/sidecar/keyed.py
@@ -41,6 +41,7 @@
     RunFailedError,
 )
 from dragonflyshift._internal.sidecar.identity import SidecarIdentity
+from dragonflyshift._internal.sidecar.keyed_base import KeyedRequests
 from dragonflyshift._internal.sidecar.request import (
     OUTCOME_HEADER,
     AnswerSink,
@@ -76,8 +77,8 @@
 _NOT_RUN = (OUTCOME_HEADER, OutcomeKind.NOT_RUN.encode())
 
 
-class KeyedRequests:
-    """Issue keys, and serve requests that carry one."""
+class HomeKeyed(KeyedRequests, name='home'):
+    """Send each request to the home of its key, and run it there once."""
 
     def __init__(
         self,
@@ -95,7 +96,12 @@
         self._outcomes = outcomes
         self._runner = runner
         self._tasks = tasks
-        self.running = 0
+        self._running = 0
+
+    @property
+    def running(self) -> int:
+        """Requests under a key that run here."""
+        return self._running
 
     def concerns(self, info: RequestInfo) -> bool:
         """Tell whether a request has a key or asks for one."""
@@ -201,12 +207,12 @@
         req: Request,
         capture: CapturingSink,
     ) -> Outcome:
-        self.running += 1
+        self._running += 1
         outcome = Outcome(OutcomeKind.UNKNOWN, STATUS_BAD_GATEWAY)
         try:
             outcome = await self._attempt(req, capture)
         finally:
-            self.running -= 1
+            self._running -= 1
             self._outcomes.finish(key, outcome, time.monotonic())
         return outcome
 
--- a/src/dragonflyshift/_internal/sidecar/parts.py
+++ b/src/dragonflyshift/_internal/sidecar/parts.py
@@ -21,7 +21,7 @@
 from dragonflyshift._internal.routing import PeerChoice
 from dragonflyshift._internal.sidecar.backend import BackendClient
 from dragonflyshift._internal.sidecar.identity import SidecarIdentity
-from dragonflyshift._internal.sidecar.keyed import KeyedRequests
+from dragonflyshift._internal.sidecar.keyed_base import KeyedRequests
 from dragonflyshift._internal.sidecar.lifecycle import Lifecycle
 from dragonflyshift._internal.sidecar.local import LocalRunner
 from dragonflyshift._internal.sidecar.peers import PeerClaims
@@ -145,7 +145,7 @@
         boot=identity.first_boot,
         issued=lambda: issuer.issued,
     )
-    keyed = KeyedRequests(
+    keyed = find_plugin(KeyedRequests, settings.keyed_requests)(
         identity,
         settings.fleet_keys,
         issuer,
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -20,7 +20,7 @@
     RunFailedError,
 )
 from dragonflyshift._internal.sidecar.flow import Flow
-from dragonflyshift._internal.sidecar.keyed import KeyedRequests
+from dragonflyshift._internal.sidecar.keyed_base import KeyedRequests
 from dragonflyshift._internal.sidecar.placing import LocalPlace, SlotFinder
 from dragonflyshift._internal.sidecar.request import (
     OUTCOME_HEADER,
@@ -78,7 +78,10 @@
         exc: RunFailedError,
     ) -> None:
         """Return if the request may be tried again; else raise ``exc``."""
-        safe = exc.kind is OutcomeKind.NOT_RUN or req.info.idempotent
+        safe = self._retries.allows(
+            exc.kind,
+            idempotent=req.info.idempotent,
+        )
         if not safe or isinstance(exc, RequestTimeoutError):
             raise exc
         possible = not sink.started and req.resendable
