--- a/src/dragonflyshift/__main__.py
+++ b/src/dragonflyshift/__main__.py
@@ -1,1 +1,16 @@
 """Entry point of the operators' command line."""
+
+import sys
+
+from dragonflyshift._internal.cli.application import run
+
+__all__ = ('main',)
+
+
+def main() -> int:
+    """Run the command line and return its exit status."""
+    return run()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/dragonflyshift/_internal/cli/errors.py
+++ b/src/dragonflyshift/_internal/cli/errors.py
@@ -12,7 +12,7 @@
           hint: ask again
     """
     if not isinstance(exc, DragonflyshiftError):
-        return f'error: {exc or type(exc).__name__}'
+        return f'error: {str(exc) or type(exc).__name__}'
     lines = [f'error: {exc.message}']
     if exc.context:
         lines.append(f'  where: {exc.context}')
--- /dev/null
+++ b/src/dragonflyshift/_internal/commands/check.py
@@ -0,0 +1,96 @@
+"""The command ``check``."""
+
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+
+from dragonflyshift._internal.cli.command import OperatorCommand
+from dragonflyshift._internal.cli.status_codes import StatusCode
+from dragonflyshift._internal.config.declaration import load_declaration
+from dragonflyshift._internal.config.faults import InvalidConfigurationError
+from dragonflyshift._internal.config.rendering import render_declaration
+from dragonflyshift._internal.models.checks import CheckReport, ServiceSummary
+from dragonflyshift._internal.models.declaration import Declaration
+from dragonflyshift._internal.models.documents import ServiceDocument
+
+
+class CheckCommand(OperatorCommand):
+    """Check a declaration and report every fault."""
+
+    name = 'check'
+    description = 'Check the inventory and the rules of a declaration.'
+    help = (
+        'Reads inventory.toml and rules.toml of a directory and reports every '
+        'fault with its file, key, what is wrong and what to do.\n\n'
+        'Exit status: 0 when valid, 1 when not.'
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument(
+            'declaration',
+            'Directory of inventory.toml and rules.toml.',
+            optional=True,
+            default='.',
+        ),
+    ]
+
+    def run_command(self) -> StatusCode:
+        """Check the declaration."""
+        try:
+            declaration = load_declaration(Path(self.argument('declaration')))
+        except InvalidConfigurationError as exc:
+            self._show_faults(exc)
+            return StatusCode.INVALID_DECLARATION
+        # Also a document that is too large for the platform is an error.
+        render_declaration(declaration)
+        self._show_summary(declaration)
+        return StatusCode.OK
+
+    def _show_faults(self, exc: InvalidConfigurationError) -> None:
+        if self.wants_json:
+            self.print_json(CheckReport(is_valid=False, faults=exc.faults))
+        for fault in exc.faults:
+            place = ': '.join(filter(None, (fault.source, fault.key)))
+            self.print_error(f'error: {place}: {fault.message}')
+            if fault.hint:
+                self.print_error(f'  hint: {fault.hint}')
+        self.print_error(f'{exc.context}: {len(exc.faults)} faults')
+
+    def _show_summary(self, declaration: Declaration) -> None:
+        summaries = tuple(
+            _summarize(document) for document in declaration.services
+        )
+        if self.wants_json:
+            self.print_json(
+                CheckReport(
+                    is_valid=True,
+                    revision=declaration.revision,
+                    services=summaries,
+                ),
+            )
+            return
+        self.print_table(
+            ('service', 'organisation', 'state', 'endpoints', 'slots'),
+            (
+                (
+                    one.name,
+                    one.organisation,
+                    one.state,
+                    one.endpoints,
+                    one.slots,
+                )
+                for one in summaries
+            ),
+        )
+        self.print_text(f'revision {declaration.revision} is valid')
+
+
+def _summarize(document: ServiceDocument) -> ServiceSummary:
+    return ServiceSummary(
+        name=document.name,
+        organisation=document.organisation,
+        state=document.state,
+        endpoints=len(document.endpoints),
+        slots=sum(endpoint.slots for endpoint in document.endpoints),
+    )
--- /dev/null
+++ b/src/dragonflyshift/_internal/commands/render.py
@@ -0,0 +1,81 @@
+"""The command ``render``."""
+
+from pathlib import Path
+from typing import ClassVar
+
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from dragonflyshift._internal.cli.command import JSON_OPTION, OperatorCommand
+from dragonflyshift._internal.cli.status_codes import StatusCode
+from dragonflyshift._internal.config.declaration import load_declaration
+from dragonflyshift._internal.config.rendering import (
+    read_published,
+    render_declaration,
+    write_documents,
+)
+from dragonflyshift._internal.models.rendering import RenderedDocument
+
+
+class RenderCommand(OperatorCommand):
+    """Write the documents that the platform publishes."""
+
+    name = 'render'
+    description = 'Write the documents that the platform publishes.'
+    help = (
+        'Checks a declaration and writes one document for the index and one '
+        'for each service below OUTPUT, each in a file named after its key. '
+        'With --previous a document that did not change keeps its version, so '
+        'that daemons read only what changed; the directory may be OUTPUT '
+        'itself. Publish the services first and the index last.\n\n'
+        'Exit status: 0 when written, 1 when the declaration is invalid or '
+        'its revision has to be raised, 5 when a file can not be written.'
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument('output', 'Directory to write to.'),
+    ]
+    options: ClassVar[list[Option]] = [
+        option(
+            'declaration',
+            'd',
+            'Directory of inventory.toml and rules.toml.',
+            flag=False,
+            default='.',
+        ),
+        option(
+            'previous',
+            'p',
+            'Directory of the rendering that is published now.',
+            flag=False,
+        ),
+        JSON_OPTION,
+    ]
+
+    def run_command(self) -> StatusCode:
+        """Render and write the documents."""
+        declaration = load_declaration(Path(self.option('declaration')))
+        earlier = self.option('previous')
+        previous = read_published(Path(earlier)) if earlier else None
+        documents = render_declaration(declaration, previous)
+        write_documents(Path(self.argument('output')), documents)
+        self._show(documents)
+        return StatusCode.OK
+
+    def _show(self, documents: tuple[RenderedDocument, ...]) -> None:
+        rows = [
+            {
+                'key': document.key,
+                'version': document.version,
+                'changed': document.is_changed,
+                'bytes': len(document.raw),
+            }
+            for document in documents
+        ]
+        if self.wants_json:
+            self.print_json(rows)
+            return
+        self.print_table(
+            ('key', 'version', 'changed', 'bytes'),
+            (row.values() for row in rows),
+        )
--- a/src/dragonflyshift/_internal/config/converter.py
+++ b/src/dragonflyshift/_internal/config/converter.py
@@ -22,6 +22,7 @@
 from dragonflyshift._internal.config.faults import InvalidConfigurationError
 from dragonflyshift._internal.exceptions import ConfigurationError
 from dragonflyshift._internal.models.address import Address
+from dragonflyshift._internal.models.reports import Report
 
 MAX_TEXT_CHARACTERS = 2048
 
@@ -92,7 +93,7 @@
     from_dict = make_dict_structure_fn(
         kind,
         _converter,
-        _cattrs_forbid_extra_keys=True,
+        _cattrs_forbid_extra_keys=not issubclass(kind, Report),
     )
     return partial(_structure_model, from_dict)
 
--- a/src/dragonflyshift/_internal/config/documents.py
+++ b/src/dragonflyshift/_internal/config/documents.py
@@ -26,6 +26,7 @@
 )
 
 MAX_DOCUMENT_BYTES = 1_048_576
+_COMPACT = (',', ':')
 
 _ModelT = TypeVar('_ModelT')
 
@@ -33,7 +34,7 @@
 def encode_document(document: IndexDocument | ServiceDocument) -> bytes:
     """Return a document as JSON; raise ConfigurationError over 1 MiB."""
     plain = unstructure(document)
-    raw = json.dumps(plain, indent=1, sort_keys=True).encode()
+    raw = json.dumps(plain, separators=_COMPACT, sort_keys=True).encode()
     _check_size(raw)
     return raw
 
--- a/tests/unit/config/test_watcher.py
+++ b/tests/unit/config/test_watcher.py
@@ -109,7 +109,8 @@
             self.platform.failure = lambda: httpx.Response(503)
             self.publish(3)
             failed = len(self.platform.reads) + 3
-            await until(lambda: len(self.platform.reads) >= failed)
+            with self.assertLogs(level='WARNING'):
+                await until(lambda: len(self.platform.reads) >= failed)
             self.platform.failure = None
             await until(
                 lambda: (
