--- a/src/dragonflyshift/_internal/kernel/option_table.py
+++ b/src/dragonflyshift/_internal/kernel/option_table.py
@@ -138,7 +138,7 @@
     options.Option(
         'drain_timeout',
         options.seconds_between(0, MAX_TIMEOUT_SECONDS),
-        'seconds that a graceful shutdown may last; 0 sets no limit',
+        'seconds that a graceful shutdown may last; 0, the default, sets none',
         metavar='SECONDS',
     ),
     options.Option(
--- a/tests/unit/kernel/test_settings.py
+++ b/tests/unit/kernel/test_settings.py
@@ -131,3 +131,12 @@
                 read_settings(['--help'], {})
         self.assertEqual(caught.exception.code, 0)
         self.assertIn('default rendezvous', output.getvalue())
+
+
+class PageTest(unittest.TestCase):
+    def test_page_describes_every_setting(self) -> None:
+        page = Path(__file__).parents[3] / 'docs' / 'CONFIGURATION.md'
+        text = page.read_text()
+        for option in OPTIONS:
+            with self.subTest(option.name):
+                self.assertIn(f'| `{option.flag}` |', text)
