--- a/src/dragonflyshift/_internal/cli/status_codes.py
+++ b/src/dragonflyshift/_internal/cli/status_codes.py
@@ -8,5 +8,10 @@
 
     OK = 0
     FAILURE = 1
+    INVALID_DECLARATION = 1
     USAGE = 2
     UNREACHABLE = 3
+    BAD_REPLY = 4
+    OUTPUT_FAILED = 5
+    INTERNAL = 70
+    INTERRUPTED = 130
