Measure membership and describe it

The cost of an exchange had grown with the service (81 us at 7 members, 203 us at 500) because each greeting looked for doubtful members; the answer is now kept until the view changes (74 to 77 us at 7 to 500).

--- /dev/null
+++ b/bench/micro_membership.py
@@ -0,0 +1,329 @@
+"""Measure what membership costs: digests, merging, probing and a change.
+
+Run ``python -m bench.micro_membership [--json] [--seed N]``.
+"""
+
+import asyncio
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+
+from attrs import frozen
+
+from bench.micro import US_PER_S, median_us, parse_options, show
+from bench.slopes import fit_line
+from dragonflyshift._internal.membership import (
+    MemberTable,
+    Prober,
+    ProbeTimes,
+    decode_digest,
+    encode_digest,
+)
+from dragonflyshift._internal.membership.table import SUSPICION_TIMEOUT_S
+from dragonflyshift._internal.models import (
+    Address,
+    MemberRecord,
+    MemberState,
+)
+from dragonflyshift._internal.wire.datagram import DatagramCodec, Kind
+from dragonflyshift._internal.wire.keys import FleetKeys
+from tests.lib.members import build_member
+from tests.lib.mesh import Mesh, Node
+
+TABLE_SIZES = (7, 50, 500, 5300)
+MESH_SIZES = (7, 50, 200)
+EXCHANGE_SIZES = (7, 50, 500)
+EXCHANGE_ROUNDS = 300
+WARM_UP_S = 1.0
+QUIET_S = 4.0
+WAIT_LIMIT_S = 8.0
+POLL_S = 0.01
+FLEET_KEY = f'1:{"5a" * 32}'
+ROUNDS_TARGET = 5000
+
+
+@frozen
+class TableCost:
+    """Processor time in microseconds and memory at one size."""
+
+    members: int
+    digest_bytes: int
+    encode_us: float
+    decode_us: float
+    merge_new_us: float
+    merge_same_us: float
+    hash_cached_us: float
+    memory_bytes: int
+
+
+@frozen
+class TableSlope:
+    """A cost in microseconds as a line over the number of members."""
+
+    cost: str
+    fixed_us: float
+    us_a_member: float
+    worst_fit: float
+
+
+@frozen
+class QuietCost:
+    """What one member of a quiet service sends, on average.
+
+    Bytes include the headers of IPv4 and UDP; a member receives as much.
+    """
+
+    members: int
+    messages_a_second: float
+    bytes_a_second: float
+    busiest_bytes_a_second: float
+
+
+@frozen
+class ExchangeCost:
+    """Processor time of a probe and its answer, both ends together.
+
+    Sealing and opening of the datagrams is included. A member begins one
+    exchange a turn and answers one.
+    """
+
+    members: int
+    exchange_us: float
+    cpu_percent_a_member: float
+
+
+@frozen
+class ChangeCost:
+    """How a member's word that it leaves reaches all others."""
+
+    members: int
+    seconds_to_all: float
+    extra_bytes_a_member: float
+
+
+@frozen
+class DeathCost:
+    """How long a member is believed to live after it fell silent."""
+
+    members: int
+    seconds_to_first_suspicion: float
+    seconds_to_all: float
+
+
+@frozen
+class MeshCost:
+    """What one running service showed."""
+
+    quiet: QuietCost
+    change: ChangeCost
+    death: DeathCost
+
+
+def _merged(records: Sequence[MemberRecord]) -> MemberTable:
+    table = MemberTable(None)
+    table.merge(records, 0)
+    return table
+
+
+def _table_bytes(records: Sequence[MemberRecord]) -> int:
+    digest = encode_digest(records)
+    tracemalloc.start()
+    table = MemberTable(None)
+    table.merge(decode_digest(digest), 0)
+    used, _peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return used
+
+
+def measure_table(size: int) -> TableCost:
+    """Measure the operations on a table of one size."""
+    records = [build_member(number) for number in range(size)]
+    digest = encode_digest(records)
+    table = _merged(records)
+    rounds = max(1, ROUNDS_TARGET // size)
+    return TableCost(
+        members=size,
+        digest_bytes=len(digest),
+        encode_us=median_us(lambda: encode_digest(records), rounds),
+        decode_us=median_us(lambda: decode_digest(digest), rounds),
+        merge_new_us=median_us(lambda: _merged(records), rounds),
+        merge_same_us=median_us(lambda: table.merge(records, 0), rounds),
+        hash_cached_us=median_us(lambda: table.hash, ROUNDS_TARGET),
+        memory_bytes=_table_bytes(records),
+    )
+
+
+def _slopes(costs: Sequence[TableCost]) -> list[TableSlope]:
+    sizes = [cost.members for cost in costs]
+    slopes = []
+    for name in ('encode_us', 'decode_us', 'merge_new_us', 'merge_same_us'):
+        line = fit_line(sizes, [getattr(cost, name) for cost in costs])
+        slopes.append(TableSlope(name, line.fixed, line.slope, line.worst))
+    return slopes
+
+
+class _Wire:
+    """Two members of a settled service, and sealed datagrams between them."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        """Let both know all members."""
+        keys = FleetKeys.parse(FLEET_KEY)
+        records = [build_member(number) for number in range(size)]
+        self._addresses = [record.address for record in records]
+        self._codecs = [DatagramCodec(keys) for _end in range(2)]
+        self._probers = [
+            Prober(table, self._peers, self._queue, random.Random(seed))
+            for table in map(MemberTable, records[:2])
+        ]
+        self._queued: list[tuple[Kind, bytes]] = []
+        greetings = encode_digest(records)
+        for prober in self._probers:
+            prober.table.merge(decode_digest(greetings), 0)
+
+    def exchange(self) -> None:
+        """Let the first probe the second, and the second answer."""
+        self._probers[0].send_probe(self._addresses[1], 1)
+        self._carry(0, 1)
+        self._carry(1, 0)
+
+    def _carry(self, source: int, target: int) -> None:
+        kind, body = self._queued.pop()
+        opened = self._codecs[target].open(
+            self._codecs[source].seal(kind, body),
+        )
+        self._probers[target].handle(
+            opened.kind,
+            opened.body,
+            self._addresses[source],
+            0,
+        )
+
+    def _peers(self) -> Sequence[Address]:
+        return self._addresses
+
+    def _queue(self, _target: Address, kind: Kind, body: bytes) -> None:
+        self._queued.append((kind, body))
+
+
+def measure_exchange(size: int, seed: int) -> ExchangeCost:
+    """Measure a probe and its answer in a service of one size."""
+    wire = _Wire(size, seed)
+    exchange_us = median_us(wire.exchange, EXCHANGE_ROUNDS)
+    share = exchange_us / US_PER_S / ProbeTimes().turn
+    return ExchangeCost(size, exchange_us, 100 * share)
+
+
+async def _settled(size: int, seed: int) -> Mesh:
+    """Return a running service whose members know each other."""
+    mesh = Mesh(
+        size,
+        times=ProbeTimes(),
+        seed=seed,
+        suspicion=SUSPICION_TIMEOUT_S,
+    )
+    records = [node.record for node in mesh.nodes]
+    for node in mesh.nodes:
+        node.table.merge(records, 0)
+        node.start()
+    await asyncio.sleep(WARM_UP_S)
+    return mesh
+
+
+async def _quiet(mesh: Mesh) -> QuietCost:
+    sent = [(node.sent_messages, node.sent_bytes) for node in mesh.nodes]
+    await asyncio.sleep(QUIET_S)
+    spent = [
+        (node.sent_messages - messages, node.sent_bytes - size)
+        for node, (messages, size) in zip(mesh.nodes, sent, strict=True)
+    ]
+    members = len(mesh.nodes)
+    return QuietCost(
+        members=members,
+        messages_a_second=sum(row[0] for row in spent) / members / QUIET_S,
+        bytes_a_second=sum(row[1] for row in spent) / members / QUIET_S,
+        busiest_bytes_a_second=max(row[1] for row in spent) / QUIET_S,
+    )
+
+
+async def _seconds_until(condition: Callable[[], bool]) -> float:
+    started = time.monotonic()
+    while True:
+        seconds = time.monotonic() - started
+        if condition() or seconds > WAIT_LIMIT_S:
+            return seconds
+        await asyncio.sleep(POLL_S)
+
+
+def _believed(mesh: Mesh, subject: Node) -> set[MemberState]:
+    return {
+        node.table.state_of(subject.address)
+        for node in mesh.nodes
+        if node is not subject
+    }
+
+
+async def _change(mesh: Mesh, quiet: QuietCost) -> ChangeCost:
+    leaver = mesh.nodes[0]
+    before = sum(node.sent_bytes for node in mesh.nodes)
+    leaver.table.set_own_state(MemberState.LEAVING)
+    seconds = await _seconds_until(
+        lambda: _believed(mesh, leaver) == {MemberState.LEAVING},
+    )
+    sent = sum(node.sent_bytes for node in mesh.nodes) - before
+    extra = sent / len(mesh.nodes) - quiet.bytes_a_second * seconds
+    return ChangeCost(len(mesh.nodes), seconds, max(extra, 0))
+
+
+async def _death(mesh: Mesh) -> DeathCost:
+    victim = mesh.nodes[1]
+    await victim.stop()
+    first = await _seconds_until(
+        lambda: MemberState.SUSPECT in _believed(mesh, victim),
+    )
+    rest = await _seconds_until(
+        lambda: _believed(mesh, victim) == {MemberState.DEAD},
+    )
+    return DeathCost(len(mesh.nodes), first, first + rest)
+
+
+async def _measure_mesh(size: int, seed: int) -> MeshCost:
+    mesh = await _settled(size, seed)
+    quiet = await _quiet(mesh)
+    change = await _change(mesh, quiet)
+    death = await _death(mesh)
+    await asyncio.gather(*(node.stop() for node in mesh.nodes))
+    return MeshCost(quiet, change, death)
+
+
+async def _measure_meshes(seed: int) -> list[MeshCost]:
+    return await asyncio.gather(
+        *(_measure_mesh(size, seed) for size in MESH_SIZES),
+    )
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Measure and print."""
+    options = parse_options('Measure what membership costs.', argv)
+    random.seed(options.seed)
+    tables = [measure_table(size) for size in TABLE_SIZES]
+    meshes = asyncio.run(_measure_meshes(options.seed))
+    show(
+        options,
+        {
+            'table': tables,
+            'table slopes': _slopes(tables),
+            'probe and answer': [
+                measure_exchange(size, options.seed) for size in EXCHANGE_SIZES
+            ],
+            'quiet service': [mesh.quiet for mesh in meshes],
+            'one change': [mesh.change for mesh in meshes],
+            'one death': [mesh.death for mesh in meshes],
+        },
+    )
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/dragonflyshift/_internal/membership/probing.py
+++ b/src/dragonflyshift/_internal/membership/probing.py
@@ -88,7 +88,7 @@
     ) -> None:
         """Probe nobody yet."""
         self._exchange = Exchange(table, tag, rng, version, on_version)
-        self._table = table
+        self.table = table
         self._peers = peers
         self._send = send
         self._rng = rng
@@ -123,7 +123,7 @@
     async def run(self) -> None:
         """Probe for as long as the task lives."""
         pauses = PauseDetector(self._times.pause)
-        with self._table.changes.subscribe(self._notice):
+        with self.table.changes.subscribe(self._notice):
             async with asyncio.TaskGroup() as tasks:
                 while True:
                     self._take_turn(tasks, pauses)
@@ -142,8 +142,8 @@
         length = pauses.observe(now)
         if length:
             logger.warning('view-doubted', extra={'pause': round(length, 3)})
-            self._table.forget_beliefs(now)
-        for record in self._table.expire_suspects(now):
+            self.table.forget_beliefs(now)
+        for record in self.table.expire_suspects(now):
             logger.info('member-dead', extra={'member': str(record.address)})
         for peer in self._next_peers():
             tasks.create_task(self._probe(peer))
@@ -164,7 +164,8 @@
             self._own_changed.clear()
             count = min(len(present), self._times.announcements)
             return self._rng.sample(present, count)
-        self._round = [peer for peer in self._round if peer in present]
+        named = set(present)
+        self._round = [peer for peer in self._round if peer in named]
         if not self._round:
             self._round = self._rng.sample(present, len(present))
         return [self._round.pop()] if self._round else []
@@ -186,7 +187,7 @@
             self._suspect(peer, now)
 
     async def _ask(self, pending: _Pending, sequence: int) -> bool:
-        self._send_probe(pending.peer, sequence)
+        self.send_probe(pending.peer, sequence)
         if await _answered(pending, self._times.direct):
             return True
         own = self._exchange.own.record.address
@@ -200,19 +201,20 @@
         return await _answered(pending, self._times.indirect)
 
     def _suspect(self, peer: Address, now: float) -> None:
-        self._table.suspect(peer, now)
-        word = self._table.record(peer)
+        self.table.suspect(peer, now)
+        word = self.table.record(peer)
         if word is None:
             return
         logger.info('member-silent', extra={'member': str(peer)})
-        self._send_probe(peer, self._next_sequence(), (word,))
+        self.send_probe(peer, self._next_sequence(), (word,))
 
-    def _send_probe(
+    def send_probe(
         self,
         peer: Address,
         sequence: int,
         words: tuple[MemberRecord, ...] = (),
     ) -> None:
+        """Send one probe and wait for nothing."""
         probe = messages.Probe(self._exchange.greeting(sequence), words)
         self._send(peer, Kind.PROBE, messages.encode_probe(probe))
 
@@ -240,7 +242,7 @@
         greeting = ack.greeting
         sender = greeting.sender
         self._exchange.learn(greeting, ack.words, now)
-        self._table.note_load(
+        self.table.note_load(
             sender.address,
             sender.free_slots,
             sender.queued,
@@ -261,7 +263,7 @@
         self._exchange.learn(greeting, (), now)
         sequence = self._next_sequence()
         self._relays.add(request, sequence)
-        self._send_probe(request.target, sequence)
+        self.send_probe(request.target, sequence)
 
     def _pass_back(self, ack: messages.Ack) -> None:
         relay = self._relays.take(ack)
--- a/src/dragonflyshift/_internal/membership/table.py
+++ b/src/dragonflyshift/_internal/membership/table.py
@@ -59,6 +59,7 @@
         self._roster = Roster(suspicion_timeout)
         self._changes: Subject[tuple[MemberRecord, ...]] = Subject()
         self._digest: bytes | None = None
+        self._doubtful: bool | None = None
 
     @property
     def changes(self) -> Observable[tuple[MemberRecord, ...]]:
@@ -68,7 +69,11 @@
     @property
     def doubtful(self) -> bool:
         """Whether a member has not been heard of since the last pause."""
-        return any(entry.doubtful for entry in self._roster.visible())
+        if self._doubtful is None:
+            self._doubtful = any(
+                entry.doubtful for entry in self._roster.visible()
+            )
+        return self._doubtful
 
     @property
     def digest(self) -> bytes:
@@ -190,11 +195,13 @@
         """Keep to the members that the configuration names."""
         self._roster.retain(addresses, now)
         self._digest = None
+        self._doubtful = None
 
     def _publish(self, addresses: list[Address]) -> tuple[MemberRecord, ...]:
         if not addresses:
             return ()
         self._digest = None
+        self._doubtful = None
         found = (self.record(address) for address in addresses)
         records = tuple(record for record in found if record)
         if records:
--- a/tests/lib/mesh.py
+++ b/tests/lib/mesh.py
@@ -15,7 +15,7 @@
 from tests.lib.members import build_member
 
 UDP_BYTES = 28
-SUSPICION_TIMEOUT_S = 0.3
+FAST_SUSPICION_S = 0.3
 FAST = ProbeTimes(
     turn=0.05,
     direct=0.03,
@@ -31,7 +31,7 @@
         """Stand still until ``start`` is called."""
         self.record = build_member(number)
         self.address = self.record.address
-        self.table = MemberTable(self.record, SUSPICION_TIMEOUT_S)
+        self.table = MemberTable(self.record, mesh.suspicion)
         self.version = 1
         self.pulls: list[tuple[Address, int]] = []
         self.sent_bytes = 0
@@ -76,11 +76,13 @@
         times: ProbeTimes = FAST,
         loss: float = 0,
         seed: int = 1,
+        suspicion: float = FAST_SUSPICION_S,
     ) -> None:
         """Build nodes numbered from 1."""
         self.tag = 7
         self.times = times
         self.loss = loss
+        self.suspicion = suspicion
         self.cut: set[tuple[Address, Address]] = set()
         self._rng = random.Random(seed)
         self.nodes = [Node(self, number + 1) for number in range(size)]
