--- /dev/null
+++ b/tests/lib/keyed.py
@@ -0,0 +1,66 @@
+"""Base of the tests that ask again for a save under its key."""
+
+import asyncio
+
+from tests.lib import answers
+from tests.lib.cases import ClusterTest
+from tests.lib.cluster import LISTS, ClusterPlan, Instance, ServicePlan
+from tests.lib.h3 import H3Client
+from tests.lib.load import KEY_HEADER, KEY_PATH
+from tests.lib.stream import Answer
+
+EDIT = '/lists/7/edits'
+BODY = b'one set text'
+CONNECT_SECONDS = 10.0
+SLOW_SECONDS = 1.0
+
+
+class KeyedTest(ClusterTest):
+    """Three instances, so that the asker's and the key's home differ."""
+
+    plan = ClusterPlan(
+        services=(ServicePlan(LISTS, 'association', endpoints=3, slots=3),),
+        balancers=2,
+    )
+
+    async def take_key(self) -> tuple[H3Client, Instance, str]:
+        """Open a flow; return it, its instance and a key of that."""
+        conn = await self.cluster.connect(LISTS)
+        return conn, self.home(conn), await self.issue_key(conn)
+
+    async def issue_key(self, conn: H3Client) -> str:
+        """Take a key from the flow's instance."""
+        issued = await conn.request('POST', KEY_PATH)
+        self.assertEqual(issued.status, 201, issued)
+        return issued.body.decode()
+
+    async def ask(self, conn: H3Client, key: str) -> Answer:
+        """Send the save once more under a key."""
+        headers = ((KEY_HEADER, key),)
+        return await conn.request('POST', EDIT, headers, BODY, timeout=10)
+
+    async def connect_elsewhere(self, home: Instance) -> H3Client:
+        """Open a flow that ends at another instance."""
+        async with asyncio.timeout(CONNECT_SECONDS):
+            while True:
+                conn = await self.cluster.connect(LISTS)
+                if self.home(conn) is not home:
+                    return conn
+                await conn.aclose()
+
+    async def slow_down(self) -> None:
+        """Make the backend servers slow, so that a save can be met running."""
+        for instance in self.cluster.instances:
+            await instance.set_behavior(delay=SLOW_SECONDS)
+
+    def assert_saved(self, *asked: Answer) -> None:
+        """Fail unless all answers confirm the save."""
+        for answer in asked:
+            self.assertTrue(answer.complete, answer)
+            self.assertEqual(answer.status, 201, answer)
+            self.assertEqual(answer.body, answers.save_answer(BODY))
+
+    async def assert_runs(self, count: int) -> None:
+        """Fail unless this many saves ran anywhere."""
+        journal = await self.cluster.journal()
+        self.assertEqual(len(journal), count, journal)
