--- a/src/dragonflyshift/_internal/sidecar/keyed.py
+++ b/src/dragonflyshift/_internal/sidecar/keyed.py
@@ -49,8 +49,10 @@
     RequestInfo,
 )
 from dragonflyshift._internal.sidecar.running import Runs
+from dragonflyshift._internal.sidecar.serving import run_for_peer
 from dragonflyshift._internal.state import (
     Begun,
+    Fenced,
     KeyIssuer,
     NeverRan,
     OutcomeTable,
@@ -59,7 +61,11 @@
     Stored,
 )
 from dragonflyshift._internal.wire.keys import FleetKeys
-from dragonflyshift._internal.wire.stream import connect_stream
+from dragonflyshift._internal.wire.messages import Message, RequestHead
+from dragonflyshift._internal.wire.stream import (
+    MessageStream,
+    connect_stream,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -114,6 +120,18 @@
         else:
             await self._ask_home(key, whole, sink)
 
+    async def serve_stream(
+        self,
+        stream: MessageStream,
+        message: Message,
+    ) -> None:
+        """Serve a request that a peer sent to its home."""
+        if not isinstance(message, RequestHead):
+            raise WireError('a request is expected')
+        if message.tag != self._identity.tag:
+            raise WireError('a request of another service')
+        await run_for_peer(stream, message, self.serve_peer)
+
     async def serve_peer(self, req: Request, sink: AnswerSink) -> None:
         """Answer a request that a peer sent to its home."""
         try:
@@ -154,15 +172,8 @@
             await self._run(key, req, sink)
         elif isinstance(beginning, Running):
             await _send_ended(sink, await beginning.wait())
-        elif isinstance(beginning, Stored):
-            await _send_ended(sink, beginning.outcome)
-        elif isinstance(beginning, NeverRan):
-            raise NotRunError('the instance is stopping; take a new key')
         else:
-            raise RunFailedError(
-                OutcomeKind.UNKNOWN,
-                'the key is older than the stored outcomes',
-            )
+            await _send_ended(sink, _known_outcome(beginning))
 
     async def _run(
         self,
@@ -254,6 +265,17 @@
             )
 
 
+def _known_outcome(beginning: Stored | Fenced | NeverRan) -> Outcome:
+    """Return the outcome of a request that does not begin."""
+    if isinstance(beginning, Stored):
+        return beginning.outcome
+    if isinstance(beginning, NeverRan):
+        reason = b'the instance is stopping; take a new key'
+        return Outcome(OutcomeKind.NOT_RUN, 0, (), reason)
+    reason = b'the key is older than the stored outcomes'
+    return Outcome(OutcomeKind.UNKNOWN, 0, (), reason)
+
+
 async def _send_ended(sink: AnswerSink, outcome: Outcome) -> None:
     if outcome.kind is OutcomeKind.ANSWERED:
         await send_outcome(sink, outcome)
