Count headers when outcomes are cut into messages

The cutting in the hand-over counted bodies only, so a table of 1,500 outcomes with 2 KiB of headers each made a message over the frame's bound; the stream refused it and no peer got any outcome (hand_over returned 0). It now uses state.transfer_parts, which counts headers; the same test returns 1.

--- a/src/dragonflyshift/_internal/sidecar/handover.py
+++ b/src/dragonflyshift/_internal/sidecar/handover.py
@@ -4,14 +4,12 @@
 import logging
 import time
 
-from attrs import evolve
-
 from dragonflyshift._internal.exceptions import PeerError, WireError
 from dragonflyshift._internal.membership import MemberTable
 from dragonflyshift._internal.models import Address, MemberState
 from dragonflyshift._internal.sidecar.exchange import receive_within
 from dragonflyshift._internal.sidecar.identity import SidecarIdentity
-from dragonflyshift._internal.state import OutcomeTable
+from dragonflyshift._internal.state import OutcomeTable, transfer_parts
 from dragonflyshift._internal.wire.keys import FleetKeys
 from dragonflyshift._internal.wire.messages import (
     Message,
@@ -24,8 +22,6 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 ANSWER_LIMIT_SECONDS = 2.0
-PART_BYTES = 256 * 1024
-ENTRY_OVERHEAD_BYTES = 256
 
 
 class OutcomeHandover:
@@ -46,7 +42,15 @@
 
     async def hand_over(self) -> int:
         """Freeze the table and send it; return the peers that have it."""
-        parts = self._parts()
+        entries = self._outcomes.freeze()
+        parts = tuple(
+            transfer_parts(
+                self._identity.address,
+                self._identity.first_boot,
+                entries,
+                self._outcomes.floor,
+            ),
+        )
         peers = [
             record.address
             for record in self._members.records()
@@ -76,28 +80,6 @@
         )
         await stream.send(OutcomeTransferred())
 
-    def _parts(self) -> tuple[OutcomeTransfer, ...]:
-        """Cut the table into messages of a bounded size."""
-        whole = OutcomeTransfer(
-            home=self._identity.address,
-            boot=self._identity.first_boot,
-            entries=(),
-            complete=False,
-            floor=self._outcomes.floor,
-        )
-        parts = []
-        entries = []
-        size = 0
-        for entry in self._outcomes.freeze():
-            entries.append(entry)
-            size += ENTRY_OVERHEAD_BYTES + len(entry.outcome.body)
-            if size >= PART_BYTES:
-                parts.append(evolve(whole, entries=tuple(entries)))
-                entries = []
-                size = 0
-        last = evolve(whole, entries=tuple(entries), complete=True)
-        return (*parts, last)
-
     async def _send(
         self,
         peer: Address,
--- /dev/null
+++ b/tests/unit/sidecar/test_handover.py
@@ -0,0 +1,94 @@
+import socket
+import unittest
+
+from dragonflyshift._internal.membership import MemberTable
+from dragonflyshift._internal.models import (
+    Address,
+    IdempotencyKey,
+    Incarnation,
+    MemberRecord,
+    MemberState,
+    Outcome,
+    OutcomeKind,
+)
+from dragonflyshift._internal.sidecar.handover import OutcomeHandover
+from dragonflyshift._internal.sidecar.identity import SidecarIdentity
+from dragonflyshift._internal.state import NeverRan, OutcomeTable, Stored
+from dragonflyshift._internal.wire import ConnectionIdCodec
+from dragonflyshift._internal.wire.stream import MessageStream, StreamServer
+from tests.lib.builders import build_fleet_keys
+
+_TAG = 3
+_BOOT = 7
+_KEYS = build_fleet_keys()
+_ENTRIES = 1500
+_SAVED = Outcome(
+    OutcomeKind.ANSWERED,
+    201,
+    ((b'location', b'x'.ljust(2048, b'x')),),
+    b'saved',
+)
+
+
+def _free_address() -> Address:
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return Address(*sock.getsockname())
+
+
+class _Side:
+    """One sidecar as far as its outcomes go."""
+
+    def __init__(self) -> None:
+        self.address = _free_address()
+        self.issued = 0
+        self.outcomes = OutcomeTable(
+            _ENTRIES,
+            retention=60,
+            home=self.address,
+            boot=_BOOT,
+            issued=lambda: self.issued,
+        )
+        self.issued = _ENTRIES + 1
+        self.members = MemberTable(self.record)
+        codec = ConnectionIdCodec(_KEYS)
+        self.handover = OutcomeHandover(
+            SidecarIdentity(self.address, _TAG, _BOOT, codec),
+            _KEYS,
+            self.members,
+            self.outcomes,
+        )
+
+    @property
+    def record(self) -> MemberRecord:
+        return MemberRecord(self.address, Incarnation(1), MemberState.ALIVE)
+
+    def key(self, nonce: int) -> IdempotencyKey:
+        return IdempotencyKey(self.address, _BOOT, _TAG, nonce)
+
+    async def serve(self, stream: MessageStream) -> None:
+        while True:
+            await self.handover.adopt(stream, await stream.receive())
+
+
+class OutcomeHandoverTest(unittest.IsolatedAsyncioTestCase):
+    async def test_large_table_reaches_a_peer_whole(self) -> None:
+        home, peer = _Side(), _Side()
+        for nonce in range(1, _ENTRIES + 1):
+            home.outcomes.begin(home.key(nonce), 0)
+            home.outcomes.finish(home.key(nonce), _SAVED, 0)
+        home.members.merge([peer.record], 0)
+        server = StreamServer(peer.address, _KEYS, peer.serve)
+        await server.start()
+        self.assertEqual(await home.handover.hand_over(), 1)
+        await server.close()
+        for nonce in (1, _ENTRIES):
+            self.assertEqual(
+                peer.outcomes.lookup_adopted(home.key(nonce), 0),
+                Stored(_SAVED),
+            )
+        unused = home.key(_ENTRIES + 1)
+        self.assertEqual(
+            peer.outcomes.lookup_adopted(unused, 0),
+            NeverRan(),
+        )
