Add the operators' commands status and route

They ask a daemon over the authenticated message streams.

Ruled out: calling the abstract client's method unbound, which ran its empty body and reported nothing.

--- a/src/dragonflyshift/_internal/cli/application.py
+++ b/src/dragonflyshift/_internal/cli/application.py
@@ -14,13 +14,16 @@
 
 import dragonflyshift
 from dragonflyshift._internal.cli.errors import format_error
-from dragonflyshift._internal.cli.status_codes import StatusCode, status_of
+from dragonflyshift._internal.cli.exit_status import status_of
+from dragonflyshift._internal.cli.status_codes import StatusCode
 
 NAME = 'dragonflyshift'
 COMMANDS = {
     'check': 'CheckCommand',
     'plan': 'PlanCommand',
     'render': 'RenderCommand',
+    'status': 'StatusCommand',
+    'route': 'RouteCommand',
 }
 _PACKAGE = 'dragonflyshift._internal.commands'
 
--- /dev/null
+++ b/src/dragonflyshift/_internal/cli/daemon_command.py
@@ -0,0 +1,99 @@
+"""Base of the commands that ask a running daemon."""
+
+import asyncio
+import os
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from cleo.helpers import option
+
+from dragonflyshift._internal.cli.command import JSON_OPTION, OperatorCommand
+from dragonflyshift._internal.cli.daemon import DaemonClient
+from dragonflyshift._internal.cli.stream_daemon import StreamDaemon
+from dragonflyshift._internal.config.documents import decode_json
+from dragonflyshift._internal.exceptions import (
+    ConfigurationError,
+    SettingsError,
+    WireError,
+)
+from dragonflyshift._internal.kernel.options import PREFIX
+from dragonflyshift._internal.models.address import Address
+from dragonflyshift._internal.wire.keys import FleetKeys
+
+KEYS_VARIABLE = f'{PREFIX}FLEET_KEYS'
+DAEMON_OPTIONS = (
+    option(
+        'address',
+        'a',
+        "The daemon's address for streams, as IP:PORT: the listen setting.",
+        flag=False,
+    ),
+    option(
+        'fleet-keys',
+        None,
+        f'Fleet keys; prefer the environment variable {KEYS_VARIABLE}.',
+        flag=False,
+    ),
+    JSON_OPTION,
+)
+
+_ReportT = TypeVar('_ReportT')
+
+
+class DaemonCommand(OperatorCommand):
+    """A command that asks a running daemon."""
+
+    def fetch_report(
+        self,
+        question: Callable[[DaemonClient], Awaitable[bytes]],
+        model: type[_ReportT],
+    ) -> _ReportT:
+        """Put a question to the daemon and return its report."""
+        client = self.build_client(self._address(), self._fleet_keys())
+        raw = asyncio.run(_await(question(client)))
+        try:
+            return decode_json(raw, model)
+        except ConfigurationError as exc:
+            raise WireError(
+                f'the report of the daemon is not usable: {exc.message}',
+                hint='use a command line of the same version as the daemon',
+            ) from exc
+
+    def build_client(self, address: Address, keys: FleetKeys) -> DaemonClient:
+        """Return a client of the daemon."""
+        return StreamDaemon(address, keys)
+
+    def parse_address(self, name: str) -> Address:
+        """Return the address given with an option."""
+        text = self.option(name)
+        if not text:
+            raise SettingsError(
+                'an address is missing',
+                context=f'--{name}',
+                hint='write it as IPv4:port, such as 192.0.2.1:7000',
+            )
+        try:
+            return Address.parse(text)
+        except ConfigurationError as exc:
+            raise SettingsError(
+                exc.message,
+                context=f'--{name}',
+                hint=exc.hint,
+            ) from exc
+
+    def _address(self) -> Address:
+        return self.parse_address('address')
+
+    def _fleet_keys(self) -> FleetKeys:
+        text = self.option('fleet-keys') or os.environ.get(KEYS_VARIABLE, '')
+        if not text:
+            raise SettingsError(
+                'no fleet keys are given',
+                context='--fleet-keys',
+                hint=f'set {KEYS_VARIABLE} as for the daemon',
+            )
+        return FleetKeys.parse(text)
+
+
+async def _await(answer: Awaitable[bytes]) -> bytes:
+    return await answer
--- /dev/null
+++ b/src/dragonflyshift/_internal/cli/stream_daemon.py
@@ -0,0 +1,95 @@
+"""Ask a daemon over an authenticated message stream."""
+
+import asyncio
+import contextlib
+from typing import TypeVar
+
+from dragonflyshift._internal.cli.daemon import (
+    TIMEOUT_SECONDS,
+    DaemonClient,
+    RouteQuery,
+)
+from dragonflyshift._internal.exceptions import PeerError, WireError
+from dragonflyshift._internal.models.address import Address
+from dragonflyshift._internal.wire.keys import FleetKeys
+from dragonflyshift._internal.wire.messages import (
+    Message,
+    RouteReply,
+    RouteRequest,
+    StatusReply,
+    StatusRequest,
+)
+from dragonflyshift._internal.wire.stream import connect_stream
+
+_HINT = "check the daemon's listen address and that it runs"
+
+_ReplyT = TypeVar('_ReplyT', bound=Message)
+
+
+class StreamDaemon(DaemonClient):
+    """A running daemon at an address."""
+
+    def __init__(
+        self,
+        address: Address,
+        keys: FleetKeys,
+        timeout: float = TIMEOUT_SECONDS,
+    ) -> None:
+        """Connect for each question anew."""
+        self._address = address
+        self._keys = keys
+        self._timeout = timeout
+
+    async def status(self) -> bytes:
+        """Return the daemon's view of itself."""
+        reply = await self._ask(StatusRequest(), StatusReply)
+        return reply.report
+
+    async def route(self, query: RouteQuery) -> bytes:
+        """Return where the packet or flow would go, and why."""
+        request = RouteRequest(
+            service_address=str(query.service_address),
+            packet=query.packet,
+            flow_id=query.flow_id,
+        )
+        reply = await self._ask(request, RouteReply)
+        return reply.report
+
+    async def _ask(self, request: Message, kind: type[_ReplyT]) -> _ReplyT:
+        try:
+            async with asyncio.timeout(self._timeout):
+                return await self._exchange(request, kind)
+        except TimeoutError as exc:
+            raise PeerError(
+                f'the daemon gave no answer within {self._timeout:g} s',
+                context=str(self._address),
+                hint=_HINT,
+            ) from exc
+        except PeerError as exc:
+            raise PeerError(
+                exc.message,
+                context=str(self._address),
+                hint=_HINT,
+            ) from exc
+
+    async def _exchange(
+        self,
+        request: Message,
+        kind: type[_ReplyT],
+    ) -> _ReplyT:
+        stream = await connect_stream(
+            self._address,
+            self._keys,
+            self._timeout,
+        )
+        async with contextlib.AsyncExitStack() as cleanup:
+            cleanup.callback(stream.abort)
+            await stream.send(request)
+            reply = await stream.receive()
+        if isinstance(reply, kind):
+            return reply
+        raise WireError(
+            f'the daemon answered with {type(reply).__name__}',
+            context=str(self._address),
+            hint='use a command line of the same version as the daemon',
+        )
--- a/src/dragonflyshift/_internal/config/converter.py
+++ b/src/dragonflyshift/_internal/config/converter.py
@@ -57,6 +57,12 @@
     return int(plain)
 
 
+def _structure_truth(plain: object, _type: object) -> bool:
+    if not isinstance(plain, bool):
+        raise ConfigurationError('true or false is expected')
+    return plain
+
+
 def _structure_float(plain: object, _type: object) -> float:
     if not isinstance(plain, int | float) or isinstance(plain, bool):
         raise ConfigurationError('a number is expected')
@@ -121,6 +127,7 @@
         (str, _structure_text),
         (enum.StrEnum, _structure_enum),
         (int, _structure_integer),
+        (bool, _structure_truth),
         (float, _structure_float),
         (Address, _structure_address),
     ):
--- a/src/dragonflyshift/_internal/models/reports.py
+++ b/src/dragonflyshift/_internal/models/reports.py
@@ -44,6 +44,7 @@
     address: str
     state: str
     score: float = 0
+    reachable: bool = True
 
 
 @frozen
@@ -52,4 +53,5 @@
 
     decision: str
     reason: str
+    service: str = ''
     candidates: tuple[CandidateReport, ...] = ()
--- a/tests/unit/cli/test_errors.py
+++ b/tests/unit/cli/test_errors.py
@@ -1,7 +1,8 @@
 import unittest
 
 from dragonflyshift._internal.cli.errors import format_error
-from dragonflyshift._internal.cli.status_codes import StatusCode, status_of
+from dragonflyshift._internal.cli.exit_status import status_of
+from dragonflyshift._internal.cli.status_codes import StatusCode
 from dragonflyshift._internal.exceptions import (
     KernelError,
     PeerError,
--- /dev/null
+++ b/tests/unit/cli/test_stream_daemon.py
@@ -0,0 +1,73 @@
+import socket
+import unittest
+
+from dragonflyshift._internal.cli.daemon import RouteQuery
+from dragonflyshift._internal.cli.stream_daemon import StreamDaemon
+from dragonflyshift._internal.exceptions import PeerError, WireError
+from dragonflyshift._internal.models import Address
+from dragonflyshift._internal.wire.messages import (
+    Message,
+    RouteReply,
+    RouteRequest,
+    StatusReply,
+)
+from dragonflyshift._internal.wire.stream import MessageStream, StreamServer
+from tests.lib.builders import build_fleet_keys
+
+KEYS = build_fleet_keys()
+OTHER_KEYS = build_fleet_keys(f'1:{"0c" * 32}')
+SHORT_SECONDS = 0.3
+
+
+def free_address() -> Address:
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        return Address(*server.getsockname())
+
+
+class StreamDaemonTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.address = free_address()
+        self.requests: list[Message] = []
+        self.reply: Message | None = None
+        server = StreamServer(self.address, KEYS, self.serve)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        self.daemon = StreamDaemon(self.address, KEYS, SHORT_SECONDS)
+
+    async def serve(self, stream: MessageStream) -> None:
+        self.requests.append(await stream.receive())
+        if self.reply is not None:
+            await stream.send(self.reply)
+        await stream.receive()
+
+    async def test_status(self) -> None:
+        self.reply = StatusReply(b'{}')
+        self.assertEqual(await self.daemon.status(), b'{}')
+
+    async def test_route(self) -> None:
+        self.reply = RouteReply(b'{}')
+        query = RouteQuery(Address('127.0.1.1', 443), packet=b'abc')
+        self.assertEqual(await self.daemon.route(query), b'{}')
+        self.assertEqual(
+            self.requests,
+            [RouteRequest('127.0.1.1:443', b'abc', b'')],
+        )
+
+    async def test_silent_daemon(self) -> None:
+        with self.assertRaisesRegex(PeerError, 'no answer within'):
+            await self.daemon.status()
+
+    async def test_another_answer(self) -> None:
+        self.reply = RouteReply(b'{}')
+        with self.assertRaisesRegex(WireError, 'RouteReply'):
+            await self.daemon.status()
+
+    async def test_no_daemon(self) -> None:
+        nobody = free_address()
+        with self.assertRaisesRegex(PeerError, 'can not be reached'):
+            await StreamDaemon(nobody, KEYS, SHORT_SECONDS).status()
+
+    async def test_other_keys(self) -> None:
+        daemon = StreamDaemon(self.address, OTHER_KEYS, SHORT_SECONDS)
+        with self.assertRaises(WireError):
+            await daemon.status()
--- /dev/null
+++ b/tests/unit/commands/test_daemon_commands.py
@@ -0,0 +1,141 @@
+import json
+import unittest
+from typing import Any
+from unittest.mock import patch
+
+from dragonflyshift._internal.cli.daemon import DaemonClient, RouteQuery
+from dragonflyshift._internal.cli.daemon_command import DaemonCommand
+from dragonflyshift._internal.exceptions import PeerError
+from dragonflyshift._internal.models import Address
+from tests.lib.builders import FLEET_KEYS_TEXT
+from tests.lib.commands import Ran, run_command
+
+STATUS = {
+    'role': 'sidecar',
+    'instance': 'lists-1',
+    'service': 'reading-lists',
+    'data_center': 'klang',
+    'version': {'dragonflyshift/service/reading-lists': 7},
+    'members': [
+        {
+            'address': '127.0.0.2:7000',
+            'state': 'alive',
+            'boot': 3,
+            'epoch': 1,
+            'free_slots': 2,
+            'queued': 0,
+        },
+    ],
+    'flows': 12,
+    'slots': 3,
+    'running': 1,
+    'queued': 0,
+    'counters': {'flows.accepted': 40},
+    'key of a newer daemon': 1,
+}
+ROUTE = {
+    'decision': 'forward',
+    'reason': 'highest score in the data centre',
+    'candidates': [
+        {
+            'name': 'lists-1',
+            'address': '127.0.0.2:7000',
+            'state': 'alive',
+            'score': 0.75,
+        },
+    ],
+}
+ADDRESS = ('--address', '127.0.0.1:7100')
+KEYS = ('--fleet-keys', FLEET_KEYS_TEXT)
+
+
+class FakeDaemon(DaemonClient):
+    def __init__(self, report: Any) -> None:
+        self.report = report
+        self.queries: list[RouteQuery] = []
+
+    async def status(self) -> bytes:
+        if isinstance(self.report, Exception):
+            raise self.report
+        return json.dumps(self.report).encode()
+
+    async def route(self, query: RouteQuery) -> bytes:
+        self.queries.append(query)
+        return await self.status()
+
+
+def ask(daemon: FakeDaemon, *words: str) -> Ran:
+    with patch.object(DaemonCommand, 'build_client', return_value=daemon):
+        return run_command(*words)
+
+
+class StatusTest(unittest.TestCase):
+    def test_tables(self) -> None:
+        ran = ask(FakeDaemon(STATUS), 'status', *ADDRESS, *KEYS)
+        self.assertEqual((ran.status, ran.errors), (0, ''))
+        for text in ('lists-1', '1 of 3 taken', '3.1', 'flows.accepted'):
+            self.assertIn(text, ran.output)
+
+    def test_json(self) -> None:
+        ran = ask(FakeDaemon(STATUS), 'status', *ADDRESS, *KEYS, '--json')
+        self.assertEqual(json.loads(ran.output)['flows'], 12)
+
+    def test_failures(self) -> None:
+        for report, status in (
+            (PeerError('refused', hint='start it'), 3),
+            ({'role': 'sidecar', 'flows': 'many'}, 4),
+            ([], 4),
+        ):
+            with self.subTest(report):
+                ran = ask(FakeDaemon(report), 'status', *ADDRESS, *KEYS)
+                self.assertEqual(ran.status, status)
+                self.assertIn('hint: ', ran.errors)
+
+    def test_bad_options(self) -> None:
+        daemon = FakeDaemon(STATUS)
+        for words in (
+            ('status', *KEYS),
+            ('status', '--address', 'here', *KEYS),
+            ('status', *ADDRESS),
+            ('status', *ADDRESS, '--fleet-keys', '1:5ec2e7'),
+        ):
+            with self.subTest(words), patch.dict('os.environ', clear=True):
+                ran = ask(daemon, *words)
+                self.assertEqual(ran.status, 2)
+                self.assertNotIn('5ec2e7', ran.errors)
+
+    def test_keys_from_the_environment(self) -> None:
+        environ = {'DRAGONFLYSHIFT_FLEET_KEYS': FLEET_KEYS_TEXT}
+        with patch.dict('os.environ', environ):
+            ran = ask(FakeDaemon(STATUS), 'status', *ADDRESS)
+        self.assertEqual(ran.status, 0)
+
+
+class RouteTest(unittest.TestCase):
+    service = ('--service-address', '127.0.1.1:443')
+
+    def test_flow(self) -> None:
+        daemon = FakeDaemon(ROUTE)
+        ran = ask(
+            daemon,
+            'route',
+            *ADDRESS,
+            *KEYS,
+            *self.service,
+            '--flow=00ff',
+        )
+        self.assertEqual(ran.status, 0)
+        self.assertIn('highest score', ran.output)
+        address = Address('127.0.1.1', 443)
+        self.assertEqual(daemon.queries, [RouteQuery(address, b'', b'\0\xff')])
+
+    def test_bad_options(self) -> None:
+        for words in (
+            self.service,
+            (*self.service, '--flow=0'),
+            (*self.service, '--flow=00', '--packet=00'),
+            ('--flow=00',),
+        ):
+            with self.subTest(words):
+                ran = ask(FakeDaemon(ROUTE), 'route', *ADDRESS, *KEYS, *words)
+                self.assertEqual(ran.status, 2)
