Keep a failing subscriber from ending the reading of configuration

An error in one subscriber of the store's changes passed through the store into the watcher and ended its task, and later subscribers missed the change. Each is now told by itself.

--- a/src/dragonflyshift/_internal/config/store.py
+++ b/src/dragonflyshift/_internal/config/store.py
@@ -180,7 +180,19 @@
             'configuration-accepted',
             extra={'key': key, 'version': version},
         )
-        self._changes.on_next(ConfigurationChange(key, version))
+        self._deliver(ConfigurationChange(key, version))
+
+    def _deliver(self, change: ConfigurationChange) -> None:
+        # A subscriber that fails must not keep the change from the others,
+        # nor end the task that reads the configuration.
+        for observer in tuple(self._changes.observers):
+            try:
+                observer.on_next(change)
+            except Exception:
+                logger.exception(
+                    'configuration-subscriber-failed',
+                    extra={'key': change.key},
+                )
 
 
 def _service_name(key: str) -> str:
--- a/tests/unit/config/test_store.py
+++ b/tests/unit/config/test_store.py
@@ -62,6 +62,15 @@
                     build_service_raw(version=2, endpoints=4),
                 )
 
+    def test_failing_subscriber_keeps_nothing_from_the_others(self) -> None:
+        store = ConfigurationStore()
+        store.changes.subscribe(lambda change: {}[change.version])
+        store.changes.subscribe(self.seen.append)
+        with self.assertLogs(level='ERROR'):
+            for version in (1, 2):
+                store.offer(KEY, build_service_raw(version=version))
+        self.assertEqual([change.version for change in self.seen], [1, 2])
+
     def test_document_under_the_key_of_another(self) -> None:
         with self.assertLogs(level='ERROR'):
             with self.assertRaises(ConfigurationError):
