--- a/src/dragonflyshift/_internal/config/explanations.py
+++ b/src/dragonflyshift/_internal/config/explanations.py
@@ -10,6 +10,7 @@
 from dragonflyshift._internal.models.fault import Fault
 
 MAX_SHOWN_CHARACTERS = 120
+MAX_COMPARED_CHARACTERS = 40
 STRUCTURE_ERRORS = (
     cattrs.BaseValidationError,
     ValueError,
@@ -45,7 +46,10 @@
     known = [attribute.name for attribute in attrs.fields(exc.cl)]
     unknown = sorted(exc.extra_fields)
     names = ', '.join(repr(name) for name in unknown)[:MAX_SHOWN_CHARACTERS]
-    close = difflib.get_close_matches(unknown[0], known, 1)
+    # The comparison is quadratic, and a document may come from anywhere.
+    close = difflib.get_close_matches(
+        unknown[0][:MAX_COMPARED_CHARACTERS], known, 1
+    )
     if close:
         return f'unknown key {names}, did you mean {close[0]!r}?'
     return f'unknown key {names}, known are {", ".join(known)}'
