--- /dev/null
+++ b/tests/functional/test_not_run.py
@@ -0,0 +1,138 @@
+"""What is refused as "not run" truly did not run."""
+
+import asyncio
+import unittest
+
+from attrs import evolve
+
+from tests.lib.cases import ONE_SERVICE, ClusterTest
+from tests.lib.cluster import LISTS, ServicePlan
+from tests.lib.register import ANYWHERE
+from tests.lib.stream import NOT_RUN, UNKNOWN
+
+SLOTS = 2
+QUEUE = 2
+TIGHT = evolve(
+    ONE_SERVICE,
+    services=(
+        ServicePlan(
+            LISTS,
+            'association',
+            endpoints=1,
+            slots=SLOTS,
+            rules=evolve(ANYWHERE, queue_limit=QUEUE),
+        ),
+    ),
+)
+ECHO = evolve(ONE_SERVICE, backend_flags=('--echo',))
+
+
+class FullQueueTest(ClusterTest):
+    """One endpoint with two slots and room for two that wait."""
+
+    plan = TIGHT
+
+    async def test_refused_at_once_with_a_time_to_come_back(self):
+        instance = self.cluster.instances[0]
+        await instance.set_behavior(delay=1.5)
+        # One client may hold half of a queue, so it takes two to fill it.
+        flows = [await self.cluster.connect(LISTS) for _ in range(2)]
+        loop = asyncio.get_running_loop()
+        streams = [self._save(flows[each % 2], each) for each in range(10)]
+        began = loop.time()
+        ended = await asyncio.gather(*(each.answer(10) for each in streams))
+        refused = [each for each in ended if each.outcome == NOT_RUN]
+        self.assertEqual(len(refused), len(ended) - SLOTS - QUEUE)
+        for answer in refused:
+            self.assertEqual(answer.status, 503)
+            self.assertGreaterEqual(int(answer.headers['retry-after']), 1)
+        journal = await instance.journal()
+        ran = {each.id for each in journal}
+        for number, answer in enumerate(ended):
+            name = f'save-{number}'
+            self.assertEqual(name in ran, answer.status == 201, answer)
+        self.assertLess(loop.time() - began, 6)
+
+    async def test_refusal_does_not_wait(self):
+        instance = self.cluster.instances[0]
+        await instance.set_behavior(delay=1.5)
+        flows = [await self.cluster.connect(LISTS) for _ in range(2)]
+        busy = range(SLOTS + QUEUE)
+        streams = [self._save(flows[each % 2], each) for each in busy]
+        await self.wait_work(SLOTS)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        answer = await self._save(flows[0], 99).answer(5)
+        self.assertLess(loop.time() - began, 0.5)
+        self.assertEqual(answer.outcome, NOT_RUN)
+        await asyncio.gather(*(each.answer(10) for each in streams))
+
+    async def test_deadline_that_passes_in_the_queue(self):
+        instance = self.cluster.instances[0]
+        await instance.set_behavior(delay=1.5)
+        conn = await self.cluster.connect(LISTS)
+        streams = [self._save(conn, each) for each in range(SLOTS)]
+        await self.wait_work(SLOTS)
+        late = self._save(conn, 50, ('x-request-timeout-ms', '300'))
+        answer = await late.answer(5)
+        self.assertEqual(answer.outcome, NOT_RUN, answer)
+        await asyncio.gather(*(each.answer(10) for each in streams))
+        ran = {each.id for each in await instance.journal()}
+        self.assertNotIn('save-50', ran)
+
+    def _save(self, conn, number, *headers):
+        fields = (('x-request-id', f'save-{number}'), *headers)
+        return conn.open('POST', '/lists/1/edits', fields, b'1')
+
+
+class KilledBackendTest(ClusterTest):
+    """A backend server is killed before, while and after it runs a save."""
+
+    plan = ECHO
+
+    async def test_kill_while_it_runs_is_unknown(self):
+        for instance in self.cluster.instances:
+            await instance.set_behavior(delay=3)
+        conn = await self.cluster.connect(LISTS)
+        headers = (('x-request-id', 'running'),)
+        stream = conn.open('POST', '/lists/1/edits', headers, b'1')
+        await self.wait_work()
+        journal = await self.cluster.journal()
+        ran_at = self.cluster.find(journal[0].instance)
+        await ran_at.kill_backend()
+        answer = await stream.answer(5)
+        self.assertEqual(answer.outcome, UNKNOWN, answer)
+        entries = await self.cluster.journal()
+        self.assertEqual([each.id for each in entries], ['running'])
+
+    async def test_kill_under_load_leaves_every_refusal_true(self):
+        async with self.load(self.target(6, list=1, edit=3)) as summary:
+            await self.wait_work(20)
+            victim = self.cluster.instances[0]
+            await victim.kill_backend()
+            await asyncio.sleep(1)
+            await victim.backend.start()
+            await asyncio.sleep(1)
+        self.assert_counts(summary, wrong_body=0, wrong_service=0)
+        await self.assert_journals(summary)
+        self.assertGreater(summary.whole, 20)
+
+
+class KilledSidecarTest(ClusterTest):
+    """A sidecar is killed under load."""
+
+    async def test_kill_under_load_leaves_every_refusal_true(self):
+        mix = self.target(6, list=1, edit=3)
+        async with self.load(mix, idle_timeout=4.0) as summary:
+            await self.wait_work(20)
+            victim = self.cluster.instances[0]
+            await victim.sidecar.kill()
+            await asyncio.sleep(0.5)
+            await victim.sidecar.start()
+            await asyncio.sleep(1)
+        self.assert_counts(summary, wrong_body=0, wrong_service=0)
+        await self.assert_journals(summary)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/lib/cases.py
+++ b/tests/lib/cases.py
@@ -107,7 +107,7 @@
             reply = await stream.receive()
             await stream.close()
         self.assertIsInstance(reply, StatusReply)
-        report: dict[str, Any] = json.loads(reply.raw)  # type: ignore[attr-defined]  # checked one line above
+        report: dict[str, Any] = json.loads(getattr(reply, 'report', b''))
         return report
 
     def daemons(self) -> list[Address]:
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -126,6 +126,7 @@
         self.platform = self.programs.platform()
         self.fabric = self.programs.fabric()
         self._limit = asyncio.Semaphore(STARTS_AT_A_TIME)
+        self._connections: list[H3Client] = []
         self._failed = False
         self._built = 0
         self._declare()
@@ -165,14 +166,16 @@
         )
 
     async def connect(self, service: str, **options: Any) -> H3Client:
-        """Open a flow to a service through the fabric."""
-        return await H3Client.connect(
+        """Open a flow to a service; the cluster closes it at its end."""
+        conn = await H3Client.connect(
             self.address(service),
             self.issued.ca,
             certificates.SERVER_NAME,
             local_host=self.network.host(CLIENT_HOST),
             **options,
         )
+        self._connections.append(conn)
+        return conn
 
     def of_service(self, service: str) -> list[Instance]:
         """Return the instances of a service."""
@@ -235,6 +238,8 @@
 
     async def aclose(self) -> None:
         """End all processes, whatever state they are in."""
+        for conn in self._connections:
+            await conn.aclose()
         programs = (
             self.fabric,
             *(each.program for each in self.balancers),
--- a/tests/lib/demo.py
+++ b/tests/lib/demo.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import contextlib
+import signal
 import sys
 import time
 from collections.abc import AsyncIterator
@@ -27,6 +28,7 @@
 OROMIA = ('adama', 'bishoftu', 'batu')
 EXPORT_BYTES = 600_000
 BOARD_SECONDS = 4.0
+THINK_SECONDS = 0.04
 INTERRUPTED = 130
 
 
@@ -153,6 +155,7 @@
         options = cluster.options(
             export_bytes=EXPORT_BYTES,
             board_seconds=BOARD_SECONDS,
+            think=THINK_SECONDS,
         )
         targets = [self._target(each) for each in self._services]
         load = Load(targets, options)
@@ -229,8 +232,17 @@
     print(flush=True)
 
 
+def _cancel_on_sigterm() -> None:
+    """End in order, so that no process stays behind."""
+    task = asyncio.current_task()
+    if task is not None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+
+
 async def run_demo(seconds: float, scale: float, seed: int) -> int:
     """Run the demo and return the exit status."""
+    _cancel_on_sigterm()
     services = [each.scaled(scale) for each in SERVICES]
     plans = tuple(each.plan for each in services)
     plan = ClusterPlan(services=plans, seed=seed)
@@ -255,7 +267,7 @@
     args = parser.parse_args()
     try:
         return asyncio.run(run_demo(args.seconds, args.scale, args.seed))
-    except KeyboardInterrupt:
+    except (KeyboardInterrupt, asyncio.CancelledError):
         print('interrupted; all processes ended', file=sys.stderr)
         return INTERRUPTED
 
