Count a long gap between free slots once in the wait

Cause: the estimate of the wait took the time since the last free slot for every request ahead. With holding times of a heavy tail the gap is often several times the usual one while 20 or more wait, so requests were refused as hopeless which the pace would have served.

--- a/src/dragonflyshift/_internal/limits/pace.py
+++ b/src/dragonflyshift/_internal/limits/pace.py
@@ -41,7 +41,8 @@
 
     def wait(self, now: float, ahead: int) -> float:
         """Estimate the seconds until a slot is free behind ``ahead``."""
-        return (ahead + 1) * self.interval(now)
+        # The time since the last free slot tells of the next one only.
+        return self.interval(now) + ahead * (self._interval or 0)
 
     def _add(self, seen: float) -> None:
         if self._interval is None:
