--- a/src/dragonflyshift/_internal/membership/__init__.py
+++ b/src/dragonflyshift/_internal/membership/__init__.py
@@ -6,6 +6,7 @@
     digest_hash,
     encode_digest,
 )
+from dragonflyshift._internal.membership.exchange import view_hash
 from dragonflyshift._internal.membership.health import EndpointHealth
 from dragonflyshift._internal.membership.probing import Prober, ProbeTimes
 from dragonflyshift._internal.membership.table import MemberTable
@@ -19,4 +20,5 @@
     'decode_digest',
     'digest_hash',
     'encode_digest',
+    'view_hash',
 )
--- a/src/dragonflyshift/_internal/membership/exchange.py
+++ b/src/dragonflyshift/_internal/membership/exchange.py
@@ -13,6 +13,15 @@
 from dragonflyshift._internal.models import Address, MemberRecord
 
 
+def view_hash(table: MemberTable) -> bytes:
+    """Return the hash to tell others, or ``NO_VIEW`` while it is in doubt.
+
+    Whoever hears of a hash unlike its own answers with its digest, and that
+    digest ends the doubt.
+    """
+    return NO_VIEW if table.doubtful else table.hash
+
+
 @define(eq=False)
 class Exchange:
     """Greetings and digests of one service.
@@ -34,18 +43,13 @@
             raise MembershipError('a process without a record can not probe')
         return self.table.own
 
-    @property
-    def view(self) -> bytes:
-        """The hash of the own view, or none while it is in doubt."""
-        return NO_VIEW if self.table.doubtful else self.table.hash
-
     def greeting(self, sequence: int) -> Greeting:
         """Return the greeting of the next message."""
         return Greeting(
             self.tag,
             sequence,
             self.own.record,
-            self.view,
+            view_hash(self.table),
             self.version(),
         )
 
--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -221,9 +221,11 @@
         )
 
     def _word(self) -> ServiceWord:
+        # A view that is in doubt after a pause is not told to anybody.
+        doubtful = self._members.doubtful
         return ServiceWord(
             self._members.hash,
-            self._members.digest,
+            b'' if doubtful else self._members.digest,
             self._service.version,
         )
 
