Store the outcome of a keyed request whatever its client does

Four faults, each shown by a test in test_keyed.py that failed before: - a client that stopped reading held up the run, and with it whoever asked again; after the deadline an answered save was stored as unknown. The answer is now held until it is whole, and sent by the client's own task; - a long answer was stored as empty with its old content-length; it is now stored without its body and says so; - a second asker waited past its own deadline; - a request body that never ended was awaited without limit.

An answer over the limit of the table is still passed on as it comes, so its client can hold it up until the deadline.

--- a/src/dragonflyshift/_internal/sidecar/capture.py
+++ b/src/dragonflyshift/_internal/sidecar/capture.py
@@ -1,4 +1,4 @@
-"""A sink that keeps an answer while it passes it on."""
+"""A sink that keeps an answer for those who ask again."""
 
 import contextlib
 from collections.abc import Iterator
@@ -6,24 +6,26 @@
 from dragonflyshift._internal.exceptions import DragonflyshiftError
 from dragonflyshift._internal.models import Outcome, OutcomeKind
 from dragonflyshift._internal.sidecar.request import AnswerSink, HeaderList
-
-MAX_CAPTURED_BYTES = 1024 * 1024
+from dragonflyshift._internal.state import without_body
+from dragonflyshift._internal.state.outcomes import BODY_LIMIT_BYTES
 
 
 class CapturingSink(AnswerSink):
-    """Keep an answer for those who ask again.
+    """Hold an answer back until it is whole, so that it can be stored.
 
-    The request runs to its end even if the client goes away, so a failure
-    to pass the answer on only detaches the client.
+    Nothing waits for the client meanwhile: one that went silent would hold
+    up the outcome, and with it whoever asks again. Only an answer too long
+    to be stored is passed on as it comes. A failure to pass it on detaches
+    the client; the request still runs to its end.
     """
 
     def __init__(self, sink: AnswerSink) -> None:
-        """Pass everything on to ``sink``."""
+        """Pass an answer that is too long on to ``sink``."""
         self._sink: AnswerSink | None = sink
         self._status = 0
         self._headers: HeaderList = ()
-        self._chunks: list[bytes] = []
-        self._size = 0
+        self._held = bytearray()
+        self._passing_on = False
 
     @property
     def started(self) -> bool:
@@ -35,46 +37,55 @@
         self._sink = None
 
     def outcome(self) -> Outcome:
-        """Return the whole answer; a very long body is left out."""
-        body = b''
-        if self._size <= MAX_CAPTURED_BYTES:
-            body = b''.join(self._chunks)
-        return Outcome(
+        """Return the whole answer, without a body that is too long."""
+        outcome = Outcome(
             OutcomeKind.ANSWERED,
             self._status,
             self._headers,
-            body,
+            bytes(self._held),
         )
+        return without_body(outcome) if self._passing_on else outcome
 
     async def send_head(self, status: int, headers: HeaderList) -> None:
-        """Keep and pass on status and headers."""
+        """Keep status and headers."""
         self._status = status
         self._headers = headers
-        if self._sink is not None:
-            with self._detached_on_failure():
-                await self._sink.send_head(status, headers)
 
     async def send_chunk(self, chunk: bytes) -> None:
-        """Keep and pass on a part of the body."""
-        self._size += len(chunk)
-        if self._size <= MAX_CAPTURED_BYTES:
-            self._chunks.append(chunk)
-        if self._sink is not None:
-            with self._detached_on_failure():
-                await self._sink.send_chunk(chunk)
+        """Keep a part of the body, or pass it on if all is too long."""
+        if self._passing_on:
+            await self._pass_on(chunk)
+            return
+        self._held.extend(chunk)
+        if len(self._held) > BODY_LIMIT_BYTES:
+            await self._start_passing_on()
 
     async def finish(self) -> None:
-        """Pass the end on."""
-        if self._sink is not None:
+        """End an answer that was passed on."""
+        if self._passing_on and self._sink is not None:
             with self._detached_on_failure():
                 await self._sink.finish()
 
     async def abort(self) -> None:
-        """Pass the break on."""
-        if self._sink is not None:
+        """Break off an answer that was passed on."""
+        if self._passing_on and self._sink is not None:
             with self._detached_on_failure():
                 await self._sink.abort()
 
+    async def _start_passing_on(self) -> None:
+        self._passing_on = True
+        if self._sink is not None:
+            with self._detached_on_failure():
+                await self._sink.send_head(self._status, self._headers)
+        held = bytes(self._held)
+        self._held.clear()
+        await self._pass_on(held)
+
+    async def _pass_on(self, chunk: bytes) -> None:
+        if self._sink is not None:
+            with self._detached_on_failure():
+                await self._sink.send_chunk(chunk)
+
     @contextlib.contextmanager
     def _detached_on_failure(self) -> Iterator[None]:
         try:
--- a/src/dragonflyshift/_internal/sidecar/keyed.py
+++ b/src/dragonflyshift/_internal/sidecar/keyed.py
@@ -9,6 +9,8 @@
 import asyncio
 import logging
 import time
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 from attrs import evolve
 
@@ -38,6 +40,7 @@
 )
 from dragonflyshift._internal.sidecar.failures import (
     NotRunError,
+    RequestTimeoutError,
     RunFailedError,
 )
 from dragonflyshift._internal.sidecar.identity import SidecarIdentity
@@ -68,6 +71,8 @@
     connect_stream,
 )
 
+_ResultT = TypeVar('_ResultT')
+
 logger = logging.getLogger(__name__)
 
 KEY_TARGET = b'/.well-known/dragonflyshift/idempotency-key'
@@ -117,7 +122,7 @@
         except StateError as exc:
             await _refuse(sink, STATUS_BAD_REQUEST, exc.message)
             return
-        whole = await _read_whole(req)
+        whole = await _within_deadline(req, _read_whole(req))
         if whole is None:
             await _refuse(sink, STATUS_TOO_LARGE, 'the body is too large')
             return
@@ -144,7 +149,7 @@
             key = self._issuer.parse(req.info.key)
         except StateError as exc:
             raise NotRunError(exc.message) from exc
-        whole = await _read_whole(req)
+        whole = await _within_deadline(req, _read_whole(req))
         if whole is None:
             raise NotRunError('the body is too large')
         if self._is_home(key):
@@ -177,7 +182,8 @@
         if isinstance(beginning, Begun):
             await self._run(key, req, sink)
         elif isinstance(beginning, Running):
-            await _send_ended(sink, await beginning.wait())
+            outcome = await _within_deadline(req, beginning.wait())
+            await _send_ended(sink, outcome)
         else:
             await _send_ended(sink, _known_outcome(beginning))
 
@@ -290,6 +296,21 @@
     raise RunFailedError(outcome.kind, reason)
 
 
+async def _within_deadline(
+    req: Request,
+    waiting: Coroutine[Any, Any, _ResultT],
+) -> _ResultT:
+    """Wait no longer than the request may take.
+
+    The outcome is unknown then: it may have run when it was first asked for.
+    """
+    try:
+        async with asyncio.timeout_at(req.info.deadline):
+            return await waiting
+    except TimeoutError as exc:
+        raise RequestTimeoutError from exc
+
+
 async def _read_whole(req: Request) -> Request | None:
     """Read the body before anything runs; None if it is too large."""
     chunks = []
--- a/src/dragonflyshift/_internal/state/__init__.py
+++ b/src/dragonflyshift/_internal/state/__init__.py
@@ -9,6 +9,7 @@
     OutcomeTable,
     OutcomeTableFullError,
     Running,
+    without_body,
 )
 from dragonflyshift._internal.state.placements import PlacementMemory
 from dragonflyshift._internal.state.transfer import transfer_parts
@@ -26,4 +27,5 @@
     'Running',
     'Stored',
     'transfer_parts',
+    'without_body',
 )
--- a/src/dragonflyshift/_internal/state/outcomes.py
+++ b/src/dragonflyshift/_internal/state/outcomes.py
@@ -21,6 +21,7 @@
     'OutcomeTableFullError',
     'Running',
     'Stored',
+    'without_body',
 )
 
 import asyncio
@@ -253,21 +254,20 @@
         fits = _size(outcome) <= room
         if fits and len(outcome.body) <= BODY_LIMIT_BYTES:
             return outcome
-        bare = evolve(outcome, body=b'', headers=_without_content(outcome))
+        bare = without_body(outcome)
         if _size(bare) <= room:
             return bare
         return evolve(bare, headers=(BODY_OMITTED,))
 
 
-def _without_content(
-    outcome: Outcome,
-) -> tuple[tuple[bytes, bytes], ...]:
+def without_body(outcome: Outcome) -> Outcome:
+    """Leave the body out, drop what described it, and say so in a header."""
     kept = (
         (name, text)
         for name, text in outcome.headers
         if not name.lower().startswith(b'content-')
     )
-    return (BODY_OMITTED, *kept)
+    return evolve(outcome, body=b'', headers=(BODY_OMITTED, *kept))
 
 
 def _size(outcome: Outcome) -> int:
