Say unknown under keys that can't be judged; separate equal boot numbers

A key whose fleet key is retired was refused as not run, although its request may have run before the rotation. It is unknown now. Nonces start at a random number in each life: boot numbers come from the clock, and one that went back could give two lives the same, after which a key of the first could have begun again in the second.

--- a/src/dragonflyshift/_internal/sidecar/keyed.py
+++ b/src/dragonflyshift/_internal/sidecar/keyed.py
@@ -58,6 +58,7 @@
     Begun,
     Fenced,
     KeyIssuer,
+    KeyRetiredError,
     NeverRan,
     OutcomeTable,
     OutcomeTableFullError,
@@ -119,6 +120,8 @@
             return
         try:
             key = self._issuer.parse(req.info.key)
+        except KeyRetiredError as exc:
+            raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         except StateError as exc:
             await _refuse(sink, STATUS_BAD_REQUEST, exc.message)
             return
@@ -148,7 +151,7 @@
         try:
             key = self._issuer.parse(req.info.key)
         except StateError as exc:
-            raise NotRunError(exc.message) from exc
+            raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         whole = await _within_deadline(req, _read_whole(req))
         if whole is None:
             raise NotRunError('the body is too large')
@@ -178,7 +181,7 @@
         except OutcomeTableFullError as exc:
             raise NotRunError(exc.message, exc.retry_after) from exc
         except StateError as exc:
-            raise NotRunError(exc.message) from exc
+            raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         if isinstance(beginning, Begun):
             await self._run(key, req, sink)
         elif isinstance(beginning, Running):
--- a/src/dragonflyshift/_internal/state/__init__.py
+++ b/src/dragonflyshift/_internal/state/__init__.py
@@ -2,7 +2,10 @@
 
 from dragonflyshift._internal.state.adopted import NeverRan, Stored
 from dragonflyshift._internal.state.claims import Claim, ClaimTable
-from dragonflyshift._internal.state.idempotency import KeyIssuer
+from dragonflyshift._internal.state.idempotency import (
+    KeyIssuer,
+    KeyRetiredError,
+)
 from dragonflyshift._internal.state.outcomes import (
     Begun,
     Fenced,
@@ -20,6 +23,7 @@
     'ClaimTable',
     'Fenced',
     'KeyIssuer',
+    'KeyRetiredError',
     'NeverRan',
     'OutcomeTable',
     'OutcomeTableFullError',
--- a/src/dragonflyshift/_internal/state/idempotency.py
+++ b/src/dragonflyshift/_internal/state/idempotency.py
@@ -2,15 +2,18 @@
 
 A key is text for a header: base64url without padding of key number (1 byte),
 home IPv4 (4) and port (2), boot (4), service tag (4), nonce (8) and a keyed
-BLAKE2s tag (16). Nonces count up from 1 in each life of a home, so that its
-outcome table tells by a nonce alone whether a key is old, known or not issued.
+BLAKE2s tag (16). Nonces count up in each life of a home, so that its outcome
+table tells by a nonce alone whether a key is old, known or not issued. They
+start at a random number: should a clock that went back give two lives the same
+boot number, the keys of one are still not those of the other.
 """
 
-__all__ = ('KeyIssuer',)
+__all__ = ('KeyIssuer', 'KeyRetiredError')
 
 import base64
 import hashlib
 import ipaddress
+import secrets
 import struct
 from contextlib import suppress
 
@@ -24,6 +27,14 @@
 _RAW_BYTES = _FIELDS.size + TAG_BYTES
 # 39 bytes are a whole number of base64 groups, so no padding arises.
 ENCODED_BYTES = _RAW_BYTES * 4 // 3
+_START_BITS = 62
+
+
+class KeyRetiredError(StateError):
+    """The fleet key behind an idempotency key is no longer in force.
+
+    Whether the key is genuine, and its request has run, can't be told.
+    """
 
 
 class KeyIssuer:
@@ -36,16 +47,16 @@
         boot: int,
         tag: int,
     ) -> None:
-        """Start counting; ``boot`` must differ from that of earlier lives."""
+        """Start counting for the life ``boot``."""
         self._keys = keys
         self._home = home
         self._boot = boot
         self._tag = tag
-        self._issued = 0
+        self._issued = secrets.randbits(_START_BITS)
 
     @property
     def issued(self) -> int:
-        """The highest nonce issued so far; 0 before the first."""
+        """The highest nonce issued so far, or the one before the first."""
         return self._issued
 
     def issue(self) -> bytes:
@@ -68,7 +79,9 @@
         try:
             tag = _key_tag(self._keys, fields)
         except WireError as exc:
-            raise StateError(f'idempotency key is too old: {exc}') from exc
+            raise KeyRetiredError(
+                f'idempotency key is too old: {exc}',
+            ) from exc
         if not same_tag(tag, decoded[_FIELDS.size :]):
             raise StateError('idempotency key is forged')
         key = _decode(fields)
--- a/src/dragonflyshift/_internal/state/outcomes.py
+++ b/src/dragonflyshift/_internal/state/outcomes.py
@@ -110,7 +110,8 @@
     ) -> None:
         """Keep at most ``capacity`` outcomes for ``retention`` seconds each.
 
-        ``issued`` returns the highest nonce issued in this life.
+        ``issued`` returns the highest nonce issued in this life. What it
+        returns now, and all below, belongs to no key of this life.
         """
         self._capacity = capacity
         self._retention = retention
@@ -121,7 +122,7 @@
         # In the order of their ends, so the first is the first to expire.
         self._ended: OrderedDict[int, _Entry] = OrderedDict()
         self._stored_bytes = 0
-        self._floor = 0
+        self._floor = issued() + 1
         self._frozen = False
         self._adopted = AdoptedOutcomes(capacity, retention)
 
@@ -227,7 +228,7 @@
     def _check_issued(self, key: IdempotencyKey) -> None:
         if (key.home, key.boot) != (self._home, self._boot):
             raise StateError('idempotency key is of another home')
-        if not 0 < key.nonce <= self._issued():
+        if key.nonce > self._issued():
             raise StateError('idempotency key was never issued')
 
     def _find(self, nonce: int) -> Running | Stored | None:
