--- a/src/dragonflyshift/_internal/state/__init__.py
+++ b/src/dragonflyshift/_internal/state/__init__.py
@@ -2,13 +2,17 @@
 
 from dragonflyshift._internal.state.adopted import NeverRan, Stored
 from dragonflyshift._internal.state.claims import Claim, ClaimTable
-from dragonflyshift._internal.state.idempotency import KeyIssuer
+from dragonflyshift._internal.state.idempotency import (
+    KeyIssuer,
+    KeyRetiredError,
+)
 from dragonflyshift._internal.state.outcomes import (
     Begun,
     Fenced,
     OutcomeTable,
     OutcomeTableFullError,
     Running,
+    without_body,
 )
 from dragonflyshift._internal.state.placements import PlacementMemory
 from dragonflyshift._internal.state.transfer import transfer_parts
@@ -19,6 +23,7 @@
     'ClaimTable',
     'Fenced',
     'KeyIssuer',
+    'KeyRetiredError',
     'NeverRan',
     'OutcomeTable',
     'OutcomeTableFullError',
@@ -26,4 +31,5 @@
     'Running',
     'Stored',
     'transfer_parts',
+    'without_body',
 )
--- a/src/dragonflyshift/_internal/state/outcomes.py
+++ b/src/dragonflyshift/_internal/state/outcomes.py
@@ -21,6 +21,7 @@
     'OutcomeTableFullError',
     'Running',
     'Stored',
+    'without_body',
 )
 
 import asyncio
@@ -109,7 +110,8 @@
     ) -> None:
         """Keep at most ``capacity`` outcomes for ``retention`` seconds each.
 
-        ``issued`` returns the highest nonce issued in this life.
+        ``issued`` returns the highest nonce issued in this life. What it
+        returns now, and all below, belongs to no key of this life.
         """
         self._capacity = capacity
         self._retention = retention
@@ -120,7 +122,7 @@
         # In the order of their ends, so the first is the first to expire.
         self._ended: OrderedDict[int, _Entry] = OrderedDict()
         self._stored_bytes = 0
-        self._floor = 0
+        self._floor = issued() + 1
         self._frozen = False
         self._adopted = AdoptedOutcomes(capacity, retention)
 
@@ -226,7 +228,7 @@
     def _check_issued(self, key: IdempotencyKey) -> None:
         if (key.home, key.boot) != (self._home, self._boot):
             raise StateError('idempotency key is of another home')
-        if not 0 < key.nonce <= self._issued():
+        if key.nonce > self._issued():
             raise StateError('idempotency key was never issued')
 
     def _find(self, nonce: int) -> Running | Stored | None:
@@ -253,21 +255,20 @@
         fits = _size(outcome) <= room
         if fits and len(outcome.body) <= BODY_LIMIT_BYTES:
             return outcome
-        bare = evolve(outcome, body=b'', headers=_without_content(outcome))
+        bare = without_body(outcome)
         if _size(bare) <= room:
             return bare
         return evolve(bare, headers=(BODY_OMITTED,))
 
 
-def _without_content(
-    outcome: Outcome,
-) -> tuple[tuple[bytes, bytes], ...]:
+def without_body(outcome: Outcome) -> Outcome:
+    """Leave the body out, drop what described it, and say so in a header."""
     kept = (
         (name, text)
         for name, text in outcome.headers
         if not name.lower().startswith(b'content-')
     )
-    return (BODY_OMITTED, *kept)
+    return evolve(outcome, body=b'', headers=(BODY_OMITTED, *kept))
 
 
 def _size(outcome: Outcome) -> int:
