Report a sidecar's versions from its store

Cause: the report listed what the index names, and a sidecar has no index. Seen in test_endpoint_leaves_the_register_while_its_flow_runs, which waited for a version that was in force and not shown.

--- a/src/dragonflyshift/_internal/balancer/reports.py
+++ b/src/dragonflyshift/_internal/balancer/reports.py
@@ -6,10 +6,7 @@
 from dragonflyshift._internal.balancer.views import ServiceViews
 from dragonflyshift._internal.config import ConfigurationStore
 from dragonflyshift._internal.control import Reports
-from dragonflyshift._internal.control.reporting import (
-    describe_members,
-    describe_versions,
-)
+from dragonflyshift._internal.control.reporting import describe_members
 from dragonflyshift._internal.exceptions import ConfigurationError
 from dragonflyshift._internal.kernel.settings import Settings
 from dragonflyshift._internal.models import Address, ServiceDocument
@@ -52,7 +49,7 @@
             'instance': str(self._settings.listen),
             'service': '',
             'data_center': self._settings.data_center,
-            'version': describe_versions(self._store),
+            'version': self._store.versions(),
             'members': describe_members(members),
             'flows': 0,
             'slots': 0,
--- a/src/dragonflyshift/_internal/sidecar/reports.py
+++ b/src/dragonflyshift/_internal/sidecar/reports.py
@@ -6,10 +6,7 @@
 
 from dragonflyshift._internal.config import ConfigurationStore
 from dragonflyshift._internal.control import Reports
-from dragonflyshift._internal.control.reporting import (
-    describe_members,
-    describe_versions,
-)
+from dragonflyshift._internal.control.reporting import describe_members
 from dragonflyshift._internal.kernel.settings import Settings
 from dragonflyshift._internal.limits import Admission
 from dragonflyshift._internal.membership import MemberTable
@@ -44,7 +41,7 @@
             'instance': self._settings.instance,
             'service': self._settings.service,
             'data_center': self._settings.data_center,
-            'version': describe_versions(self._store),
+            'version': self._store.versions(),
             'members': describe_members(self._members.records()),
             'flows': self._flows(),
             'slots': self._admission.capacity(time.monotonic()),
