--- /dev/null
+++ b/tests/functional/test_key_rotation.py
@@ -0,0 +1,42 @@
+"""Fleet keys are rotated without a broken flow."""
+
+import unittest
+
+from attrs import evolve
+
+from tests.lib.cases import ONE_SERVICE, ClusterTest
+from tests.lib.cluster import LISTS
+from tests.lib.plan import Programs
+
+OLD_KEY = f'1:{"5a" * 32}'
+NEW_KEY = f'2:{"a5" * 32}'
+
+
+class KeyRotationTest(ClusterTest):
+    """Fleet keys are rotated by restarting every daemon as planned."""
+
+    plan = evolve(ONE_SERVICE, fleet_keys=f'{OLD_KEY},{NEW_KEY}')
+
+    async def test_new_key_first_while_everything_flows(self):
+        cluster = self.cluster
+        plan = evolve(self.plan, fleet_keys=f'{NEW_KEY},{OLD_KEY}')
+        async with self.load(board_seconds=2.0) as summary:
+            await self.wait_work(10)
+            cluster.programs = Programs(plan, cluster.network, cluster.issued)
+            for balancer in tuple(cluster.balancers):
+                await cluster.add_balancer()
+                self.assertEqual(await cluster.remove_balancer(balancer), 0)
+            for instance in cluster.instances:
+                self.assertEqual(await instance.sidecar.stop(), 0)
+                instance.sidecar = cluster.programs.sidecar(
+                    LISTS,
+                    instance.endpoint,
+                )
+                await instance.sidecar.start()
+        await self.assert_promises(summary)
+        conn = await cluster.connect(LISTS)
+        self.assertEqual(conn.peer_id[0], 2)
+
+
+if __name__ == '__main__':
+    unittest.main()
