--- a/src/dragonflyshift/_internal/balancer/role.py
+++ b/src/dragonflyshift/_internal/balancer/role.py
@@ -47,7 +47,7 @@
         self._tasks = TaskGroup()
         self._feed = ConfigurationFeed(
             settings,
-            WatchScope.balancer(),
+            WatchScope(),
             self._tasks,
             random.Random(),
         )
@@ -81,12 +81,13 @@
         )
         await self._control.start()
         self._feed.store.changes.subscribe(self._changed)
+        self._tasks.start(self._metrics.run(), 'metrics')
         self._tasks.start(
             watch_pauses(PauseDetector(PAUSE_LIMIT_SECONDS), self._paused),
             'pauses',
         )
         await self._feed.start(INDEX_KEY)
-        await self._wait_for_services()
+        await self._feed.wait_until(self._has_services)
 
     async def drain(self) -> None:
         """Ask for no more replies; forward until the fabric stops sending.
@@ -113,7 +114,8 @@
         self._sockets.close()
         if self._datagrams is not None:
             self._datagrams.close()
-        self._tracing.close()
+        self._tracing.shutdown()
+        self._metrics.close()
 
     def _create_steering(self) -> Steering:
         choice = find_plugin(CandidateChoice, self.settings.candidate_choice)
@@ -171,13 +173,11 @@
             extra={'key': change.key, 'version': change.version},
         )
 
-    async def _wait_for_services(self) -> None:
-        """Wait until each service of the index is known."""
+    def _has_services(self) -> bool:
+        """Tell whether each service of the index is known."""
         store = self._feed.store
-        while store.index is not None and not all(
-            store.service(entry.name) for entry in store.index.services
-        ):
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        services = store.index.services if store.index else ()
+        return all(store.service(entry.name) for entry in services)
 
     def _paused(self, length: float) -> None:
         logger.warning('pause-noticed', extra={'seconds': round(length, 3)})
--- a/src/dragonflyshift/_internal/config/converter.py
+++ b/src/dragonflyshift/_internal/config/converter.py
@@ -15,17 +15,16 @@
 import cattrs
 from cattrs.gen import make_dict_structure_fn
 
-from dragonflyshift._internal.config.faults import InvalidConfigurationError
-from dragonflyshift._internal.exceptions import (
-    ConfigurationError,
-    DragonflyshiftError,
+from dragonflyshift._internal.config.explanations import (
+    STRUCTURE_ERRORS,
+    explain,
 )
+from dragonflyshift._internal.config.faults import InvalidConfigurationError
+from dragonflyshift._internal.exceptions import ConfigurationError
 from dragonflyshift._internal.models.address import Address
-from dragonflyshift._internal.models.fault import Fault
+from dragonflyshift._internal.models.reports import Report
 
 MAX_TEXT_CHARACTERS = 2048
-MAX_SHOWN_CHARACTERS = 120
-_ROOT = '$'
 
 _ModelT = TypeVar('_ModelT')
 
@@ -39,29 +38,9 @@
     """Return the model of plain data; raise InvalidConfigurationError."""
     try:
         return _converter.structure(plain, model)
-    except cattrs.BaseValidationError as exc:
-        lines = cattrs.transform_error(exc, _ROOT, _explain)
-        faults = [_to_fault(line) for line in lines]
+    except STRUCTURE_ERRORS as exc:
+        faults = explain(exc)
         raise InvalidConfigurationError(model.__name__, faults) from exc
-    except (ValueError, TypeError, DragonflyshiftError) as exc:
-        fault = Fault('', '', _explain(exc, model))
-        raise InvalidConfigurationError(model.__name__, (fault,)) from exc
-
-
-def _explain(exc: BaseException, _expected: object) -> str:
-    if isinstance(exc, KeyError):
-        return 'a required key is missing'
-    if isinstance(exc, cattrs.ForbiddenExtraKeysError):
-        names = sorted(repr(name) for name in exc.extra_fields)
-        return f'unknown key {", ".join(names)[:MAX_SHOWN_CHARACTERS]}'
-    if isinstance(exc, DragonflyshiftError):
-        return str(exc)
-    return str(exc) or 'the value has another type'
-
-
-def _to_fault(line: str) -> Fault:
-    message, _separator, path = line.rpartition(f' @ {_ROOT}')
-    return Fault('', path.lstrip('.'), message)
 
 
 def _structure_text(plain: object, _type: object) -> str:
@@ -78,6 +57,12 @@
     return int(plain)
 
 
+def _structure_truth(plain: object, _type: object) -> bool:
+    if not isinstance(plain, bool):
+        raise ConfigurationError('true or false is expected')
+    return plain
+
+
 def _structure_float(plain: object, _type: object) -> float:
     if not isinstance(plain, int | float) or isinstance(plain, bool):
         raise ConfigurationError('a number is expected')
@@ -114,7 +99,7 @@
     from_dict = make_dict_structure_fn(
         kind,
         _converter,
-        _cattrs_forbid_extra_keys=True,
+        _cattrs_forbid_extra_keys=not issubclass(kind, Report),
     )
     return partial(_structure_model, from_dict)
 
@@ -142,6 +127,7 @@
         (str, _structure_text),
         (enum.StrEnum, _structure_enum),
         (int, _structure_integer),
+        (bool, _structure_truth),
         (float, _structure_float),
         (Address, _structure_address),
     ):
--- a/src/dragonflyshift/_internal/kernel/option_table.py
+++ b/src/dragonflyshift/_internal/kernel/option_table.py
@@ -138,7 +138,7 @@
     options.Option(
         'drain_timeout',
         options.seconds_between(0, MAX_TIMEOUT_SECONDS),
-        'seconds that a graceful shutdown may last; 0 sets no limit',
+        'seconds that a graceful shutdown may last; 0, the default, sets none',
         metavar='SECONDS',
     ),
     options.Option(
@@ -147,6 +147,11 @@
         'seconds of silence after which a flow has ended',
         metavar='SECONDS',
     ),
+    options.Option(
+        'steering',
+        options.parse_name,
+        'plug-in that steers packets at a balancer',
+    ),
     options.Option(
         'candidate_choice',
         options.parse_name,
@@ -172,6 +177,11 @@
         options.parse_name,
         'plug-in that limits retries',
     ),
+    options.Option(
+        'keyed_requests',
+        options.parse_name,
+        'plug-in that serves requests with an idempotency key',
+    ),
     options.Option(
         'plugin_modules',
         options.parse_modules,
--- a/src/dragonflyshift/_internal/membership/table.py
+++ b/src/dragonflyshift/_internal/membership/table.py
@@ -24,6 +24,8 @@
     MemberState,
 )
 
+SUSPICION_TIMEOUT_S = 3.0
+
 
 class MemberTable:
     """Member records of one service, merged by precedence.
@@ -43,12 +45,21 @@
         'LEAVING'
     """
 
-    def __init__(self, own: MemberRecord | None) -> None:
-        """Start with the own record alone."""
+    def __init__(
+        self,
+        own: MemberRecord | None,
+        suspicion_timeout: float = SUSPICION_TIMEOUT_S,
+    ) -> None:
+        """Start with the own record alone.
+
+        A suspect that does not refute within ``suspicion_timeout`` seconds
+        is declared dead.
+        """
         self.own = OwnMember(own) if own else None
-        self._roster = Roster()
+        self._roster = Roster(suspicion_timeout)
         self._changes: Subject[tuple[MemberRecord, ...]] = Subject()
         self._digest: bytes | None = None
+        self._doubtful: bool | None = None
 
     @property
     def changes(self) -> Observable[tuple[MemberRecord, ...]]:
@@ -58,7 +69,11 @@
     @property
     def doubtful(self) -> bool:
         """Whether a member has not been heard of since the last pause."""
-        return any(entry.doubtful for entry in self._roster.visible())
+        if self._doubtful is None:
+            self._doubtful = any(
+                entry.doubtful for entry in self._roster.visible()
+            )
+        return self._doubtful
 
     @property
     def digest(self) -> bytes:
@@ -180,11 +195,13 @@
         """Keep to the members that the configuration names."""
         self._roster.retain(addresses, now)
         self._digest = None
+        self._doubtful = None
 
     def _publish(self, addresses: list[Address]) -> tuple[MemberRecord, ...]:
         if not addresses:
             return ()
         self._digest = None
+        self._doubtful = None
         found = (self.record(address) for address in addresses)
         records = tuple(record for record in found if record)
         if records:
--- a/src/dragonflyshift/_internal/sidecar/exchange.py
+++ b/src/dragonflyshift/_internal/sidecar/exchange.py
@@ -9,7 +9,8 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any
 
 from dragonflyshift._internal.exceptions import (
     DragonflyshiftError,
@@ -42,9 +43,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running(coroutine: object) -> AsyncIterator[asyncio.Task[None]]:
+async def running(
+    coroutine: Coroutine[Any, Any, None],
+) -> AsyncIterator[asyncio.Task[None]]:
     """Run a coroutine in a task for as long as the block lasts."""
-    task = asyncio.ensure_future(coroutine)
+    task = asyncio.create_task(coroutine)
     try:
         yield task
     finally:
@@ -144,8 +147,7 @@
         if isinstance(message, ResponseHead):
             await sink.send_head(message.status, message.headers)
         elif isinstance(message, BodyChunk):
-            if message.data:
-                await sink.send_chunk(message.data)
+            await sink.send_chunk(message.data)
             if message.end:
                 await sink.finish()
                 return
@@ -166,7 +168,7 @@
         body.cut()
 
 
-class StreamSink(AnswerSink):
+class PeerSink(AnswerSink):
     """Send an answer to the sidecar that passed the request on."""
 
     def __init__(self, stream: MessageStream) -> None:
--- a/src/dragonflyshift/_internal/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/sidecar/flows.py
@@ -4,11 +4,12 @@
 a new flow on. Replies leave through a balancer of the flow's return path.
 """
 
+import functools
 import logging
 import time
 from collections.abc import Callable, Iterator
 
-from aioquic.buffer import Buffer
+from aioquic.buffer import Buffer  # type: ignore[attr-defined] # no __all__
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.packet import (
     QuicErrorCode,
@@ -211,7 +212,7 @@
             self._configuration.idle_timeout,
         )
         path = self._sender.open_path(forward)
-        flow.connection_made(path)
+        flow.bind(path)
         known = _OpenFlow(flow, path)
         self._register(known, header.destination)
         self._deliver(known, forward)
@@ -229,9 +230,9 @@
         for cid in flow.quic.issued_ids:
             self._add_id(known, cid)
         flow.on_ids(
-            issued=lambda cid: self._add_id(known, cid),
-            retired=lambda cid: self._drop_id(known, cid),
-            ended=lambda: self._drop_flow(known),
+            issued=functools.partial(self._add_id, known),
+            retired=functools.partial(self._drop_id, known),
+            ended=functools.partial(self._drop_flow, known),
         )
 
     def _add_id(self, known: _OpenFlow, cid: bytes) -> None:
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -20,7 +20,7 @@
     RunFailedError,
 )
 from dragonflyshift._internal.sidecar.flow import Flow
-from dragonflyshift._internal.sidecar.keyed import KeyedRequests
+from dragonflyshift._internal.sidecar.keyed_base import KeyedRequests
 from dragonflyshift._internal.sidecar.placing import LocalPlace, SlotFinder
 from dragonflyshift._internal.sidecar.request import (
     OUTCOME_HEADER,
@@ -30,6 +30,7 @@
     RequestBody,
     RequestInfo,
 )
+from dragonflyshift._internal.sidecar.running import Runs
 from dragonflyshift._internal.telemetry import Metrics, Tracing, trace_id_for
 
 logger = logging.getLogger(__name__)
@@ -38,7 +39,7 @@
 _NOT_RUN = (OUTCOME_HEADER, OutcomeKind.NOT_RUN.encode())
 
 
-class RequestRunner:
+class RequestRunner(Runs):
     """Run a request on some instance, at most as often as is safe."""
 
     def __init__(
@@ -77,16 +78,16 @@
         exc: RunFailedError,
     ) -> None:
         """Return if the request may be tried again; else raise ``exc``."""
-        safe = exc.kind is OutcomeKind.NOT_RUN or req.info.idempotent
-        again = (
-            safe
-            and not sink.started
-            and req.resendable
-            and req.attempts < MAX_ATTEMPTS
-            and not isinstance(exc, RequestTimeoutError)
-            and self._retries.withdraw(time.monotonic())
+        safe = self._retries.allows(
+            exc.kind,
+            idempotent=req.info.idempotent,
         )
-        if not again:
+        if not safe or isinstance(exc, RequestTimeoutError):
+            raise exc
+        possible = not sink.started and req.resendable
+        if not possible or req.attempts >= MAX_ATTEMPTS:
+            raise exc
+        if not self._retries.withdraw(time.monotonic()):
             raise exc
         self._metrics.incr('retries')
 
--- a/src/dragonflyshift/_internal/sidecar/serving.py
+++ b/src/dragonflyshift/_internal/sidecar/serving.py
@@ -3,7 +3,8 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from dragonflyshift._internal.exceptions import (
     DragonflyshiftError,
@@ -12,7 +13,7 @@
 from dragonflyshift._internal.limits import Admission
 from dragonflyshift._internal.sidecar.classify import MS_PER_SECOND
 from dragonflyshift._internal.sidecar.exchange import (
-    StreamSink,
+    PeerSink,
     info_of,
     receive_body,
     receive_within,
@@ -122,7 +123,7 @@
             )
         finally:
             if not redeemed:
-                self.claims.cancel(claim.claim_id)
+                self.claims.expire(time.monotonic())
                 self._admission.finish(time.monotonic(), 0)
         if not isinstance(head, RequestHead):
             raise WireError('a request is expected under the claim')
@@ -148,7 +149,7 @@
 async def run_for_peer(
     stream: MessageStream,
     head: RequestHead,
-    run: Callable[[Request, AnswerSink], object],
+    run: Callable[[Request, AnswerSink], Coroutine[Any, Any, None]],
 ) -> None:
     """Run a peer's request and send it the answer.
 
@@ -156,7 +157,7 @@
     """
     body = RequestBody()
     req = Request(info_of(head), body)
-    sink = StreamSink(stream)
+    sink = PeerSink(stream)
     async with (
         running(receive_body(stream, body)) as reader,
         running(send_keepalives(stream)),
--- a/tests/unit/kernel/test_settings.py
+++ b/tests/unit/kernel/test_settings.py
@@ -1,5 +1,6 @@
 import contextlib
 import io
+import re
 import tempfile
 import unittest
 from pathlib import Path
@@ -131,3 +132,10 @@
                 read_settings(['--help'], {})
         self.assertEqual(caught.exception.code, 0)
         self.assertIn('default rendezvous', output.getvalue())
+
+
+class PageTest(unittest.TestCase):
+    def test_page_describes_every_setting(self) -> None:
+        page = Path(__file__).parents[3] / 'docs' / 'CONFIGURATION.md'
+        rows = set(re.findall('^[|] `(--[a-z-]+)` [|]', page.read_text(), re.M))
+        self.assertEqual({option.flag for option in OPTIONS} - rows, set())
