Offer a free slot to a peer that asked for one in vain

Cause: a request that found no slot at home or at the peers asked waits in the queue of its home, and nothing tells it when a slot comes free at a peer.

A refused claim now leaves the asker's address at the peer (OfferBook). When a slot comes free there and nobody waits for it, the peer tells the asker, which takes its next request out of the queue and claims the slot as usual. Admission gains peek() for that.

The sidecar has to send the offers for it to count.

--- a/bench/naive/limits.py
+++ b/bench/naive/limits.py
@@ -64,6 +64,10 @@
         self._running += 1
         return self._queue.popleft()
 
+    def peek(self, now: float) -> Ticket | None:
+        """Return the request that came first."""
+        return self._queue[0] if self._queue else None
+
     def expire(self, now: float) -> tuple[Ticket, ...]:
         """Let every request wait."""
         return ()
--- a/bench/policy_alternatives.py
+++ b/bench/policy_alternatives.py
@@ -72,13 +72,10 @@
         """Count all that wait."""
         return self.waiting(now)
 
-    def pop_earliest(self, now: float) -> Ticket | None:
-        """Remove and return the oldest that can meet its deadline."""
-        for ticket in self._tickets:
-            if ticket.deadline > now:
-                self.discard(ticket)
-                return ticket
-        return None
+    def earliest(self, now: float) -> Ticket | None:
+        """Return the oldest that can meet its deadline."""
+        waiting = (each for each in self._tickets if each.deadline > now)
+        return next(waiting, None)
 
 
 class ArrivalOrder(Adaptive, name='adaptive-fifo'):
--- a/bench/policy_load.py
+++ b/bench/policy_load.py
@@ -95,6 +95,7 @@
     options = Options(
         refresh=cfg.refresh,
         claims=cfg.claims,
+        has_offers=cfg.offers,
         locality=Locality(cfg.locality),
         fault=Fault(scenario.fault, cfg.seconds / 3, cfg.seconds * 2 / 3),
     )
@@ -151,6 +152,11 @@
     parser.add_argument('--seconds', type=float, default=180)
     parser.add_argument('--refresh', type=float, default=1, help='view age, s')
     parser.add_argument('--claims', type=int, default=Options().claims)
+    parser.add_argument(
+        '--offers',
+        action=argparse.BooleanOptionalAction,
+        default=Options().has_offers,
+    )
     parser.add_argument('--only', default='', help='part of a title')
     parser.add_argument('--systems', nargs='+', default=SYSTEMS)
     parser.add_argument('--timeouts', type=float, nargs='+', default=(5,))
--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -14,6 +14,7 @@
 from functools import partial
 
 from bench.policy_clock import EventClock
+from bench.policy_handover import HOP_SECONDS, HandOvers
 from bench.policy_placement import Placement
 from bench.policy_sidecar import (
     Options,
@@ -21,15 +22,14 @@
     Request,
     Sidecar,
     build_sidecars,
+    request_of,
 )
 from bench.policy_tally import Tally
 from bench.policy_trace import Arrival, Workload
 from dragonflyshift._internal.kernel.registry import find_plugin
-from dragonflyshift._internal.limits import QueueFullError, Ticket
-from dragonflyshift._internal.models import MemberRecord
+from dragonflyshift._internal.limits import QueueFullError
 from dragonflyshift._internal.routing import PeerChoice
 
-HOP_SECONDS = 0.0015
 FAST_FAILURE_SECONDS = 0.005
 DRAIN_SECONDS = 60
 
@@ -47,7 +47,6 @@
         self._workload = workload
         self._options = options
         self._rng = random.Random(workload.seed)
-        self._peer_choice = find_plugin(PeerChoice, policies.peers)()
         self._sidecars = build_sidecars(
             workload,
             policies,
@@ -55,11 +54,18 @@
             self._rng,
         )
         self._placement = Placement(policies, options.locality, self._sidecars)
-        self._by_address = {
-            each.endpoint.address: each for each in self._sidecars
-        }
         self._tally = Tally(workload.endpoints)
         self._clock = EventClock(self._count_idle)
+        self._hand_overs = HandOvers(
+            find_plugin(PeerChoice, policies.peers)(),
+            options.claims,
+            self._sidecars,
+            self._clock,
+            self._rng,
+            self._tally,
+            self._start,
+            self._enqueue,
+        )
 
     def run(self, arrivals: Iterable[Arrival]) -> Tally:
         """Feed the arrivals, let all end, and return what was counted."""
@@ -113,38 +119,7 @@
         if req.home.admission.try_start(self._clock.now):
             self._start(req, req.home)
         else:
-            self._hand_over(req)
-
-    def _hand_over(self, req: Request) -> None:
-        peers = self._peer_choice.order(
-            req.home.view,
-            self._rng,
-            self._options.claims,
-        )
-        self._claim(req, peers)
-
-    def _claim(self, req: Request, peers: tuple[MemberRecord, ...]) -> None:
-        if not peers:
-            self._enqueue(req)
-            return
-        peer = self._by_address[peers[0].address]
-        self._clock.after(
-            HOP_SECONDS,
-            partial(self._answer_claim, req, peer, peers[1:]),
-        )
-
-    def _answer_claim(
-        self,
-        req: Request,
-        peer: Sidecar,
-        others: tuple[MemberRecord, ...],
-    ) -> None:
-        self._tally.claims += req.is_counted
-        if peer.admission.try_start(self._clock.now):
-            self._tally.handed_over += req.is_counted
-            self._start(req, peer)
-        else:
-            self._clock.after(HOP_SECONDS, partial(self._claim, req, others))
+            self._hand_overs.start(req)
 
     def _enqueue(self, req: Request) -> None:
         home = req.home
@@ -180,7 +155,7 @@
 
     def _expire(self, sidecar: Sidecar) -> None:
         for ticket in sidecar.admission.expire(self._clock.now):
-            self._tally.expired += _request_of(ticket).is_counted
+            self._tally.expired += request_of(ticket).is_counted
 
     def _start(self, req: Request, sidecar: Sidecar) -> None:
         req.started_at = self._clock.now
@@ -231,18 +206,13 @@
         wait = req.home.retries.backoff(req.attempt)
         req.attempt += 1
         # What failed at home is tried elsewhere first.
-        again = self._hand_over if sidecar is req.home else self._admit
+        again = self._hand_overs.start if sidecar is req.home else self._admit
         self._clock.after(wait, partial(again, req))
 
     def _pump(self, sidecar: Sidecar) -> None:
         ticket = sidecar.admission.next_ready(self._clock.now)
         while ticket is not None:
-            self._start(_request_of(ticket), sidecar)
+            self._start(request_of(ticket), sidecar)
             ticket = sidecar.admission.next_ready(self._clock.now)
-
-
-def _request_of(ticket: Ticket) -> Request:
-    req = ticket.waiter
-    if not isinstance(req, Request):
-        raise TypeError('a ticket of another caller is in the queue')
-    return req
+        if self._options.has_offers:
+            self._hand_overs.offer(sidecar)
--- a/bench/policy_sidecar.py
+++ b/bench/policy_sidecar.py
@@ -11,7 +11,7 @@
 
 from bench.policy_trace import DATA_CENTERS, REGION, Arrival, Workload
 from dragonflyshift._internal.kernel.registry import find_plugin
-from dragonflyshift._internal.limits import Admission
+from dragonflyshift._internal.limits import Admission, Ticket
 from dragonflyshift._internal.models import (
     Address,
     Endpoint,
@@ -21,7 +21,7 @@
     MemberState,
 )
 from dragonflyshift._internal.retries import RetryPolicy
-from dragonflyshift._internal.routing import LoadSnapshot
+from dragonflyshift._internal.routing import LoadSnapshot, OfferBook
 
 CONNECTION_LIMIT = 2000
 
@@ -59,10 +59,16 @@
 
 @frozen
 class Options:
-    """Settings of the sidecars; ``refresh`` is the view's age in seconds."""
+    """Settings of the sidecars.
+
+    ``refresh`` is the view's age in seconds, ``claims`` the peers that a
+    full sidecar asks, ``has_offers`` whether these come back with an offer
+    when a slot is free.
+    """
 
     refresh: float = 1
     claims: int = 2
+    has_offers: bool = True
     queue_limit: int = 32
     slow_start: float = 5
     retry_ratio: float = 0.1
@@ -81,6 +87,7 @@
     retries: RetryPolicy
     index: int
     view: tuple[MemberRecord, ...] = ()
+    offers: OfferBook = field(factory=OfferBook)
 
     @property
     def has_free_slot(self) -> bool:
@@ -124,6 +131,14 @@
         return self.arrival.flow.to_bytes(8)
 
 
+def request_of(ticket: Ticket) -> Request:
+    """Return the request that waits under a ticket."""
+    req = ticket.waiter
+    if not isinstance(req, Request):
+        raise TypeError('a ticket of another caller is in the queue')
+    return req
+
+
 def build_sidecars(
     workload: Workload,
     policies: Policies,
--- a/bench/policy_table.py
+++ b/bench/policy_table.py
@@ -39,6 +39,7 @@
     _Column('idle while waiting', 'idle_while_waiting', '.3f'),
     _Column('handed over', 'handed_over', '.1%'),
     _Column('claims/request', 'claims_per_request', '.2f'),
+    _Column('offers/request', 'offers_per_request', '.2f'),
 )
 _OUTCOME = (
     _Column('whole', 'whole', '.2%'),
--- a/bench/policy_tally.py
+++ b/bench/policy_tally.py
@@ -38,6 +38,7 @@
     failed: int = 0
     attempts: int = 0
     claims: int = 0
+    offers: int = 0
     handed_over: int = 0
     idle_while_waiting: float = 0
     requests: list[int] = field(init=False)
@@ -83,6 +84,7 @@
     unfinished: float
     attempts_per_request: float
     claims_per_request: float
+    offers_per_request: float
     handed_over: float
     slot_seconds_max_to_mean: float
     slot_seconds_variation: float
@@ -109,6 +111,7 @@
         unfinished=(tally.arrived - tally.ended) / arrived,
         attempts_per_request=tally.attempts / arrived,
         claims_per_request=tally.claims / arrived,
+        offers_per_request=tally.offers / arrived,
         handed_over=tally.handed_over / arrived,
         slot_seconds_max_to_mean=max_to_mean(tally.slot_seconds),
         slot_seconds_variation=variation(tally.slot_seconds),
--- a/src/dragonflyshift/_internal/limits/adaptive.py
+++ b/src/dragonflyshift/_internal/limits/adaptive.py
@@ -7,11 +7,12 @@
 )
 from dragonflyshift._internal.limits.pace import Pace
 from dragonflyshift._internal.limits.queue import DeadlineQueue
+from dragonflyshift._internal.limits.returns import (
+    ReturnTimes,
+    bounded_wait,
+)
 from dragonflyshift._internal.limits.window import SlotWindow
 
-MIN_RETRY_SECONDS = 0.05
-MAX_RETRY_SECONDS = 60.0
-
 
 class Adaptive(Admission, name='adaptive'):
     """Slots with slow start, and a bounded queue with deadlines.
@@ -43,7 +44,7 @@
         self._pace = Pace()
         self._queue = DeadlineQueue(queue_limit)
         self._running = 0
-        self._last_return_at = now
+        self._returns = ReturnTimes(now)
 
     def capacity(self, now: float) -> int:
         """Return the slots in use at most: slow start, shedding applied."""
@@ -81,7 +82,9 @@
     def enqueue(self, now: float, deadline: float, client: bytes) -> Ticket:
         """Queue a request; raise QueueFullError when it can't be served."""
         if self._is_hopeless(now, deadline) or not self._queue.has_room(client):
-            raise QueueFullError(self._book_return(now))
+            wait = self._pace.wait(now, self._queue.waiting(now))
+            interval = self._pace.interval(now)
+            raise QueueFullError(self._returns.book(now, wait, interval))
         ticket = Ticket(deadline=deadline, enqueued_at=now, client=client)
         self._queue.add(ticket)
         return ticket
@@ -95,6 +98,10 @@
             self._take_slot(now)
         return ticket
 
+    def peek(self, now: float) -> Ticket | None:
+        """Return the request that is next, and leave it in the queue."""
+        return self._queue.earliest(now)
+
     def expire(self, now: float) -> tuple[Ticket, ...]:
         """Remove and return the queued requests whose deadline passed."""
         return self._queue.pop_expired(now)
@@ -115,7 +122,7 @@
         """Estimate the seconds until a slot is free, from the pace seen."""
         if self.free(now) > 0:
             return 0
-        return _bounded(self._pace.wait(now, self._queue.waiting(now)))
+        return bounded_wait(self._pace.wait(now, self._queue.waiting(now)))
 
     def resize(self, slots: int, queue_limit: int) -> None:
         """Apply changed rules without losing running or queued requests."""
@@ -133,19 +140,3 @@
         self._pace.note_full(now)
         ahead = self._queue.ahead_of(now, deadline)
         return now + self._pace.wait(now, ahead) > deadline
-
-    def _book_return(self, now: float) -> float:
-        """Return the seconds after which a refused client shall come back.
-
-        Refused clients come back one after another at the pace seen instead
-        of all together.
-        """
-        wait = _bounded(self._pace.wait(now, self._queue.waiting(now)))
-        following = self._last_return_at + self._pace.interval(now)
-        wait = _bounded(max(wait, following - now))
-        self._last_return_at = now + wait
-        return wait
-
-
-def _bounded(wait: float) -> float:
-    return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait))
--- a/src/dragonflyshift/_internal/limits/base.py
+++ b/src/dragonflyshift/_internal/limits/base.py
@@ -84,6 +84,10 @@
     def next_ready(self, now: float) -> Ticket | None:
         """Take a slot for the next request that can still meet its deadline."""
 
+    @abstractmethod
+    def peek(self, now: float) -> Ticket | None:
+        """Return the request that is next, and leave it in the queue."""
+
     @abstractmethod
     def expire(self, now: float) -> tuple[Ticket, ...]:
         """Remove and return the queued requests whose deadline passed."""
--- a/src/dragonflyshift/_internal/limits/queue.py
+++ b/src/dragonflyshift/_internal/limits/queue.py
@@ -46,13 +46,17 @@
             now < ticket.deadline <= deadline for ticket in self._tickets
         )
 
-    def pop_earliest(self, now: float) -> Ticket | None:
-        """Remove and return the next request that can meet its deadline."""
-        ticket = min(
+    def earliest(self, now: float) -> Ticket | None:
+        """Return the next request that can meet its deadline."""
+        return min(
             (ticket for ticket in self._tickets if ticket.deadline > now),
             key=_deadline,
             default=None,
         )
+
+    def pop_earliest(self, now: float) -> Ticket | None:
+        """Remove and return the next request that can meet its deadline."""
+        ticket = self.earliest(now)
         if ticket is not None:
             self.discard(ticket)
         return ticket
--- a/src/dragonflyshift/_internal/routing/__init__.py
+++ b/src/dragonflyshift/_internal/routing/__init__.py
@@ -9,6 +9,7 @@
     Place,
 )
 from dragonflyshift._internal.routing.flow_decision import LeastLoaded
+from dragonflyshift._internal.routing.offers import OfferBook
 from dragonflyshift._internal.routing.peer_choice import PowerOfTwo
 from dragonflyshift._internal.routing.rendezvous import Rendezvous
 
@@ -18,6 +19,7 @@
     'FlowDecision',
     'LeastLoaded',
     'LoadSnapshot',
+    'OfferBook',
     'PeerChoice',
     'Place',
     'PowerOfTwo',
--- a/tests/unit/limits/test_adaptive_machine.py
+++ b/tests/unit/limits/test_adaptive_machine.py
@@ -61,8 +61,10 @@
 
     @rule()
     def next_ready(self) -> None:
+        first = self.limit.peek(self.now)
         ticket = self.limit.next_ready(self.now)
         if ticket is not None:
+            assert ticket is first
             assert ticket.deadline > self.now
             self.waiting.remove(ticket)
             self._note_started()
