Keep outcomes through a rolling replacement; refuse incomplete transfers

A stopping sidecar hands on what it adopted too. Else the outcomes of the first instance are lost once all that adopted them have been replaced.

Bounding the bytes of adopted outcomes showed a fault that the bound on their number had as well: a home forgotten in the midst of its transfer was taken anew with the next part, and its last part made it complete, so that a key which had run counted as never run. Parts are numbered within a transfer now, and only a whole one is complete. The random walk loses parts and finds this.

--- a/src/dragonflyshift/_internal/models/outcome.py
+++ b/src/dragonflyshift/_internal/models/outcome.py
@@ -38,6 +38,12 @@
     headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytes = b''
 
+    @property
+    def size(self) -> int:
+        """The bytes of headers and body."""
+        headers = sum(len(name) + len(text) for name, text in self.headers)
+        return len(self.body) + headers
+
 
 @frozen
 class StoredEntry:
--- a/src/dragonflyshift/_internal/sidecar/handover.py
+++ b/src/dragonflyshift/_internal/sidecar/handover.py
@@ -1,6 +1,7 @@
 """Hand the outcomes of a stopping sidecar to its peers."""
 
 import asyncio
+import itertools
 import logging
 import time
 
@@ -9,7 +10,11 @@
 from dragonflyshift._internal.models import Address, MemberState
 from dragonflyshift._internal.sidecar.exchange import receive_within
 from dragonflyshift._internal.sidecar.identity import SidecarIdentity
-from dragonflyshift._internal.state import OutcomeTable, transfer_parts
+from dragonflyshift._internal.state import (
+    OutcomeTable,
+    TransferPart,
+    transfer_parts,
+)
 from dragonflyshift._internal.wire.keys import FleetKeys
 from dragonflyshift._internal.wire.messages import (
     Message,
@@ -42,15 +47,7 @@
 
     async def hand_over(self) -> int:
         """Freeze the table and send it; return the peers that have it."""
-        entries = self._outcomes.freeze()
-        parts = tuple(
-            transfer_parts(
-                self._identity.address,
-                self._identity.first_boot,
-                entries,
-                self._outcomes.floor,
-            ),
-        )
+        parts = self._parts()
         peers = [
             record.address
             for record in self._members.records()
@@ -76,10 +73,29 @@
             message.entries,
             complete=message.complete,
             floor=message.floor,
+            part=TransferPart(message.transfer, message.part),
             now=time.monotonic(),
         )
         await stream.send(OutcomeTransferred())
 
+    def _parts(self) -> tuple[OutcomeTransfer, ...]:
+        """Return the own outcomes and those of homes that stopped before.
+
+        While all instances are replaced in turn, the peers that adopted the
+        first one's outcomes stop as well.
+        """
+        own = transfer_parts(
+            self._identity.address,
+            self._identity.first_boot,
+            self._outcomes.freeze(),
+            self._outcomes.floor,
+        )
+        adopted = (
+            transfer_parts(left.home, left.boot, left.entries, left.floor)
+            for left in self._outcomes.adopted_homes()
+        )
+        return (*own, *itertools.chain.from_iterable(adopted))
+
     async def _send(
         self,
         peer: Address,
--- a/src/dragonflyshift/_internal/state/__init__.py
+++ b/src/dragonflyshift/_internal/state/__init__.py
@@ -1,6 +1,10 @@
 """Outcomes, claims and other short-lived state."""
 
-from dragonflyshift._internal.state.adopted import NeverRan, Stored
+from dragonflyshift._internal.state.adopted import (
+    NeverRan,
+    Stored,
+    TransferPart,
+)
 from dragonflyshift._internal.state.claims import Claim, ClaimTable
 from dragonflyshift._internal.state.idempotency import (
     KeyIssuer,
@@ -30,6 +34,7 @@
     'PlacementMemory',
     'Running',
     'Stored',
+    'TransferPart',
     'transfer_parts',
     'without_body',
 )
--- a/src/dragonflyshift/_internal/state/outcomes.py
+++ b/src/dragonflyshift/_internal/state/outcomes.py
@@ -39,9 +39,11 @@
     StoredEntry,
 )
 from dragonflyshift._internal.state.adopted import (
+    AdoptedHome,
     AdoptedOutcomes,
     NeverRan,
     Stored,
+    TransferPart,
 )
 
 BODY_LIMIT_BYTES = 64 * 1024
@@ -168,7 +170,7 @@
         entry.ended.set()
         if outcome.kind is OutcomeKind.NOT_RUN:
             return
-        self._stored_bytes += _size(entry.outcome)
+        self._stored_bytes += entry.outcome.size
         self._ended[key.nonce] = entry
 
     def expire(self, now: float) -> None:
@@ -179,7 +181,7 @@
                 return
             self._floor = max(self._floor, nonce + 1)
             del self._ended[nonce]
-            self._stored_bytes -= _size(entry.outcome or _UNKNOWN)
+            self._stored_bytes -= (entry.outcome or _UNKNOWN).size
 
     def freeze(self) -> tuple[StoredEntry, ...]:
         """Begin nothing from now on, and return what the home knows.
@@ -202,6 +204,7 @@
         *,
         complete: bool,
         floor: int,
+        part: TransferPart,
         now: float,
     ) -> None:
         """Take over what a home that stops has sent."""
@@ -210,9 +213,14 @@
             entries,
             complete=complete,
             floor=floor,
+            part=part,
             now=now,
         )
 
+    def adopted_homes(self) -> tuple[AdoptedHome, ...]:
+        """Return what peers that stopped left here, to be handed on."""
+        return self._adopted.homes()
+
     def lookup_adopted(
         self,
         key: IdempotencyKey,
@@ -252,11 +260,11 @@
 
     def _trimmed(self, outcome: Outcome) -> Outcome:
         room = TOTAL_LIMIT_BYTES - self._stored_bytes
-        fits = _size(outcome) <= room
+        fits = outcome.size <= room
         if fits and len(outcome.body) <= BODY_LIMIT_BYTES:
             return outcome
         bare = without_body(outcome)
-        if _size(bare) <= room:
+        if bare.size <= room:
             return bare
         return evolve(bare, headers=(BODY_OMITTED,))
 
@@ -269,8 +277,3 @@
         if not name.lower().startswith(b'content-')
     )
     return evolve(outcome, body=b'', headers=(BODY_OMITTED, *kept))
-
-
-def _size(outcome: Outcome) -> int:
-    headers = sum(len(name) + len(text) for name, text in outcome.headers)
-    return len(outcome.body) + headers
--- a/src/dragonflyshift/_internal/state/transfer.py
+++ b/src/dragonflyshift/_internal/state/transfer.py
@@ -2,6 +2,7 @@
 
 __all__ = ('transfer_parts',)
 
+import secrets
 from collections.abc import Iterator
 
 from dragonflyshift._internal.models import Address, StoredEntry
@@ -11,6 +12,7 @@
 # Key, status and lengths around the bytes of an outcome.
 _ENTRY_COST_BYTES = 128
 _HEADER_COST_BYTES = 10
+_TRANSFER_BITS = 63
 
 
 def transfer_parts(
@@ -23,24 +25,36 @@
 
     Take ``entries`` and ``floor`` from a frozen table.
     """
-    part: list[StoredEntry] = []
+    chunks = tuple(_cut(entries))
+    transfer = secrets.randbits(_TRANSFER_BITS)
+    for part, chunk in enumerate(chunks):
+        yield OutcomeTransfer(
+            home,
+            boot,
+            chunk,
+            complete=part == len(chunks) - 1,
+            floor=floor,
+            transfer=transfer,
+            part=part,
+        )
+
+
+def _cut(
+    entries: tuple[StoredEntry, ...],
+) -> Iterator[tuple[StoredEntry, ...]]:
+    chunk: list[StoredEntry] = []
     size = 0
     for entry in entries:
         cost = _cost(entry)
-        if part and size + cost > PART_BYTES:
-            yield OutcomeTransfer(
-                home, boot, tuple(part), complete=False, floor=floor
-            )
-            part = []
+        if chunk and size + cost > PART_BYTES:
+            yield tuple(chunk)
+            chunk = []
             size = 0
-        part.append(entry)
+        chunk.append(entry)
         size += cost
-    yield OutcomeTransfer(home, boot, tuple(part), complete=True, floor=floor)
+    yield tuple(chunk)
 
 
 def _cost(entry: StoredEntry) -> int:
-    headers = sum(
-        len(name) + len(text) + _HEADER_COST_BYTES
-        for name, text in entry.outcome.headers
-    )
-    return len(entry.outcome.body) + headers + _ENTRY_COST_BYTES
+    framing = len(entry.outcome.headers) * _HEADER_COST_BYTES
+    return entry.outcome.size + framing + _ENTRY_COST_BYTES
--- a/src/dragonflyshift/_internal/wire/fleet_messages.py
+++ b/src/dragonflyshift/_internal/wire/fleet_messages.py
@@ -30,8 +30,9 @@
 class OutcomeTransfer(Message, code=9):
     """Outcomes of a home that stops; one of several parts.
 
-    ``complete`` marks the last part. Keys with a nonce below ``floor`` that
-    no part names are fenced: they may have run.
+    ``part`` counts from 0 within one ``transfer`` (a random number), and
+    ``complete`` marks the last. Keys with a nonce below ``floor`` that no
+    part names are fenced: they may have run.
     """
 
     home: Address
@@ -39,6 +40,8 @@
     entries: tuple[StoredEntry, ...]
     complete: bool
     floor: int = field(validator=Unsigned())
+    transfer: int = field(validator=Unsigned())
+    part: int = field(validator=Unsigned())
 
 
 @frozen(slots=False)
--- a/tests/unit/sidecar/test_handover.py
+++ b/tests/unit/sidecar/test_handover.py
@@ -1,4 +1,5 @@
 import socket
+import time
 import unittest
 
 from dragonflyshift._internal.membership import MemberTable
@@ -77,11 +78,7 @@
         for nonce in range(1, _ENTRIES + 1):
             home.outcomes.begin(home.key(nonce), 0)
             home.outcomes.finish(home.key(nonce), _SAVED, 0)
-        home.members.merge([peer.record], 0)
-        server = StreamServer(peer.address, _KEYS, peer.serve)
-        await server.start()
-        self.assertEqual(await home.handover.hand_over(), 1)
-        await server.close()
+        await self._hand_over(home, peer)
         for nonce in (1, _ENTRIES):
             self.assertEqual(
                 peer.outcomes.lookup_adopted(home.key(nonce), 0),
@@ -92,3 +89,25 @@
             peer.outcomes.lookup_adopted(unused, 0),
             NeverRan(),
         )
+
+    async def test_outcomes_outlive_the_peers_that_adopted_them(self) -> None:
+        first, second, third = _Side(), _Side(), _Side()
+        first.outcomes.begin(first.key(1), 0)
+        first.outcomes.finish(first.key(1), _SAVED, 0)
+        await self._hand_over(first, second)
+        await self._hand_over(second, third)
+        now = time.monotonic()
+        for side, nonce, expected in (
+            (first, 1, Stored(_SAVED)),
+            (first, 2, NeverRan()),
+            (second, 1, NeverRan()),
+        ):
+            found = third.outcomes.lookup_adopted(side.key(nonce), now)
+            self.assertEqual(found, expected)
+
+    async def _hand_over(self, leaver: _Side, peer: _Side) -> None:
+        leaver.members.merge([peer.record], 0)
+        server = StreamServer(peer.address, _KEYS, peer.serve)
+        await server.start()
+        self.assertEqual(await leaver.handover.hand_over(), 1)
+        await server.close()
--- a/tests/unit/state/test_outcomes.py
+++ b/tests/unit/state/test_outcomes.py
@@ -11,6 +11,7 @@
     IdempotencyKey,
     Outcome,
     OutcomeKind,
+    StoredEntry,
 )
 from dragonflyshift._internal.state import (
     Begun,
@@ -20,6 +21,7 @@
     OutcomeTableFullError,
     Running,
     Stored,
+    TransferPart,
     transfer_parts,
 )
 from dragonflyshift._internal.state.outcomes import BODY_OMITTED
@@ -38,6 +40,7 @@
 # Few, so that steps meet on the same key.
 _WALK_NONCES = 8
 _FREEZE_SHARE = 0.01
+_LOST_SHARE = 0.2
 _WALK_STEPS = 300
 _UNKNOWN = Outcome(OutcomeKind.UNKNOWN, 0)
 
@@ -71,6 +74,7 @@
         message.entries,
         complete=message.complete,
         floor=message.floor,
+        part=TransferPart(message.transfer, message.part),
         now=now,
     )
 
@@ -198,6 +202,15 @@
         for nonce in (1, 4):
             self.assertIsNone(peer.lookup_adopted(_key(nonce), 0))
 
+    def test_adopted_bytes_are_bounded(self) -> None:
+        peer = _table(capacity=5000)
+        large = _large_answer(64 * 1024)
+        entries = tuple(StoredEntry(_key(nonce), large) for nonce in range(600))
+        for message in transfer_parts(_HOME, _BOOT, entries, 0):
+            _adopt(peer, message, 0)
+        self.assertIsNone(peer.lookup_adopted(_key(1), 0))
+        self.assertEqual(peer.adopted_homes(), ())
+
 
 class _Walk:
     """A home and a peer that adopts from it, in a random order of steps."""
@@ -255,13 +268,18 @@
                 entries[index : index + 1],
                 complete=index >= len(entries) - 1,
                 floor=self.home.floor,
+                transfer=self.steps,
+                part=index,
             )
             for index in range(max(1, len(entries)))
         )
 
     def adopt(self) -> None:
-        if self.parts:
-            _adopt(self.peer, self.parts.pop(0), self.now)
+        if not self.parts:
+            return
+        part = self.parts.pop(0)
+        if self.rng.random() > _LOST_SHARE:
+            _adopt(self.peer, part, self.now)
 
     def ask(self) -> None:
         nonce = self.rng.randint(1, _WALK_NONCES)
