--- a/src/dragonflyshift/_internal/sidecar/link.py
+++ b/src/dragonflyshift/_internal/sidecar/link.py
@@ -1,9 +1,12 @@
 """A sidecar's datagrams: from balancers and from other sidecars."""
 
 import logging
+import struct
 import time
 from collections.abc import Callable
 
+from attrs import frozen
+
 from dragonflyshift._internal.exceptions import MembershipError, WireError
 from dragonflyshift._internal.kernel.settings import Settings
 from dragonflyshift._internal.models import Address
@@ -15,33 +18,42 @@
     Kind,
     Opened,
 )
+from dragonflyshift._internal.wire.datagram import HEADER_BYTES
 
 logger = logging.getLogger(__name__)
 
-ForwardHandler = Callable[[Forward], None]
-MembershipHandler = Callable[[Kind, bytes, Address, float], None]
+_OFFER = struct.Struct('!I')
+
+
+@frozen
+class LinkHandlers:
+    """Who takes packets of flows, messages of membership, and offers."""
+
+    forwarded: Callable[[Forward], None]
+    membership: Callable[[Kind, bytes, Address, float], None]
+    offered: Callable[[Address], None]
 
 
 class DatagramLink:
     """Authenticate datagrams and dispatch them by kind."""
 
-    def __init__(self, settings: Settings, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        tag: int,
+        metrics: Metrics,
+    ) -> None:
         """Prepare the codec; ``open`` binds the socket."""
         self._listen = settings.listen
+        self._tag = tag
         self._metrics = metrics
         self._socket: DatagramSocket | None = None
-        self._forwarded: ForwardHandler | None = None
-        self._membership: MembershipHandler | None = None
+        self._handlers: LinkHandlers | None = None
         self.codec = DatagramCodec(settings.fleet_keys)
 
-    def open(
-        self,
-        forwarded: ForwardHandler,
-        membership: MembershipHandler,
-    ) -> None:
-        """Bind the socket and hand what arrives to the two handlers."""
-        self._forwarded = forwarded
-        self._membership = membership
+    def open(self, handlers: LinkHandlers) -> None:
+        """Bind the socket and hand what arrives to ``handlers``."""
+        self._handlers = handlers
         self._socket = DatagramSocket.bind(self._listen, self._receive)
 
     def close(self) -> None:
@@ -70,6 +82,11 @@
         """Pass a packet of a new flow on to a peer."""
         self.send(self.codec.seal(Kind.RELAY, forward.relayed()), peer)
 
+    def send_offer(self, peer: Address) -> None:
+        """Tell a peer that a slot is free here."""
+        self._metrics.incr('control-bytes', HEADER_BYTES + _OFFER.size)
+        self.send(self.codec.seal(Kind.OFFER, _OFFER.pack(self._tag)), peer)
+
     def _receive(self, datagram: bytes, sender: Address) -> None:
         try:
             self._dispatch(self.codec.open(datagram), sender)
@@ -81,8 +98,16 @@
         if opened.kind is Kind.REPLY:
             raise WireError('a sidecar takes no replies')
         if opened.kind in {Kind.FORWARD, Kind.RELAY}:
-            if self._forwarded is not None:
-                self._forwarded(Forward.decode(opened.body))
-        elif self._membership is not None:
+            if self._handlers is not None:
+                self._handlers.forwarded(Forward.decode(opened.body))
+        elif opened.kind is Kind.OFFER:
+            self._take_offer(opened.body, sender)
+        elif self._handlers is not None:
             now = time.monotonic()
-            self._membership(opened.kind, opened.body, sender, now)
+            self._handlers.membership(opened.kind, opened.body, sender, now)
+
+    def _take_offer(self, body: bytes, sender: Address) -> None:
+        if body != _OFFER.pack(self._tag):
+            raise WireError('an offer of another service')
+        if self._handlers is not None:
+            self._handlers.offered(sender)
--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -39,7 +39,10 @@
     new_boot,
 )
 from dragonflyshift._internal.sidecar.lifecycle import Lifecycle
-from dragonflyshift._internal.sidecar.link import DatagramLink
+from dragonflyshift._internal.sidecar.link import (
+    DatagramLink,
+    LinkHandlers,
+)
 from dragonflyshift._internal.sidecar.parts import (
     Telemetry,
     create_admission,
@@ -78,9 +81,9 @@
         self._feed = feed
         self._metrics = telemetry.metrics
         self._tasks = tasks
-        self._link = DatagramLink(settings, self._metrics)
-        ids = ConnectionIdCodec(settings.fleet_keys)
         service = self._service
+        self._link = DatagramLink(settings, service.tag, self._metrics)
+        ids = ConnectionIdCodec(settings.fleet_keys)
         self._identity = SidecarIdentity(
             settings.listen,
             service.tag,
@@ -97,6 +100,7 @@
             self._lifecycle,
             self._admission,
             lambda: self._rules,
+            self._link.send_offer,
             telemetry,
             tasks,
         )
@@ -140,7 +144,13 @@
 
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
-        self._link.open(self._forwarded, self._prober.handle)
+        self._link.open(
+            LinkHandlers(
+                self._forwarded,
+                self._prober.handle,
+                self._requests.finder.offered,
+            ),
+        )
         await self._control.start()
         self._feed.store.changes.subscribe(self._changed)
         self._apply_document()
--- a/src/dragonflyshift/_internal/sidecar/parts.py
+++ b/src/dragonflyshift/_internal/sidecar/parts.py
@@ -25,7 +25,10 @@
 from dragonflyshift._internal.sidecar.lifecycle import Lifecycle
 from dragonflyshift._internal.sidecar.local import LocalRunner
 from dragonflyshift._internal.sidecar.peers import PeerClaims
-from dragonflyshift._internal.sidecar.placing import SlotFinder
+from dragonflyshift._internal.sidecar.placing import (
+    OfferSender,
+    SlotFinder,
+)
 from dragonflyshift._internal.sidecar.requests import (
     RequestRunner,
     RequestService,
@@ -102,6 +105,7 @@
     lifecycle: Lifecycle,
     admission: Admission,
     rules: Callable[[], ServiceRules],
+    send_offer: OfferSender,
     telemetry: Telemetry,
     tasks: TaskGroup,
 ) -> RequestParts:
@@ -124,6 +128,7 @@
         local,
         claims,
         lambda: lifecycle.takes_work,
+        send_offer,
         metrics,
     )
     retries = find_plugin(RetryPolicy, settings.retry_policy)
@@ -165,6 +170,7 @@
             admission,
             local,
             lambda: lifecycle.takes_work,
+            finder.offers,
             metrics,
             telemetry.tracing,
         ),
--- a/src/dragonflyshift/_internal/sidecar/peers.py
+++ b/src/dragonflyshift/_internal/sidecar/peers.py
@@ -86,6 +86,15 @@
                 return place
         return None
 
+    async def claim_at(
+        self,
+        address: Address,
+        req: Request,
+    ) -> PeerPlace | None:
+        """Claim a slot that a peer has offered."""
+        peer = self._members.record(address)
+        return None if peer is None else await self._ask(peer, req)
+
     async def _ask(
         self,
         peer: MemberRecord,
@@ -130,6 +139,7 @@
                 boot=peer.incarnation.boot,
                 timeout_ms=int(left * MS_PER_SECOND),
                 streaming=req.info.streaming,
+                asker=self._identity.address,
             ),
         )
         answer = await stream.receive()
--- a/src/dragonflyshift/_internal/sidecar/placing.py
+++ b/src/dragonflyshift/_internal/sidecar/placing.py
@@ -1,42 +1,37 @@
 """Find a slot for a request: here, at a peer, or after a wait.
 
 A request waits at the sidecar of its flow, in a bounded queue. While it
-waits, peers are asked again, so that a flow doesn't pin its work to a full
-instance while another one is idle.
+waits, peers are asked again at times, and a peer that refused offers a slot
+when one is free there; so a flow doesn't pin its work to a full instance
+while another one is idle.
 """
 
 import asyncio
 import time
 from collections.abc import Callable
 
-from attrs import define
-
-from dragonflyshift._internal.limits import Admission, QueueFullError, Ticket
+from dragonflyshift._internal.limits import Admission
+from dragonflyshift._internal.models import Address
+from dragonflyshift._internal.routing import OfferBook
 from dragonflyshift._internal.sidecar.failures import NotRunError
 from dragonflyshift._internal.sidecar.local import LocalRunner
 from dragonflyshift._internal.sidecar.peers import PeerClaims, PeerPlace
-from dragonflyshift._internal.sidecar.request import AnswerSink, Request
+from dragonflyshift._internal.sidecar.queueing import (
+    Expired,
+    LocalPlace,
+    Offered,
+    RequestQueue,
+    Waiting,
+    Wakeup,
+)
+from dragonflyshift._internal.sidecar.request import Request
 from dragonflyshift._internal.telemetry import Metrics
 
 ASK_AGAIN_SECONDS = 0.1
 MAX_ASK_AGAIN_SECONDS = 1.6
 MAX_PEER_ROUNDS = 4
 
-
-@define(eq=False)
-class LocalPlace:
-    """A slot of the sidecar's own backend server."""
-
-    runner: LocalRunner
-    admission: Admission
-
-    async def run(self, req: Request, sink: AnswerSink) -> None:
-        """Run the request here; raise RunFailedError."""
-        await self.runner.run(req, sink)
-
-    def release(self) -> None:
-        """Give the slot back unused."""
-        self.admission.finish(time.monotonic(), 0)
+OfferSender = Callable[[Address], None]
 
 
 class SlotFinder:
@@ -48,6 +43,7 @@
         runner: LocalRunner,
         claims: PeerClaims,
         runs_here: Callable[[], bool],
+        send_offer: OfferSender,
         metrics: Metrics,
     ) -> None:
         """Use own slots only while ``runs_here`` says so."""
@@ -55,7 +51,10 @@
         self._runner = runner
         self._claims = claims
         self._runs_here = runs_here
+        self._send_offer = send_offer
         self._metrics = metrics
+        self._queue = RequestQueue(admission, runner, metrics)
+        self.offers = OfferBook()
 
     async def find(
         self,
@@ -71,89 +70,72 @@
         own = self._runs_here() and not avoid_own
         if own and self._admission.try_start(time.monotonic()):
             return LocalPlace(self._runner, self._admission)
-        place = await self._claims.claim(req)
+        place = await self._ask_peers(req)
         if place is not None:
-            self._metrics.incr('handed-over')
             return place
         if own:
             return await self._wait(req)
         return await self._wait_for_peer(req)
 
     def pump(self) -> None:
-        """Wake the queued requests for which a slot is free."""
+        """Move the queue on: free slots go to who waits, here or at peers."""
+        if not self._runs_here():
+            self._queue.move_all()
+            return
+        self._queue.start_ready()
         now = time.monotonic()
-        for expired in self._admission.expire(now):
-            _resolve(expired, place=None)
-        while True:
-            ticket = self._admission.next_ready(now)
-            if ticket is None:
-                return
-            place = LocalPlace(self._runner, self._admission)
-            if not _resolve(ticket, place):
-                place.release()
+        if self._admission.free(now) > 0:
+            asker = self.offers.take(now)
+            if asker is not None:
+                self._metrics.incr('offers')
+                self._send_offer(asker)
+
+    def offered(self, peer: Address) -> None:
+        """Let the next request that waits claim a peer's free slot."""
+        self._queue.wake_next(Offered(peer))
 
     async def _wait(self, req: Request) -> LocalPlace | PeerPlace:
-        now = time.monotonic()
-        try:
-            ticket = self._admission.enqueue(
-                now,
-                req.info.deadline,
-                req.info.client,
-            )
-        except QueueFullError as exc:
-            self._metrics.incr('refused.queue-full')
-            raise NotRunError('all slots are busy', exc.retry_after) from exc
-        waiter = asyncio.get_running_loop().create_future()
-        ticket.waiter = waiter
-        try:
-            place = await self._first_of(req, waiter)
-        except BaseException:
-            self._give_up(ticket, waiter)
-            raise
-        if isinstance(place, PeerPlace):
-            self._give_up(ticket, waiter)
-        return place
+        while True:
+            waiting = self._queue.enter(req)
+            try:
+                wakeup = await self._woken(req, waiting)
+            except BaseException:
+                self._queue.leave(waiting)
+                raise
+            if isinstance(wakeup, LocalPlace | PeerPlace):
+                return wakeup
+            if isinstance(wakeup, Expired):
+                raise self._queue.refusal()
+            if not isinstance(wakeup, Offered):
+                return await self._wait_for_peer(req)
+            place = await self._claims.claim_at(wakeup.peer, req)
+            if place is not None:
+                self._metrics.incr('handed-over')
+                return place
 
-    async def _first_of(
+    async def _woken(
         self,
         req: Request,
-        waiter: asyncio.Future[LocalPlace | None],
-    ) -> LocalPlace | PeerPlace:
-        """Wait for a slot here, and ask peers with growing pauses."""
+        waiting: Waiting,
+    ) -> Wakeup | PeerPlace:
+        """Wait for what comes first, asking peers with growing pauses."""
         pause = ASK_AGAIN_SECONDS
         while True:
-            await asyncio.wait((waiter,), timeout=pause)
-            if waiter.done():
-                return self._own_place(waiter.result())
-            peer = await self._claims.claim(req)
-            if peer is not None:
-                self._metrics.incr('handed-over')
-                return peer
+            await asyncio.wait((waiting.future,), timeout=pause)
+            if waiting.future.done():
+                return waiting.future.result()
+            place = await self._ask_peers(req)
+            if place is not None:
+                self._queue.leave(waiting)
+                return place
             pause = min(pause * 2, MAX_ASK_AGAIN_SECONDS)
 
-    def _own_place(self, place: LocalPlace | None) -> LocalPlace:
-        if place is None:
-            raise self._expired()
+    async def _ask_peers(self, req: Request) -> PeerPlace | None:
+        place = await self._claims.claim(req)
+        if place is not None:
+            self._metrics.incr('handed-over')
         return place
 
-    def _expired(self) -> NotRunError:
-        self._metrics.incr('refused.expired')
-        retry_after = self._admission.retry_after(time.monotonic())
-        return NotRunError('no slot before the deadline', retry_after)
-
-    def _give_up(
-        self,
-        ticket: Ticket,
-        waiter: asyncio.Future[LocalPlace | None],
-    ) -> None:
-        self._admission.cancel(ticket)
-        if waiter.done() and not waiter.cancelled():
-            place = waiter.result()
-            if place is not None:
-                place.release()
-                self.pump()
-        waiter.cancel()
-
     async def _wait_for_peer(self, req: Request) -> PeerPlace:
         """Ask peers a few more times, and no longer than the deadline."""
         pause = ASK_AGAIN_SECONDS
@@ -161,19 +143,9 @@
             if time.monotonic() + pause >= req.info.deadline:
                 break
             await asyncio.sleep(pause)
-            place = await self._claims.claim(req)
+            place = await self._ask_peers(req)
             if place is not None:
-                self._metrics.incr('handed-over')
                 return place
             pause = min(pause * 2, MAX_ASK_AGAIN_SECONDS)
         self._metrics.incr('refused.no-peer')
         raise NotRunError('no instance has a free slot')
-
-
-def _resolve(ticket: Ticket, place: LocalPlace | None) -> bool:
-    """Tell a waiting request; False if it no longer waits."""
-    waiter = ticket.waiter
-    if not isinstance(waiter, asyncio.Future) or waiter.done():
-        return False
-    waiter.set_result(place)
-    return True
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -21,7 +21,8 @@
 )
 from dragonflyshift._internal.sidecar.flow import Flow
 from dragonflyshift._internal.sidecar.keyed_base import KeyedRequests
-from dragonflyshift._internal.sidecar.placing import LocalPlace, SlotFinder
+from dragonflyshift._internal.sidecar.placing import SlotFinder
+from dragonflyshift._internal.sidecar.queueing import LocalPlace
 from dragonflyshift._internal.sidecar.request import (
     OUTCOME_HEADER,
     AnswerSink,
--- a/src/dragonflyshift/_internal/sidecar/serving.py
+++ b/src/dragonflyshift/_internal/sidecar/serving.py
@@ -11,6 +11,7 @@
     WireError,
 )
 from dragonflyshift._internal.limits import Admission
+from dragonflyshift._internal.routing import OfferBook
 from dragonflyshift._internal.sidecar.classify import MS_PER_SECOND
 from dragonflyshift._internal.sidecar.exchange import (
     PeerSink,
@@ -57,6 +58,7 @@
         admission: Admission,
         runner: LocalRunner,
         accepts: Callable[[], bool],
+        offers: OfferBook,
         metrics: Metrics,
         tracing: Tracing,
     ) -> None:
@@ -65,6 +67,7 @@
         self._admission = admission
         self._runner = runner
         self._accepts = accepts
+        self._offers = offers
         self._metrics = metrics
         self._tracing = tracing
         self.claims = ClaimTable(LEASE_SECONDS)
@@ -87,7 +90,9 @@
             return 'another service'
         if not self._accepts():
             return 'takes no new work'
-        if not self._admission.try_start(time.monotonic()):
+        now = time.monotonic()
+        if not self._admission.try_start(now):
+            self._offers.note(claim.asker, now)
             return 'no free slot'
         return ''
 
--- a/src/dragonflyshift/_internal/wire/datagram.py
+++ b/src/dragonflyshift/_internal/wire/datagram.py
@@ -34,6 +34,7 @@
     PROBE = 4
     ACK = 5
     PROBE_VIA = 6
+    OFFER = 7
 
 
 @frozen
--- a/src/dragonflyshift/_internal/wire/exchange_messages.py
+++ b/src/dragonflyshift/_internal/wire/exchange_messages.py
@@ -19,6 +19,7 @@
 
 from attrs import field, frozen
 
+from dragonflyshift._internal.models import Address
 from dragonflyshift._internal.wire.bounds import (
     MAX_VALUE_BYTES,
     Headers,
@@ -43,12 +44,16 @@
 
 @frozen(slots=False)
 class ClaimRequest(Message, code=1):
-    """Ask the life ``boot`` of a peer for a slot."""
+    """Ask the life ``boot`` of a peer for a slot.
+
+    If none is free, one is offered to ``asker`` later.
+    """
 
     tag: int = field(validator=Unsigned())
     boot: int = field(validator=Unsigned())
     timeout_ms: int = field(validator=Unsigned())
     streaming: bool
+    asker: Address
 
 
 @frozen(slots=False)
--- a/tests/unit/wire/test_messages.py
+++ b/tests/unit/wire/test_messages.py
@@ -22,7 +22,9 @@
     Outcome(OutcomeKind.ANSWERED, 201, _HEADERS, b'saved'),
 )
 _MESSAGES = (
-    wire.ClaimRequest(3, 7, 2000, streaming=False),
+    wire.ClaimRequest(
+        3, 7, 2000, streaming=False, asker=Address('192.0.2.1', 7000)
+    ),
     wire.ClaimGranted(9, 1000, 2, 0),
     wire.ClaimRefused('full', 1500, 0, 4),
     wire.RequestHead(
