--- a/tests/functional/test_key_rotation.py
+++ b/tests/functional/test_key_rotation.py
@@ -1,5 +1,6 @@
 """Fleet keys are rotated without a broken flow."""
 
+import asyncio
 import unittest
 
 from attrs import evolve
@@ -23,9 +24,10 @@
         async with self.load(board_seconds=2.0) as summary:
             await self.wait_work(10)
             cluster.programs = Programs(plan, cluster.network, cluster.issued)
-            for balancer in tuple(cluster.balancers):
-                await cluster.add_balancer()
-                self.assertEqual(await cluster.remove_balancer(balancer), 0)
+            old = tuple(cluster.balancers)
+            await asyncio.gather(cluster.add_balancer(), cluster.add_balancer())
+            removals = map(cluster.remove_balancer, old)
+            self.assertEqual(await asyncio.gather(*removals), [0, 0])
             for instance in cluster.instances:
                 self.assertEqual(await instance.sidecar.stop(), 0)
                 instance.sidecar = cluster.programs.sidecar(
