--- a/src/dragonflyshift/_internal/control/reporting.py
+++ b/src/dragonflyshift/_internal/control/reporting.py
@@ -4,14 +4,6 @@
 from typing import Any
 
 from dragonflyshift._internal.models import MemberRecord
-<<<<<<< HEAD
-=======
-
-
-def describe_versions(store: ConfigurationStore) -> dict[str, int]:
-    """Return the version in force of each document."""
-    return store.versions()
->>>>>>> room-b
 
 
 def describe_members(records: Iterable[MemberRecord]) -> list[dict[str, Any]]:
