Read many documents in bundles at the start of a balancer

A balancer that starts reads some 810 service documents one by one; 850 at once are about 689,000 reads. The index now names a number of bundles, each with the documents of the services hashed to it, one a line; a balancer that is far behind reads these and singly what they do not bring. The spread of reads after a change grows with the reads of each balancer, up to 4 s.

--- a/src/dragonflyshift/_internal/cli/application.py
+++ b/src/dragonflyshift/_internal/cli/application.py
@@ -15,6 +15,10 @@
 import dragonflyshift
 from dragonflyshift._internal.cli.errors import format_error
 from dragonflyshift._internal.cli.exit_status import status_of
+from dragonflyshift._internal.cli.overview import (
+    asks_for_overview,
+    build_overview,
+)
 from dragonflyshift._internal.cli.status_codes import StatusCode
 
 NAME = 'dragonflyshift'
@@ -42,9 +46,12 @@
 
 def run(argv: Sequence[str] | None = None) -> int:
     """Run one command and return the exit status; errors go to stderr."""
-    words = [NAME, *(sys.argv[1:] if argv is None else argv)]
+    words = list(sys.argv[1:] if argv is None else argv)
+    if asks_for_overview(words):
+        print(build_overview(NAME, map(_load_command, COMMANDS)), end='')
+        return StatusCode.OK
     try:
-        return build_application().run(ArgvInput(words))
+        return build_application().run(ArgvInput([NAME, *words]))
     except Exception as exc:
         status = status_of(exc)
         if status is StatusCode.INTERNAL:
--- /dev/null
+++ b/src/dragonflyshift/_internal/cli/overview.py
@@ -0,0 +1,41 @@
+"""What the command line prints when it is asked for help as a whole."""
+
+from collections.abc import Iterable, Sequence
+
+from cleo.commands.command import Command
+
+_HELP_WORDS = frozenset(('--help', '-h', 'help'))
+_TEXT = """\
+Declare services, publish the declaration and look at running daemons.
+
+Usage:
+  {name} COMMAND [options] [arguments]
+  {name} COMMAND --help
+
+Commands:
+{commands}
+
+A change goes through check, plan and render; then the rendered documents are
+published. status and route ask a running daemon. The help of a command tells
+its arguments, its options and its exit status.
+
+Options of every command:
+  -h, --help     Describe the command.
+  -V, --version  Print the version.
+      --json     Print JSON for scripts.
+"""
+
+
+def asks_for_overview(words: Sequence[str]) -> bool:
+    """Tell whether the arguments name no command, but ask for help."""
+    return _HELP_WORDS.issuperset(words) and len(words) <= 1
+
+
+def build_overview(name: str, commands: Iterable[Command]) -> str:
+    """Return the help of the program: usage and each command."""
+    described = {each.name or '': each.description for each in commands}
+    width = max(map(len, described))
+    lines = (
+        f'  {command:{width}}  {text}' for command, text in described.items()
+    )
+    return _TEXT.format(name=name, commands='\n'.join(lines))
--- a/src/dragonflyshift/_internal/commands/render.py
+++ b/src/dragonflyshift/_internal/commands/render.py
@@ -28,7 +28,9 @@
         'for each service below OUTPUT, each in a file named after its key. '
         'With --previous a document that did not change keeps its version, so '
         'that daemons read only what changed; the directory may be OUTPUT '
-        'itself. Publish the services first and the index last.\n\n'
+        'itself. Where there are many services, bundles hold their documents '
+        'once more, for daemons that are far behind. Publish the services '
+        'first, then the bundles and the index last.\n\n'
         'Exit status: 0 when written, 1 when the declaration is invalid or '
         'its revision has to be raised, 5 when a file can not be written.'
     )
@@ -49,6 +51,11 @@
             'Directory of the rendering that is published now.',
             flag=False,
         ),
+        option(
+            'no-bundles',
+            None,
+            'Write no bundles, for daemons from before there were any.',
+        ),
         JSON_OPTION,
     ]
 
@@ -57,7 +64,11 @@
         declaration = load_declaration(Path(self.option('declaration')))
         earlier = self.option('previous')
         previous = read_published(Path(earlier)) if earlier else None
-        documents = render_declaration(declaration, previous)
+        documents = render_declaration(
+            declaration,
+            previous,
+            with_bundles=not self.option('no-bundles'),
+        )
         write_documents(Path(self.argument('output')), documents)
         self._show(documents)
         return StatusCode.OK
--- a/src/dragonflyshift/_internal/config/documents.py
+++ b/src/dragonflyshift/_internal/config/documents.py
@@ -34,6 +34,9 @@
 def encode_document(document: IndexDocument | ServiceDocument) -> bytes:
     """Return a document as JSON; raise ConfigurationError over 1 MiB."""
     plain = unstructure(document)
+    if not plain.get('bundles', 1):
+        # Daemons from before bundles refuse a key that they do not know.
+        del plain['bundles']
     raw = json.dumps(plain, separators=_COMPACT, sort_keys=True).encode()
     _check_size(raw)
     return raw
--- a/src/dragonflyshift/_internal/config/pulls.py
+++ b/src/dragonflyshift/_internal/config/pulls.py
@@ -1,12 +1,22 @@
-"""Pull the services' documents whose version rose in the index."""
+"""Pull the services' documents whose version rose in the index.
+
+A few are read one by one. Many, at the start or after a long outage, are read
+in bundles; what these do not bring is read singly.
+"""
 
 import asyncio
 import logging
 import random
+from collections.abc import Iterable
 
 from attrs import define
 
 from dragonflyshift._internal.config.backoff import Backoff
+from dragonflyshift._internal.config.bundles import (
+    are_bundles_cheaper,
+    bundle_number,
+    split_bundle,
+)
 from dragonflyshift._internal.config.client import (
     PlatformClient,
     PlatformRequestError,
@@ -19,12 +29,20 @@
     ConfigurationError,
     PlatformError,
 )
-from dragonflyshift._internal.models.documents import INDEX_KEY
+from dragonflyshift._internal.models.documents import (
+    INDEX_KEY,
+    bundle_key,
+    service_key,
+)
 
 logger = logging.getLogger(__name__)
 
 CONCURRENT_PULLS = 8
+# 850 balancers that each make two reads within a second stay below the rate
+# that the platform's service takes.
 SPREAD_SECONDS = 1
+READS_IN_SPREAD = 2
+MAX_SPREADS = 4
 
 
 @define
@@ -32,8 +50,15 @@
     """One attempt at all documents that are behind."""
 
     keys: list[str]
+    are_bundles: bool = False
     failure: PlatformError | None = None
 
+    @property
+    def spread(self) -> float:
+        """The seconds over which all daemons begin a round like this."""
+        spreads = len(self.keys) / READS_IN_SPREAD
+        return SPREAD_SECONDS * min(max(1, spreads), MAX_SPREADS)
+
 
 class ServicePuller:
     """Bring the services' documents up to the versions of the index."""
@@ -57,33 +82,71 @@
                 self._index_changed.clear()
                 await self._catch_up()
                 await self._index_changed.wait()
-                # All balancers see a change at once: spread their reads.
-                await asyncio.sleep(self._rng.uniform(0, SPREAD_SECONDS))
 
     def _on_change(self, change: ConfigurationChange) -> None:
         if change.key == INDEX_KEY:
             self._index_changed.set()
 
     async def _catch_up(self) -> None:
+        attempt = self._plan_bundles() or self._plan_services()
+        # All balancers see a change at once: spread their reads.
+        await asyncio.sleep(self._rng.uniform(0, attempt.spread))
         backoff = Backoff(self._rng)
-        while True:
-            keys = self._store.stale_keys()
-            if not keys:
+        while self._store.stale_keys():
+            await self._run(attempt)
+            if not self._store.stale_keys():
                 return
-            self._rng.shuffle(keys)
-            attempt = _Round(keys)
-            workers = (self._work(attempt) for _ in range(CONCURRENT_PULLS))
-            await asyncio.gather(*workers)
-            if self._store.stale_keys():
+            if attempt.failure is not None or not attempt.are_bundles:
                 await asyncio.sleep(backoff.next_delay(attempt.failure))
+            attempt = self._plan_next(attempt)
+
+    def _plan_next(self, ended: _Round) -> _Round:
+        # Bundles that were read well and left something are behind: what is
+        # missing is read singly, lest this daemon waits for their writer.
+        if ended.are_bundles and ended.failure is not None:
+            return self._plan_bundles() or self._plan_services()
+        return self._plan_services()
+
+    def _plan_bundles(self) -> _Round | None:
+        """Return a round of bundles, or None when single reads are fewer."""
+        index = self._store.index
+        if index is None or not index.bundles:
+            return None
+        stale = [
+            entry.tag
+            for entry in index.services
+            if self._store.is_stale(service_key(entry.name))
+        ]
+        numbers = {bundle_number(tag, index.bundles) for tag in stale}
+        if not are_bundles_cheaper(len(stale), len(numbers)):
+            return None
+        return self._shuffled(map(bundle_key, sorted(numbers)), bundles=True)
+
+    def _plan_services(self) -> _Round:
+        return self._shuffled(self._store.stale_keys())
+
+    def _shuffled(
+        self,
+        keys: Iterable[str],
+        *,
+        bundles: bool = False,
+    ) -> _Round:
+        ordered = list(keys)
+        self._rng.shuffle(ordered)
+        return _Round(ordered, are_bundles=bundles)
+
+    async def _run(self, attempt: _Round) -> None:
+        workers = (self._work(attempt) for _ in range(CONCURRENT_PULLS))
+        await asyncio.gather(*workers)
 
     async def _work(self, attempt: _Round) -> None:
         while attempt.keys and attempt.failure is None:
             key = attempt.keys.pop()
-            if not self._store.is_stale(key):
-                continue
             try:
-                await self._pull(key)
+                if attempt.are_bundles:
+                    await self._pull_bundle(key)
+                elif self._store.is_stale(key):
+                    await self._pull(key)
             except PlatformRequestError as exc:
                 _log_failure(key, exc)
                 if not exc.is_missing:
@@ -95,6 +158,16 @@
         fetched = await self._client.fetch(key)
         self._store.offer(key, fetched.raw)
 
+    async def _pull_bundle(self, key: str) -> None:
+        fetched = await self._client.fetch(key)
+        for raw in split_bundle(fetched.raw):
+            try:
+                self._store.offer_service(raw)
+            except ConfigurationError as exc:
+                _log_failure(key, exc)
+            # Hundreds of documents at one go would hold up the packets.
+            await asyncio.sleep(0)
+
 
 def _log_failure(key: str, exc: PlatformError | ConfigurationError) -> None:
     logger.warning(
--- a/src/dragonflyshift/_internal/config/rendering.py
+++ b/src/dragonflyshift/_internal/config/rendering.py
@@ -2,13 +2,20 @@
 
 Each document stands in a file named after its key. A document whose content
 is the same as in the previous rendering keeps its version, so that daemons
-read only what changed; every other one gets the revision as its version.
+read only what changed; every other one gets the revision as its version. A
+bundle shows the highest version in it.
 """
 
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import attrs
 
+from dragonflyshift._internal.config.bundles import (
+    choose_bundles,
+    encode_bundles,
+    fill_bundles,
+)
 from dragonflyshift._internal.config.documents import (
     decode_index,
     decode_service,
@@ -21,6 +28,7 @@
     IndexDocument,
     IndexEntry,
     ServiceDocument,
+    bundle_key,
     service_key,
 )
 from dragonflyshift._internal.models.rendering import (
@@ -32,8 +40,10 @@
 def render_declaration(
     declaration: Declaration,
     previous: Published | None = None,
+    *,
+    with_bundles: bool = True,
 ) -> tuple[RenderedDocument, ...]:
-    """Return all documents, the index last.
+    """Return the services' documents, then the bundles, the index last.
 
     Raises ConfigurationError if ``previous`` shows that the revision has to
     be raised.
@@ -46,6 +56,7 @@
     index = IndexDocument(
         version=declaration.revision,
         services=tuple(_build_entry(document) for document in services),
+        bundles=choose_bundles(services) if with_bundles else 0,
     )
     _check_revision(index, known.index)
     rendered = [
@@ -57,6 +68,7 @@
         )
         for document in services
     ]
+    rendered.extend(_render_bundles(services, index.bundles, known))
     rendered.append(
         RenderedDocument(
             key=INDEX_KEY,
@@ -91,6 +103,25 @@
         unfinished.replace(path)
 
 
+def _render_bundles(
+    services: Sequence[ServiceDocument],
+    bundles: int,
+    known: Published,
+) -> Iterator[RenderedDocument]:
+    earlier: Sequence[bytes] = ()
+    if known.index is not None and known.index.bundles == bundles:
+        earlier = encode_bundles(known.services.values(), bundles)
+    filled = fill_bundles(services, bundles)
+    for number, raw in enumerate(encode_bundles(services, bundles)):
+        versions = (document.version for document in filled[number])
+        yield RenderedDocument(
+            key=bundle_key(number),
+            version=max(versions, default=0),
+            raw=raw,
+            is_changed=not earlier or raw != earlier[number],
+        )
+
+
 def _keep_version(
     document: ServiceDocument,
     known: ServiceDocument | None,
--- a/src/dragonflyshift/_internal/config/validation.py
+++ b/src/dragonflyshift/_internal/config/validation.py
@@ -20,6 +20,7 @@
 from dragonflyshift._internal.models.rules import ServiceRules
 
 MAX_VERSION = 2**53
+MAX_BUNDLES = 256
 MAX_SLOTS = 10_000
 MAX_WEIGHT = 1000
 MAX_CONNECTIONS = 1_000_000
@@ -43,6 +44,7 @@
 def check_index(index: IndexDocument) -> Iterator[Fault]:
     """Yield the faults of an index."""
     yield from _check_range('version', index.version, 1, MAX_VERSION)
+    yield from _check_range('bundles', index.bundles, 0, MAX_BUNDLES)
     if not index.services:
         yield _fault('services', 'the index names no service')
     for position, entry in enumerate(index.services):
--- a/src/dragonflyshift/_internal/models/documents.py
+++ b/src/dragonflyshift/_internal/models/documents.py
@@ -27,6 +27,11 @@
     return f'dragonflyshift/service/{name}'
 
 
+def bundle_key(number: int) -> str:
+    """Return the platform key under which a bundle stands."""
+    return f'dragonflyshift/bundle/{number}'
+
+
 @frozen
 class IndexEntry:
     """What the index says of one service.
@@ -43,10 +48,15 @@
 
 @frozen
 class IndexDocument:
-    """All services, each with the version of its document."""
+    """All services, each with the version of its document.
+
+    ``bundles`` is the number of bundles that hold the services' documents
+    once more, for daemons that are far behind; 0 if there are none.
+    """
 
     version: int
     services: tuple[IndexEntry, ...]
+    bundles: int = 0
 
 
 @frozen
--- a/src/dragonflyshift/_internal/telemetry/logs.py
+++ b/src/dragonflyshift/_internal/telemetry/logs.py
@@ -9,6 +9,8 @@
 _FIELDS = ('asctime', 'levelname', 'name', 'message')
 _RENAMED = {'asctime': 'time', 'levelname': 'level', 'name': 'logger'}
 _TIME_FORMAT = '%Y-%m-%dT%H:%M:%S'
+# They log a line for each request that they make.
+_TALKATIVE = ('httpx', 'httpcore')
 
 
 class _UtcFormatter(JsonFormatter):
@@ -38,3 +40,5 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(formatter)
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    for name in _TALKATIVE:
+        logging.getLogger(name).setLevel(logging.WARNING)
--- a/tests/lib/builders.py
+++ b/tests/lib/builders.py
@@ -69,11 +69,13 @@
 def build_index(
     *documents: ServiceDocument,
     version: int = 1,
+    bundles: int = 0,
 ) -> IndexDocument:
     """Return the index of some services' documents."""
     return IndexDocument(
         version=version,
         services=tuple(build_entry(document) for document in documents),
+        bundles=bundles,
     )
 
 
--- a/tests/unit/commands/test_declarations.py
+++ b/tests/unit/commands/test_declarations.py
@@ -3,6 +3,7 @@
 import unittest
 from pathlib import Path
 
+from dragonflyshift._internal.cli.application import COMMANDS
 from dragonflyshift._internal.config.store import ConfigurationStore
 from dragonflyshift._internal.models.documents import INDEX_KEY, service_key
 from tests.lib.builders import build_inventory_text, write_declaration
@@ -124,3 +125,13 @@
         self.assertEqual(ran.status, 0)
         for name in ('check', 'plan', 'render'):
             self.assertIn(name, ran.output)
+
+    def test_help_of_the_program_describes_its_commands(self) -> None:
+        for words in ((), ('--help',), ('-h',), ('help',)):
+            with self.subTest(words):
+                ran = run_command(*words)
+                self.assertEqual((ran.status, ran.errors), (0, ''))
+                for name in COMMANDS:
+                    self.assertRegex(ran.output, rf'(?m)^  {name} +[A-Z]')
+        ran = run_command('check', '--help')
+        self.assertIn('Exit status', ran.output)
--- a/tests/unit/config/test_watcher.py
+++ b/tests/unit/config/test_watcher.py
@@ -9,6 +9,7 @@
 import httpx
 
 from dragonflyshift._internal.config import backoff, pulls
+from dragonflyshift._internal.config.bundles import encode_bundles
 from dragonflyshift._internal.config.client import (
     PlatformClient,
     PlatformRequestError,
@@ -19,7 +20,11 @@
     ConfigurationWatcher,
     WatchScope,
 )
-from dragonflyshift._internal.models.documents import INDEX_KEY, service_key
+from dragonflyshift._internal.models.documents import (
+    INDEX_KEY,
+    bundle_key,
+    service_key,
+)
 from tests.lib.builders import (
     SERVICE,
     build_address,
@@ -33,6 +38,8 @@
 EXPORTS_KEY = service_key('exports')
 URL = 'http://platform.test'
 DEADLINE_SECONDS = 5
+FRESH_SERVICES = 9
+BUNDLES = 2
 
 
 async def until(condition: Callable[[], bool]) -> None:
@@ -95,6 +102,84 @@
         self.assertEqual(self.platform.reads.count(EXPORTS_KEY), 1)
         self.assertEqual(self.platform.reads.count(KEY), 2)
 
+    def publish_many(self, version: int) -> list[str]:
+        documents = [
+            build_service(
+                f'service-{number}',
+                version,
+                addresses=(build_address(300 + number),),
+            )
+            for number in range(FRESH_SERVICES)
+        ]
+        for document in documents:
+            raw = encode_document(document)
+            self.platform.publish(service_key(document.name), raw)
+        for number, raw in enumerate(encode_bundles(documents, BUNDLES)):
+            self.platform.publish(bundle_key(number), raw)
+        index = build_index(*documents, version=version, bundles=BUNDLES)
+        self.platform.publish(INDEX_KEY, encode_document(index))
+        return [service_key(document.name) for document in documents]
+
+    def is_level(self, keys: list[str], version: int) -> bool:
+        return all(self.store.version(key) == version for key in keys)
+
+    def singles(self) -> list[str]:
+        prefix = service_key('')
+        return [key for key in self.platform.reads if key.startswith(prefix)]
+
+    async def test_fresh_balancer_reads_bundles(self) -> None:
+        keys = self.publish_many(1)
+        async with self.watching():
+            await until(lambda: self.is_level(keys, 1))
+        bundles = [bundle_key(number) for number in range(BUNDLES)]
+        self.assertEqual(self.singles(), [])
+        for key in bundles:
+            self.assertEqual(self.platform.reads.count(key), 1)
+
+    async def test_few_behind_are_read_singly(self) -> None:
+        keys = self.publish_many(1)
+        few = {key: self.platform.table[key] for key in keys[2:]}
+        for key, raw in few.items():
+            self.store.offer(key, raw)
+        async with self.watching():
+            await until(lambda: self.is_level(keys, 1))
+        self.assertEqual(sorted(self.singles()), keys[:2])
+        self.assertNotIn(bundle_key(0), self.platform.reads)
+
+    async def test_older_or_missing_bundles_leave_single_reads(self) -> None:
+        self.publish_many(1)
+        older = self.platform.table[bundle_key(0)]
+        keys = self.publish_many(2)
+        self.platform.publish(bundle_key(0), older)
+        del self.platform.table[bundle_key(1)]
+        async with self.watching():
+            with self.assertLogs(level='WARNING'):
+                await until(lambda: self.is_level(keys, 2))
+        self.assertTrue(self.singles())
+        self.assertEqual(self.platform.reads.count(bundle_key(0)), 1)
+
+    async def test_invalid_document_in_a_bundle_is_refused_alone(self) -> None:
+        keys = self.publish_many(1)
+        raw = self.platform.table[bundle_key(0)]
+        lines = raw.split(b'\n')
+        spoilt = [b'{"version": 7}', *lines[1:], b'', b'\xff']
+        self.platform.publish(bundle_key(0), b'\n'.join(spoilt))
+        async with self.watching():
+            with self.assertLogs(level='ERROR'):
+                await until(lambda: self.is_level(keys, 1))
+        self.assertEqual(len(self.singles()), 1)
+
+    async def test_bundles_are_asked_again_after_a_failure(self) -> None:
+        keys = self.publish_many(1)
+        self.store.offer(INDEX_KEY, self.platform.table[INDEX_KEY])
+        self.platform.failure = lambda: httpx.Response(429)
+        async with self.watching():
+            with self.assertLogs(level='WARNING'):
+                await until(lambda: bundle_key(0) in self.platform.reads)
+            self.platform.failure = None
+            await until(lambda: self.is_level(keys, 1))
+        self.assertEqual(self.singles(), [])
+
     async def test_document_that_is_published_later(self) -> None:
         async with self.watching(SERVICE):
             with self.assertLogs(level='WARNING'):
--- a/tests/unit/telemetry/test_logs.py
+++ b/tests/unit/telemetry/test_logs.py
@@ -13,6 +13,9 @@
         kept = (root.level, list(root.handlers))
         self.addCleanup(root.setLevel, kept[0])
         self.addCleanup(setattr, root, 'handlers', kept[1])
+        for name in ('httpx', 'httpcore'):
+            logger = logging.getLogger(name)
+            self.addCleanup(logger.setLevel, logger.level)
 
     def test_one_json_object_a_line(self):
         stderr = io.StringIO()
@@ -21,6 +24,8 @@
             logger = logging.getLogger('example')
             logger.info('flow-opened', extra={'port': 443})
             logger.debug('hidden')
+            logging.getLogger('httpx').info('a line for each request')
+            logging.getLogger('httpcore.connection').info('another')
         line = json.loads(stderr.getvalue())
         self.assertRegex(line.pop('time'), r'^\d{4}-\d\d-\d\dT[\d:]{8}\.\d+Z$')
         self.assertEqual(
