--- a/src/dragonflyshift/_internal/control/reporting.py
+++ b/src/dragonflyshift/_internal/control/reporting.py
@@ -3,15 +3,9 @@
 from collections.abc import Iterable
 from typing import Any
 
-from dragonflyshift._internal.config import ConfigurationStore
 from dragonflyshift._internal.models import MemberRecord
 
 
-def describe_versions(store: ConfigurationStore) -> dict[str, int]:
-    """Return the version in force of each document."""
-    return store.versions()
-
-
 def describe_members(records: Iterable[MemberRecord]) -> list[dict[str, Any]]:
     """Return one JSON object for each member."""
     return [
