Keep daemons spread while the platform fails

Cause: the functional test of configuration found a change in force on an idle balancer only after more than 5 s, because the backoff's ceiling of 8 s outlasts the bound once two reads in a row gave nothing usable.

--- a/tests/unit/config/test_watcher.py
+++ b/tests/unit/config/test_watcher.py
@@ -3,6 +3,7 @@
 import random
 import statistics
 import unittest
+from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from unittest.mock import patch
 
@@ -200,6 +201,23 @@
         ]
         self.assertLess(max(each_second), 2000)
 
+    def test_herd_stays_spread_through_an_outage(self) -> None:
+        rng = random.Random(3)
+        reads: Counter[int] = Counter()
+        for _ in range(6150):
+            each = backoff.Backoff(rng)
+            at = each.next_delay()
+            while at < 60:
+                reads[int(at)] += 1
+                at += each.next_delay()
+        self.assertLess(max(reads.values()), 2000)
+
+    def test_change_is_seen_in_time_after_an_outage(self) -> None:
+        each = backoff.Backoff(random.Random(3))
+        delays = [each.next_delay() for _ in range(50)]
+        longest = max(delays) + pulls.SPREAD_SECONDS
+        self.assertLess(longest, 5)
+
     def test_missing_key_is_read_again_soon(self) -> None:
         exc = PlatformRequestError('none', context='', status=404)
         each = backoff.Backoff(random.Random(3))
