Stop using a backend server that fails several times in a row

Cause: a backend server that fails at once always has free slots. Its sidecar kept running its own flows' requests there, took its peers' requests over, and offered its slots to them.

The driver counts every failed attempt as shed.

--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -165,8 +165,6 @@
         is_failing = fault == 'failing'
         if is_refused or is_failing:
             hold = min(hold, FAST_FAILURE_SECONDS)
-        if is_refused:
-            sidecar.admission.shed(self._clock.now)
         if req.is_counted:
             self._tally.note_run(sidecar.index, hold)
         end = self._fail if is_refused or is_failing else self._answer
@@ -197,6 +195,7 @@
         )
 
     def _fail(self, req: Request, sidecar: Sidecar) -> None:
+        sidecar.admission.shed(self._clock.now)
         if req.attempt >= self._options.max_attempts:
             self._tally.failed += req.is_counted
             return
--- a/src/dragonflyshift/_internal/limits/window.py
+++ b/src/dragonflyshift/_internal/limits/window.py
@@ -1,5 +1,7 @@
 """How many of an endpoint's slots may be used at a moment."""
 
+from dragonflyshift._internal.limits.breaker import Breaker
+
 DECREASE_FACTOR = 0.7
 RECOVERY_SLOTS_PER_SECOND = 0.2
 DECREASE_INTERVAL_SECONDS = 0.1
@@ -11,6 +13,7 @@
     The limit falls by a factor when the backend server sheds load, rises by
     one slot for each round of answers, and also rises with time: an endpoint
     whose slots are held by long streams answers too seldom to recover.
+    Several failures in a row without an answer close all slots for a while.
     """
 
     def __init__(self, slots: int, slow_start: float, now: float) -> None:
@@ -21,15 +24,20 @@
         self._limit = float(self._slots)
         self._changed_at = now
         self._shed_at: float | None = None
+        self._breaker = Breaker()
 
     def capacity(self, now: float) -> int:
-        """Return the slots that may be used, at least one."""
+        """Return the slots that may be used."""
+        if self._breaker.is_open(now):
+            return 0
         self._recover(now)
         return max(1, min(int(self._limit), self._ramp(now)))
 
     def shed(self, now: float) -> None:
         """Lower the limit, once for all refusals of the same moment."""
         self._recover(now)
+        if self._breaker.failed(now):
+            self._limit = 1
         last = self._shed_at
         if last is not None and now - last < DECREASE_INTERVAL_SECONDS:
             return
@@ -38,6 +46,7 @@
 
     def served(self, now: float) -> None:
         """Raise the limit by one slot for each round of answers."""
+        self._breaker.succeeded(now)
         self._recover(now)
         self._raise(1 / self._limit)
 
