End probing when it is cancelled as the own record changes

Mutations of the prober showed three behaviours that no test held: telling the own change at once, evening out both views in one exchange, and dropping a verdict over a pause. Each has a test now.

--- a/src/dragonflyshift/_internal/membership/probing.py
+++ b/src/dragonflyshift/_internal/membership/probing.py
@@ -93,7 +93,7 @@
         self._send = send
         self._rng = rng
         self._clock = clock
-        self._times = times
+        self.times = times
         self._sequence = PUSH_SEQUENCE
         self._round: list[Address] = []
         self._own_changed = asyncio.Event()
@@ -122,7 +122,7 @@
 
     async def run(self) -> None:
         """Probe for as long as the task lives."""
-        pauses = PauseDetector(self._times.pause)
+        pauses = PauseDetector(self.times.pause)
         with self.table.changes.subscribe(self._notice):
             async with asyncio.TaskGroup() as tasks:
                 while True:
@@ -149,20 +149,17 @@
             tasks.create_task(self._probe(peer))
 
     async def _wait(self) -> None:
-        gap = self._times.announcement_gap
+        gap = self.times.announcement_gap
         await asyncio.sleep(gap)
-        turn = self._times.turn * self._rng.uniform(0.9, 1.1)
-        try:
-            await asyncio.wait_for(self._own_changed.wait(), turn - gap)
-        except TimeoutError:
-            return
+        turn = self.times.turn * self._rng.uniform(0.9, 1.1)
+        await _within(self._own_changed, turn - gap)
 
     def _next_peers(self) -> list[Address]:
         """Return one peer, or several after the own record has changed."""
         present = self._others(self._exchange.own.record.address)
         if self._own_changed.is_set():
             self._own_changed.clear()
-            count = min(len(present), self._times.announcements)
+            count = min(len(present), self.times.announcements)
             return self._rng.sample(present, count)
         named = set(present)
         self._round = [peer for peer in self._round if peer in named]
@@ -182,23 +179,23 @@
             cleanup.callback(self._pending.pop, sequence)
             answered = await self._ask(pending, sequence)
         now = self._clock()
-        allowed = self._times.direct + self._times.indirect + self._times.pause
+        allowed = self.times.direct + self.times.indirect + self.times.pause
         if not answered and now - started_at <= allowed:
             self._suspect(peer, now)
 
     async def _ask(self, pending: _Pending, sequence: int) -> bool:
         self.send_probe(pending.peer, sequence)
-        if await _answered(pending, self._times.direct):
+        if await _within(pending.answered, self.times.direct):
             return True
         own = self._exchange.own.record.address
         others = self._others(own, pending.peer)
-        count = min(len(others), self._times.helpers)
+        count = min(len(others), self.times.helpers)
         request = messages.encode_probe_via(
             messages.ProbeVia(self._exchange.greeting(sequence), pending.peer),
         )
         for helper in self._rng.sample(others, count):
             self._send(helper, Kind.PROBE_VIA, request)
-        return await _answered(pending, self._times.indirect)
+        return await _within(pending.answered, self.times.indirect)
 
     def _suspect(self, peer: Address, now: float) -> None:
         self.table.suspect(peer, now)
@@ -278,9 +275,16 @@
         return self._sequence
 
 
-async def _answered(pending: _Pending, timeout: float) -> bool:
+async def _within(event: asyncio.Event, seconds: float) -> bool:
+    """Tell whether an event is set within some seconds.
+
+    ``asyncio.wait_for`` would not do: before Python 3.12 it swallows a
+    cancellation that arrives together with the event, and the loop of
+    ``run`` would go on for ever.
+    """
     try:
-        await asyncio.wait_for(pending.answered.wait(), timeout)
+        async with asyncio.timeout(seconds):
+            await event.wait()
     except TimeoutError:
         return False
     return True
--- a/tests/unit/membership/test_probing.py
+++ b/tests/unit/membership/test_probing.py
@@ -4,13 +4,15 @@
 import logging
 import unittest
 
+from attrs import evolve
+
 from dragonflyshift._internal.exceptions import MembershipError
 from dragonflyshift._internal.membership.greeting import NO_VIEW, Greeting
 from dragonflyshift._internal.membership.messages import Probe, encode_probe
 from dragonflyshift._internal.models import MemberState
 from dragonflyshift._internal.wire.datagram import Kind
 from tests.lib.members import address_of, build_member
-from tests.lib.mesh import Mesh
+from tests.lib.mesh import FAST, Mesh
 
 WAIT_S = 8
 
@@ -91,15 +93,45 @@
             self.assertGreater(victim.table.own.record.incarnation.epoch, 0)
 
     async def test_leaving_is_told_at_once(self):
-        async with self._mesh(7) as mesh:
-            await self._complete(mesh)
-            leaver = mesh.nodes[0]
-            leaver.table.set_own_state(MemberState.LEAVING)
-            sent = leaver.sent_messages
-            await self._until(
-                lambda: self._believed(mesh, leaver) == {MemberState.LEAVING},
-            )
-            self.assertLess(leaver.sent_messages - sent, 30)
+        mesh = Mesh(7, times=evolve(FAST, turn=60))
+        leaver = mesh.nodes[0]
+        leaver.start()
+        await self._until(lambda: leaver.sent_messages)
+        leaver.table.set_own_state(MemberState.LEAVING)
+        await self._until(
+            lambda: self._believed(mesh, leaver) == {MemberState.LEAVING},
+        )
+        await leaver.stop()
+
+    async def test_one_exchange_evens_out_both_views(self):
+        mesh = Mesh(2)
+        one, two = mesh.nodes
+        one.table.merge([build_member(8)], 0)
+        two.table.merge([build_member(9)], 0)
+        one.prober.send_probe(two.address, 1)
+        await self._until(mesh.agreed)
+        self.assertEqual(len(two.table.records()), 4)
+        self.assertEqual((one.sent_messages, two.sent_messages), (2, 1))
+
+    async def test_load_travels_on_acknowledgements(self):
+        mesh = Mesh(2)
+        one, two = mesh.nodes
+        two.table.set_load(3, 5)
+        one.prober.send_probe(two.address, 1)
+        await self._until(lambda: one.table.record(two.address))
+        heard = one.table.record(two.address)
+        self.assertEqual((heard.free_slots, heard.queued), (3, 5))
+
+    async def test_verdict_is_dropped_if_a_pause_fell_into_it(self):
+        for waited, state in (
+            (1, MemberState.SUSPECT),
+            (60, MemberState.ALIVE),
+        ):
+            node = Mesh(1).nodes[0]
+            node.table.merge([build_member(2)], 0)
+            node.prober._clock = iter((0, waited)).__next__
+            await node.prober._probe(address_of(2))
+            self.assertIs(node.table.state_of(address_of(2)), state)
 
     async def test_broken_link_is_bridged_by_others(self):
         async with self._mesh(5) as mesh:
@@ -162,6 +194,21 @@
             )
             self.assertFalse(self._refuted(mesh))
 
+    async def test_cancelled_while_the_own_record_changes(self):
+        node = Mesh(1).nodes[0]
+        ended = []
+        while len(ended) < 5:
+            running = asyncio.create_task(node.prober.run())
+            await asyncio.sleep(node.prober.times.announcement_gap * 1.2)
+            old = node.table.own.record.state
+            changed = {MemberState.ALIVE, MemberState.LEAVING} - {old}
+            node.table.set_own_state(changed.pop())
+            await asyncio.sleep(0)
+            running.cancel()
+            done, _pending = await asyncio.wait((running,), timeout=1)
+            ended.append(bool(done))
+        self.assertTrue(all(ended))
+
     async def test_higher_version_is_reported(self):
         async with self._mesh(3) as mesh:
             await self._complete(mesh)
