Read the configuration from a seed over one stream

A fresh daemon opened one stream for each document that it read from a seed, asked the seeds in the order in which they are given, and stopped once it had the index. It now reads everything over one stream, asks the seeds in random order and goes on until nothing is behind. A peer that fails is left at once; a document that it lacks or that is invalid does not end the rest.

--- a/src/dragonflyshift/_internal/config/__init__.py
+++ b/src/dragonflyshift/_internal/config/__init__.py
@@ -13,6 +13,7 @@
 from dragonflyshift._internal.config.faults import InvalidConfigurationError
 from dragonflyshift._internal.config.instances import decode_instances
 from dragonflyshift._internal.config.relay import (
+    MissingDocumentError,
     pull_all_from_peer,
     pull_from_peer,
 )
@@ -32,6 +33,7 @@
     'ConfigurationWatcher',
     'Fetched',
     'InvalidConfigurationError',
+    'MissingDocumentError',
     'PlatformClient',
     'PlatformRequestError',
     'WatchScope',
--- a/src/dragonflyshift/_internal/control/configuration.py
+++ b/src/dragonflyshift/_internal/control/configuration.py
@@ -9,6 +9,7 @@
 import logging
 import random
 from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 
 from reactivex import operators
 
@@ -17,40 +18,23 @@
     ConfigurationWatcher,
     PlatformClient,
     WatchScope,
+    pull_all_from_peer,
     pull_from_peer,
 )
-from dragonflyshift._internal.exceptions import DragonflyshiftError, PeerError
+from dragonflyshift._internal.control.documents import (
+    PeerDocuments,
+    open_documents,
+)
+from dragonflyshift._internal.exceptions import DragonflyshiftError
 from dragonflyshift._internal.kernel.settings import Settings
 from dragonflyshift._internal.kernel.tasks import TaskGroup
 from dragonflyshift._internal.models import Address
-from dragonflyshift._internal.models.documents import service_key
-from dragonflyshift._internal.wire.keys import FleetKeys
-from dragonflyshift._internal.wire.messages import (
-    DocumentReply,
-    DocumentRequest,
-)
-from dragonflyshift._internal.wire.stream import connect_stream
 
 logger = logging.getLogger(__name__)
 
-PEER_TIMEOUT_SECONDS = 2.0
 SEED_PERIOD_SECONDS = 0.5
 
 
-async def fetch_document(peer: Address, keys: FleetKeys, key: str) -> bytes:
-    """Ask a peer for a document; raise PeerError if it has none."""
-    async with asyncio.timeout(PEER_TIMEOUT_SECONDS):
-        stream = await connect_stream(peer, keys, PEER_TIMEOUT_SECONDS)
-        try:
-            await stream.send(DocumentRequest(key, 0))
-            reply = await stream.receive()
-        finally:
-            await stream.close()
-    if not isinstance(reply, DocumentReply) or not reply.raw:
-        raise PeerError(f'no document {key}', context=str(peer))
-    return reply.raw
-
-
 class ConfigurationFeed:
     """Keep a store up to date from the platform and from peers."""
 
@@ -66,6 +50,7 @@
         self._settings = settings
         self._scope = scope
         self._tasks = tasks
+        self._rng = rng
         self._client = PlatformClient(settings.platform)
         self._watcher = ConfigurationWatcher(
             self.store,
@@ -97,6 +82,8 @@
 
     def version_heard(self, key: str, version: int, peer: Address) -> None:
         """Pull a document from a peer that holds a higher version."""
+        if version <= self.store.version(key):
+            return
         self._tasks.start(
             self._pull(key, version, peer),
             'configuration-pull',
@@ -104,32 +91,47 @@
 
     async def _pull(self, key: str, version: int, peer: Address) -> None:
         async def fetch(wanted: str) -> bytes:  # noqa: WPS430 -- binds peer
-            return await fetch_document(
-                peer,
-                self._settings.fleet_keys,
-                wanted,
-            )
+            async with self._open(peer) as documents:
+                return await documents.fetch(wanted)
 
-        try:
-            await pull_from_peer(self.store, key, version, fetch)
-        except (DragonflyshiftError, TimeoutError, OSError) as exc:
-            logger.info(
-                'configuration-pull-failed',
-                extra={'key': key, 'peer': str(peer), 'reason': str(exc)},
-            )
+        await pull_from_peer(self.store, key, version, fetch)
 
     async def _read_seeds(self, key: str) -> None:
-        """Ask seeds in turn until the first documents are there."""
+        """Ask seeds in turn until the first documents are there.
+
+        A platform that answers is left to answer: nothing is asked of seeds
+        once it gave the first document.
+        """
         await asyncio.sleep(SEED_PERIOD_SECONDS)
-        while self.store.raw(key) is None:
-            for seed in self._settings.seeds:
-                await self._pull(key, 1, seed)
-                await self._pull_services(seed)
+        if self.store.raw(key) is not None:
+            return
+        seeds = list(self._settings.seeds)
+        while self._is_behind(key):
+            # A whole data center may start at once.
+            self._rng.shuffle(seeds)
+            for seed in seeds:
+                await self._read_seed(key, seed)
             await asyncio.sleep(SEED_PERIOD_SECONDS)
 
-    async def _pull_services(self, seed: Address) -> None:
-        index = self.store.index
-        if index is None:
+    async def _read_seed(self, key: str, seed: Address) -> None:
+        if not self._is_behind(key):
+            return
+        if self._scope.service:
+            await self._pull(key, 1, seed)
             return
-        for entry in index.services:
-            await self._pull(service_key(entry.name), entry.version, seed)
+        try:
+            async with self._open(seed) as documents:
+                await pull_all_from_peer(self.store, documents.fetch)
+        except (DragonflyshiftError, OSError) as exc:
+            logger.warning(
+                'configuration-seed-failed',
+                extra={'seed': str(seed), 'reason': str(exc)},
+            )
+
+    def _is_behind(self, key: str) -> bool:
+        return self.store.raw(key) is None or bool(self.store.stale_keys())
+
+    def _open(
+        self, peer: Address
+    ) -> AbstractAsyncContextManager[PeerDocuments]:
+        return open_documents(peer, self._settings.fleet_keys)
--- a/tests/unit/config/test_relay.py
+++ b/tests/unit/config/test_relay.py
@@ -2,6 +2,8 @@
 import unittest
 from unittest.mock import patch
 
+from attrs import evolve
+
 from dragonflyshift._internal.config import relay
 from dragonflyshift._internal.config.documents import encode_document
 from dragonflyshift._internal.config.instances import decode_instances
@@ -10,6 +12,7 @@
 from dragonflyshift._internal.models.documents import INDEX_KEY, service_key
 from tests.lib.builders import (
     SERVICE,
+    build_address,
     build_index,
     build_service,
     build_service_raw,
@@ -72,6 +75,51 @@
         self.assertTrue(await relay.pull_all_from_peer(self.store, self.fetch))
         self.assertEqual(self.store.version(KEY), 3)
 
+    async def test_what_a_peer_lacks_does_not_end_the_rest(self) -> None:
+        names = [f'service-{number}' for number in range(4)]
+        documents = [build_service(name) for name in names]
+        lacking, invalid, *good = documents
+        index = build_index(*documents)
+        index = evolve(
+            index,
+            services=tuple(
+                evolve(entry, addresses=(build_address(300 + number),))
+                for number, entry in enumerate(index.services)
+            ),
+        )
+        self.table[INDEX_KEY] = encode_document(index)
+        self.table[service_key(invalid.name)] = b'{}'
+        for document in good:
+            key = service_key(document.name)
+            self.table[key] = encode_document(document)
+
+        async def fetch(key: str) -> bytes:
+            if key not in self.table:
+                raise relay.MissingDocumentError('no such key')
+            return await self.fetch(key)
+
+        with self.assertLogs(level='WARNING'):
+            self.assertFalse(await relay.pull_all_from_peer(self.store, fetch))
+        self.assertEqual(
+            self.store.stale_keys(),
+            [service_key(lacking.name), service_key(invalid.name)],
+        )
+
+    async def test_peer_that_fails_is_not_asked_for_the_rest(self) -> None:
+        names = [f'service-{number}' for number in range(4)]
+        index = build_index(
+            *(
+                build_service(name, addresses=(build_address(300 + number),))
+                for number, name in enumerate(names)
+            ),
+        )
+        self.table[INDEX_KEY] = encode_document(index)
+        with self.assertLogs(level='WARNING'):
+            self.assertFalse(
+                await relay.pull_all_from_peer(self.store, self.fetch)
+            )
+        self.assertEqual(self.asked, [INDEX_KEY, service_key(names[0])])
+
 
 class InstancesTest(unittest.TestCase):
     def test_leaving(self) -> None:
