Grant flow control by what was read

Cause: the library doubles a stream's and a connection's window once half of it was used, whatever was read; one client could fill a sidecar's memory with a body that its backend server takes slowly. Ruled out: holding the windows while a body waits (they had been doubled by then).

--- a/src/dragonflyshift/_internal/sidecar/flow.py
+++ b/src/dragonflyshift/_internal/sidecar/flow.py
@@ -148,7 +148,7 @@
             self._next_stream_id,
             stream_id + STREAM_ID_STEP,
         )
-        body = RequestBody(functools.partial(self._hold, stream_id))
+        body = RequestBody(functools.partial(self._note_unread, stream_id))
         body.feed(b'', event.stream_ended)
         self._bodies[stream_id] = body
         task = self._loop.create_task(
@@ -163,9 +163,11 @@
             return
         body.feed(event.data, event.stream_ended)
 
-    def _hold(self, stream_id: int, held: bool) -> None:
-        self.quic.hold(stream_id, held)
-        if not held:
+    def _note_unread(self, stream_id: int, change: int) -> None:
+        if stream_id not in self._bodies:
+            return
+        self.quic.note_unread(stream_id, change)
+        if change < 0:
             self.transmit_soon()
 
     async def _handle(
@@ -188,9 +190,11 @@
             self._forget(stream_id)
 
     def _forget(self, stream_id: int) -> None:
-        self._bodies.pop(stream_id, None)
+        body = self._bodies.pop(stream_id, None)
+        if body is not None and not body.ended and not self.ended:
+            self.quic.refuse_rest(stream_id)
         self._tasks.pop(stream_id, None)
-        self.quic.hold(stream_id, held=False)
+        self.quic.forget_unread(stream_id)
 
     def _cancel(self, stream_id: int) -> None:
         body = self._bodies.get(stream_id)
--- a/src/dragonflyshift/_internal/sidecar/quic.py
+++ b/src/dragonflyshift/_internal/sidecar/quic.py
@@ -1,21 +1,30 @@
 """The one module that touches private parts of aioquic.
 
 ``IssuedConnection`` is a QUIC connection whose ids and reset tokens come
-from this sidecar instead of a random source, and whose streams hold the
-sender back. The version of aioquic is pinned; a test checks that the names
-used here are still there.
+from this sidecar instead of a random source, and which grants flow control by
+what was read: the library doubles its windows, so that one client could fill
+the memory of a sidecar. The version of aioquic is pinned; a test checks that
+the names used here are still there.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
 from aioquic.asyncio.protocol import QuicConnectionProtocol
 from aioquic.buffer import encode_uint_var
-from aioquic.h3.connection import FrameType, H3Connection, encode_frame
+from aioquic.h3.connection import (
+    ErrorCode,
+    FrameType,
+    H3Connection,
+    encode_frame,
+)
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection, QuicConnectionId
 
 MAX_ISSUED_IDS = 8
+STREAM_WINDOW_BYTES = 512 * 1024
+FLOW_WINDOW_BYTES = 1024 * 1024
 
 IdHandler = Callable[[bytes], None]
 IdSource = Callable[[], bytes]
@@ -67,7 +76,8 @@
         )
         self._new_id = new_id
         self._reset_token = reset_token
-        self._held_streams: set[int] = set()
+        self._unread: Counter[int] = Counter()
+        self._unread_total = 0
         self._host_cids = [self._issue(0)]
         self._host_cids[0].was_sent = True
         self.host_cid = self._host_cids[0].cid
@@ -78,12 +88,20 @@
         """The ids under which packets may arrive."""
         return tuple(item.cid for item in self._host_cids)
 
-    def hold(self, stream_id: int, held: bool) -> None:
-        """Grant a stream no more flow control while it is held."""
-        if held:
-            self._held_streams.add(stream_id)
-        else:
-            self._held_streams.discard(stream_id)
+    def note_unread(self, stream_id: int, change: int) -> None:
+        """Take note of bytes that arrived, or (negative) that were read."""
+        self._unread_total += change
+        self._unread[stream_id] += change
+
+    def forget_unread(self, stream_id: int) -> None:
+        """Drop what nobody will read."""
+        self._unread_total -= self._unread.pop(stream_id, 0)
+
+    def refuse_rest(self, stream_id: int) -> None:
+        """Ask the client to send no more of a body that nobody reads."""
+        stream = self._streams.get(stream_id)
+        if stream is not None and not stream.receiver.is_finished:
+            self.stop_stream(stream_id, ErrorCode.H3_NO_ERROR)
 
     def unsent_bytes(self, stream_id: int) -> int:
         """Return the bytes of a stream that wait to be acknowledged."""
@@ -110,12 +128,34 @@
         space: Any,
         stream: Any,
     ) -> None:
-        if stream.stream_id not in self._held_streams:
-            super()._write_stream_limits(
-                builder=builder,
-                space=space,
-                stream=stream,
+        """Grant a window beyond what was read, instead of doubling it."""
+        receiver = stream.receiver
+        read = receiver.starting_offset() - self._unread[stream.stream_id]
+        if stream.max_stream_data_local:
+            stream.max_stream_data_local = _raised(
+                stream.max_stream_data_local,
+                read + STREAM_WINDOW_BYTES,
             )
+        highest = receiver.highest_offset
+        receiver.highest_offset = 0
+        super()._write_stream_limits(
+            builder=builder,
+            space=space,
+            stream=stream,
+        )
+        receiver.highest_offset = highest
+
+    def _write_connection_limits(self, builder: Any, space: Any) -> None:
+        """Grant a window beyond what was read, instead of doubling it."""
+        limit = self._local_max_data
+        used = limit.used
+        limit.value = _raised(
+            limit.value,
+            used - self._unread_total + FLOW_WINDOW_BYTES,
+        )
+        limit.used = 0
+        super()._write_connection_limits(builder=builder, space=space)
+        limit.used = used
 
     def _issue(self, sequence_number: int) -> QuicConnectionId:
         cid = self._new_id()
@@ -126,6 +166,13 @@
         )
 
 
+def _raised(granted: int, wanted: int) -> int:
+    """Raise a limit in steps, so that not each packet carries a new one."""
+    if wanted - granted < STREAM_WINDOW_BYTES // 2:
+        return granted
+    return wanted
+
+
 def send_goaway(
     quic: QuicConnection,
     http: H3Connection,
--- a/src/dragonflyshift/_internal/sidecar/request.py
+++ b/src/dragonflyshift/_internal/sidecar/request.py
@@ -24,18 +24,20 @@
     """The caller ended its request before the body was whole."""
 
 
-def _ignore_level(_held: bool) -> None:
-    """Hold nobody back."""
+def _ignore_level(_change: int) -> None:
+    """Tell nobody."""
 
 
 class RequestBody:
     """A request body as it arrives, with back-pressure.
 
-    ``hold`` is called with True when the reader falls behind, and with False
-    when it has caught up.
+    ``note_unread`` is called with each change of the bytes that wait.
     """
 
-    def __init__(self, hold: Callable[[bool], None] = _ignore_level) -> None:
+    def __init__(
+        self,
+        note_unread: Callable[[int], None] = _ignore_level,
+    ) -> None:
         """Start empty and open."""
         self._chunks: deque[bytes] = deque()
         self._waiting = 0
@@ -44,7 +46,7 @@
         self._intact = True
         self._arrived = asyncio.Event()
         self._taken = asyncio.Event()
-        self._hold = hold
+        self._note_unread = note_unread
 
     @property
     def ended(self) -> bool:
@@ -93,11 +95,8 @@
             await self._arrived.wait()
 
     def _move_level(self, change: int) -> None:
-        was_high = self._waiting >= BODY_HIGH_BYTES
         self._waiting += change
-        is_high = self._waiting >= BODY_HIGH_BYTES
-        if was_high != is_high:
-            self._hold(is_high)
+        self._note_unread(change)
 
 
 class ReplayBody:
--- a/src/dragonflyshift/_internal/sidecar/tls.py
+++ b/src/dragonflyshift/_internal/sidecar/tls.py
@@ -7,6 +7,10 @@
 
 from dragonflyshift._internal.exceptions import SettingsError
 from dragonflyshift._internal.kernel.settings import Settings
+from dragonflyshift._internal.sidecar.quic import (
+    FLOW_WINDOW_BYTES,
+    STREAM_WINDOW_BYTES,
+)
 from dragonflyshift._internal.wire import CONNECTION_ID_BYTES
 
 # A packet and what a balancer wraps around it fit an MTU of 1,500 bytes.
@@ -21,6 +25,8 @@
         connection_id_length=CONNECTION_ID_BYTES,
         idle_timeout=settings.idle_timeout,
         max_datagram_size=MAX_PACKET_BYTES,
+        max_data=FLOW_WINDOW_BYTES,
+        max_stream_data=STREAM_WINDOW_BYTES,
     )
     try:
         chain = x509.load_pem_x509_certificates(settings.certificate.encode())
--- /dev/null
+++ b/tests/unit/sidecar/test_quic.py
@@ -0,0 +1,139 @@
+"""The adapter to aioquic, on a pair of connections without sockets."""
+
+import unittest
+from collections.abc import Callable
+
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import StreamDataReceived
+from cryptography import x509
+from cryptography.hazmat.primitives.serialization import load_pem_private_key
+
+from dragonflyshift._internal.models import Address
+from dragonflyshift._internal.sidecar.identity import SidecarIdentity
+from dragonflyshift._internal.sidecar.quic import (
+    STREAM_WINDOW_BYTES,
+    IssuedConnection,
+)
+from dragonflyshift._internal.wire import (
+    CONNECTION_ID_BYTES,
+    ConnectionIdCodec,
+    FleetKeys,
+)
+from tests.lib import certificates
+from tests.lib.builders import FLEET_KEYS_TEXT
+
+CLIENT = ('127.0.0.1', 1)
+SERVER = ('127.0.0.1', 2)
+ROUNDS = 400
+STEP_SECONDS = 0.05
+BODY_BYTES = 4 * STREAM_WINDOW_BYTES
+TAG = 7
+BOOT = 99
+
+
+class Pair:
+    """A client and a server whose packets are carried by hand."""
+
+    def __init__(self) -> None:
+        issued = certificates.issue()
+        self.codec = ConnectionIdCodec(FleetKeys.parse(FLEET_KEYS_TEXT))
+        self.identity = SidecarIdentity(Address(*SERVER), TAG, BOOT, self.codec)
+        settings = QuicConfiguration(
+            is_client=False,
+            alpn_protocols=['h3'],
+            connection_id_length=CONNECTION_ID_BYTES,
+            max_stream_data=STREAM_WINDOW_BYTES,
+        )
+        pem = issued.certificate.encode()
+        settings.certificate = x509.load_pem_x509_certificate(pem)
+        settings.private_key = load_pem_private_key(
+            issued.private_key.encode(),
+            None,
+        )
+        self.client = QuicConnection(
+            configuration=QuicConfiguration(
+                alpn_protocols=['h3'],
+                cadata=issued.ca.encode(),
+                server_name=certificates.SERVER_NAME,
+            ),
+        )
+        self.client.connect(SERVER, now=0)
+        self.server = IssuedConnection(
+            settings,
+            self.client.original_destination_connection_id,
+            self.identity.new_id,
+            self.codec.reset_token,
+        )
+        self.now = float(0)
+        self.received = 0
+
+    def carry(self, read: Callable[[int, int], None] | None = None) -> None:
+        """Carry packets until both ends are quiet, or for long enough."""
+        for _ in range(ROUNDS):
+            self.now += STEP_SECONDS
+            out = self.client.datagrams_to_send(self.now)
+            for sent in out:
+                self.server.receive_datagram(sent[0], CLIENT, self.now)
+            self._take_events(read)
+            back = self.server.datagrams_to_send(self.now)
+            for answer in back:
+                self.client.receive_datagram(answer[0], SERVER, self.now)
+            if not out and not back:
+                return
+
+    def _take_events(self, read: Callable[[int, int], None] | None) -> None:
+        event = self.server.next_event()
+        while event is not None:
+            if isinstance(event, StreamDataReceived):
+                size = len(event.data)
+                self.received += size
+                self.server.note_unread(event.stream_id, size)
+                if read is not None:
+                    read(event.stream_id, size)
+            event = self.server.next_event()
+
+
+class IssuedConnectionTest(unittest.TestCase):
+    def setUp(self):
+        self.pair = Pair()
+        self.pair.carry()
+
+    def test_every_id_in_use_names_the_sidecar(self):
+        ids = self.pair.server.issued_ids
+        self.assertGreater(len(ids), 1)
+        for cid in ids:
+            issued = self.pair.codec.decode(cid)
+            self.assertEqual(issued.address, Address(*SERVER))
+            self.assertEqual((issued.tag, issued.boot), (TAG, BOOT))
+
+    def test_client_holds_the_ids_and_their_reset_tokens(self):
+        tokens = {
+            cid: self.pair.codec.reset_token(cid)
+            for cid in self.pair.server.issued_ids
+        }
+        held = [
+            self.pair.client._peer_cid,
+            *self.pair.client._peer_cid_available,
+        ]
+        for item in held:
+            self.assertEqual(item.stateless_reset_token, tokens[item.cid])
+
+    def test_unread_body_holds_the_client_back(self):
+        client = self.pair.client
+        stream_id = client.get_next_available_stream_id()
+        client.send_stream_data(stream_id, bytes(BODY_BYTES), end_stream=True)
+        self.pair.carry()
+        self.assertLessEqual(self.pair.received, STREAM_WINDOW_BYTES)
+
+    def test_body_that_is_read_arrives_whole(self):
+        client = self.pair.client
+        server = self.pair.server
+        stream_id = client.get_next_available_stream_id()
+        client.send_stream_data(stream_id, bytes(BODY_BYTES), end_stream=True)
+        self.pair.carry(lambda sid, size: server.note_unread(sid, -size))
+        self.assertEqual(self.pair.received, BODY_BYTES)
+
+
+if __name__ == '__main__':
+    unittest.main()
