--- /dev/null
+++ b/tests/functional/test_planned_stops.py
@@ -0,0 +1,58 @@
+"""A planned stop cuts no request in progress."""
+
+import asyncio
+import unittest
+
+from attrs import evolve
+
+from tests.lib import answers
+from tests.lib.cases import ONE_SERVICE, ClusterTest
+from tests.lib.cluster import LISTS, ServicePlan
+
+BOARDS = 6
+BOARD_SECONDS = 3.0
+PHOTO = bytes(range(256)) * 400
+
+
+class PlannedStopsTest(ClusterTest):
+    """Two sidecars and a balancer get SIGTERM in the same moment."""
+
+    plan = evolve(
+        ONE_SERVICE,
+        services=(ServicePlan(LISTS, 'association', endpoints=3, slots=4),),
+    )
+
+    async def test_two_sidecars_and_a_balancer_at_once(self):
+        cluster = self.cluster
+        flows = [await cluster.connect(LISTS) for _ in range(BOARDS)]
+        path = f'/boards/{BOARD_SECONDS}'
+        boards = [each.open('GET', path) for each in flows]
+        await self.wait_work(BOARDS)
+        uploads = [
+            each.open('PUT', f'/photos/{number}', body=PHOTO)
+            for number, each in enumerate(flows[:3])
+        ]
+        statuses = await asyncio.gather(
+            cluster.instances[0].sidecar.stop(),
+            cluster.instances[1].sidecar.stop(),
+            cluster.remove_balancer(cluster.balancers[0]),
+            *(self._assert_board(each) for each in boards),
+            *(self._assert_upload(each) for each in uploads),
+        )
+        self.assertEqual(statuses[:3], [0, 0, 0])
+        answer = await (await cluster.connect(LISTS)).request('GET', '/lists/1')
+        self.assertEqual(answer.body, answers.list_body(LISTS, '1'))
+
+    async def _assert_board(self, stream):
+        answer = await stream.answer(BOARD_SECONDS * 3)
+        self.assertEqual(answer.failure, '')
+        self.assertEqual(answer.body, answers.board_body(BOARD_SECONDS))
+
+    async def _assert_upload(self, stream):
+        answer = await stream.answer(BOARD_SECONDS * 3)
+        self.assertEqual(answer.failure, '')
+        self.assertEqual(answer.body, answers.save_answer(PHOTO))
+
+
+if __name__ == '__main__':
+    unittest.main()
