Run long requests where most slots are free

Cause: a board runs on the slot of its flow's sidecar for as long as one is free there, and flows are spread by hash, so a few sidecars hold most boards. Ruled out: moving short requests too, whose hop costs as much as they last.

--- a/src/dragonflyshift/_internal/routing/base.py
+++ b/src/dragonflyshift/_internal/routing/base.py
@@ -93,3 +93,15 @@
         limit: int,
     ) -> tuple[MemberRecord, ...]:
         """Return at most ``limit`` peers worth asking, best first."""
+
+    def relieve(
+        self,
+        peers: Sequence[MemberRecord],
+        rng: random.Random,
+        free_slots: int,
+    ) -> MemberRecord | None:
+        """Return a peer that should rather run a long request, if any.
+
+        ``free_slots`` are the decider's own. By default there is none, and
+        requests run where their flow is while a slot is free there.
+        """
--- a/src/dragonflyshift/_internal/routing/peer_choice.py
+++ b/src/dragonflyshift/_internal/routing/peer_choice.py
@@ -29,6 +29,27 @@
             ordered.append(_take_freer(left))
         return tuple(ordered)
 
+    def relieve(
+        self,
+        peers: Sequence[MemberRecord],
+        rng: random.Random,
+        free_slots: int,
+    ) -> MemberRecord | None:
+        """Return the freer of two random peers with more room than here.
+
+        A long request holds a slot for minutes or hours, so the hop to a
+        peer costs little against the balance that it brings.
+        """
+        freer = [
+            peer
+            for peer in peers
+            if peer.state is MemberState.ALIVE and _room(peer) > free_slots
+        ]
+        if not freer:
+            return None
+        rng.shuffle(freer)
+        return _take_freer(freer)
+
 
 def _take_freer(shuffled: list[MemberRecord]) -> MemberRecord:
     """Remove and return the freer of the last two."""
--- a/src/dragonflyshift/_internal/sidecar/peers.py
+++ b/src/dragonflyshift/_internal/sidecar/peers.py
@@ -75,17 +75,22 @@
 
     async def claim(self, req: Request) -> PeerPlace | None:
         """Return a claimed slot, or None if no peer granted one."""
-        others = tuple(
-            record
-            for record in self._members.records()
-            if record.address != self._identity.address
-        )
-        for peer in self._choice.order(others, self._rng, MAX_ASKED_PEERS):
+        peers = self._others()
+        for peer in self._choice.order(peers, self._rng, MAX_ASKED_PEERS):
             place = await self._ask(peer, req)
             if place is not None:
                 return place
         return None
 
+    async def claim_relief(
+        self,
+        req: Request,
+        free_slots: int,
+    ) -> PeerPlace | None:
+        """Claim a slot for a long request at a peer with more room."""
+        peer = self._choice.relieve(self._others(), self._rng, free_slots)
+        return None if peer is None else await self._ask(peer, req)
+
     async def claim_at(
         self,
         address: Address,
@@ -95,6 +100,13 @@
         peer = self._members.record(address)
         return None if peer is None else await self._ask(peer, req)
 
+    def _others(self) -> tuple[MemberRecord, ...]:
+        return tuple(
+            record
+            for record in self._members.records()
+            if record.address != self._identity.address
+        )
+
     async def _ask(
         self,
         peer: MemberRecord,
--- a/src/dragonflyshift/_internal/sidecar/placing.py
+++ b/src/dragonflyshift/_internal/sidecar/placing.py
@@ -68,6 +68,10 @@
         so only peers are asked.
         """
         own = self._runs_here() and not avoid_own
+        if own and req.info.streaming:
+            place = await self._relieve(req)
+            if place is not None:
+                return place
         if own and self._admission.try_start(time.monotonic()):
             return LocalPlace(self._runner, self._admission)
         place = await self._ask_peers(req)
@@ -130,6 +134,16 @@
                 return place
             pause = min(pause * 2, MAX_ASK_AGAIN_SECONDS)
 
+    async def _relieve(self, req: Request) -> PeerPlace | None:
+        """Move a long request to a peer that holds fewer of them."""
+        if self._admission.running == 0:
+            return None
+        free = self._admission.free(time.monotonic())
+        place = await self._claims.claim_relief(req, free)
+        if place is not None:
+            self._metrics.incr('relieved')
+        return place
+
     async def _ask_peers(self, req: Request) -> PeerPlace | None:
         place = await self._claims.claim(req)
         if place is not None:
