--- /dev/null
+++ b/tests/functional/test_wrong_service.py
@@ -0,0 +1,152 @@
+"""A packet meant for one service never reaches another one."""
+
+import asyncio
+import random
+import socket
+import unittest
+
+from attrs import evolve
+
+from dragonflyshift._internal.config.validation import service_tag
+from dragonflyshift._internal.models import Address
+from dragonflyshift._internal.wire import DatagramCodec, Forward
+from dragonflyshift._internal.wire.datagram import Kind
+from dragonflyshift._internal.wire.keys import FleetKeys
+from tests.lib import answers
+from tests.lib.cases import ClusterTest
+from tests.lib.cluster import LISTS, PARTS, ClusterPlan
+from tests.lib.waiting import eventually
+
+SEED = 11
+FOREIGN_KEYS = f'1:{"00" * 32}'
+DATAGRAMS = 300
+SHORT_HEADER = 0x40
+PACKET_BYTES = 60
+
+
+class WrongServiceTest(ClusterTest):
+    """Two services behind two balancers."""
+
+    plan = ClusterPlan(balancers=2)
+
+    async def test_address_that_passed_to_another_service(self):
+        cluster = self.cluster
+        conn = await cluster.connect(LISTS)
+        self.assertTrue((await conn.request('GET', '/lists/1')).complete)
+        passed = self.home(conn)
+        await passed.sidecar.kill()
+        await passed.backend.stop()
+        await cluster.register.remove_endpoint(LISTS, passed.name)
+        successor = evolve(passed.endpoint, name=f'{PARTS}-9', slots=4)
+        document = cluster.register.documents[PARTS]
+        endpoints = (*document.endpoints, successor)
+        await cluster.register.change(PARTS, endpoints=endpoints)
+        passed.sidecar = cluster.programs.sidecar(PARTS, successor)
+        passed.backend = cluster.programs.backend(PARTS, successor)
+        await asyncio.gather(passed.sidecar.start(), passed.backend.start())
+        answer = await conn.request('GET', '/lists/2', timeout=2)
+        self.assertFalse(answer.complete, answer)
+        self.assertEqual(await passed.journal(), [])
+        fresh = await cluster.connect(LISTS)
+        answer = await fresh.request('GET', '/lists/3')
+        self.assertEqual(answer.body, answers.list_body(LISTS, '3'))
+        async with self.load(
+            cluster.target(LISTS, {'list': 1}, 3),
+            cluster.target(PARTS, {'list': 1, 'ticket': 1}, 6),
+        ) as summary:
+            await asyncio.sleep(1)
+        await self.assert_promises(summary)
+
+    async def test_connection_id_of_another_service(self):
+        conn = await self.cluster.connect(LISTS)
+        self.assertTrue((await conn.request('GET', '/lists/1')).complete)
+        before = len(await self.cluster.journal())
+        with _open_socket(self.cluster.network.host(4)) as sender:
+            packet = _short_packet(conn.peer_id)
+            for _ in range(DATAGRAMS):
+                sender.sendto(packet, self.cluster.address(PARTS).pair)
+            await self._wait_dropped('foreign-id')
+            with self.assertRaises(BlockingIOError):
+                sender.recv(PACKET_BYTES)
+        self.assertEqual(len(await self.cluster.journal()), before)
+        self.assertTrue((await conn.request('GET', '/lists/2')).complete)
+
+    async def test_forged_truncated_and_replayed_datagrams(self):
+        rng = random.Random(SEED)
+        async with self.load(
+            self.cluster.target(LISTS, {'list': 3, 'edit': 1}, 3),
+            self.cluster.target(PARTS, {'list': 3, 'ticket': 1}, 3),
+        ) as summary:
+            await self.wait_work(10)
+            await self._spray(rng)
+            await asyncio.sleep(0.5)
+        await self.assert_promises(summary)
+        for daemon in self.daemons():
+            dropped = _dropped(await self.status(daemon), 'unauthentic')
+            self.assertGreater(dropped, 0)
+
+    async def _spray(self, rng):
+        with _open_socket(self.cluster.network.host(4)) as sender:
+            for target in self._targets():
+                for datagram in self._datagrams(rng):
+                    sender.sendto(datagram, target.pair)
+                await asyncio.sleep(0.05)
+
+    def _targets(self) -> list[Address]:
+        """Return all sockets: service addresses and those of daemons."""
+        services = [self.cluster.address(LISTS), self.cluster.address(PARTS)]
+        return [*services, *self.daemons()]
+
+    def _datagrams(self, rng):
+        """Yield random, foreign, truncated, wrong and repeated datagrams."""
+        ours = DatagramCodec(FleetKeys.parse(self.plan.fleet_keys))
+        foreign = DatagramCodec(FleetKeys.parse(FOREIGN_KEYS))
+        for _ in range(DATAGRAMS // 10):
+            body = self._forward(rng).encode()
+            yield rng.randbytes(rng.randrange(1, 1400))
+            yield foreign.seal(Kind.FORWARD, body)
+            sealed = ours.seal(Kind.FORWARD, body)
+            yield sealed[: rng.randrange(len(sealed))]
+            yield ours.seal(Kind.REPLY, rng.randbytes(40))
+            yield sealed
+            yield sealed
+
+    def _forward(self, rng) -> Forward:
+        here = self.cluster.network.address(4, 9)
+        return Forward(
+            tag=service_tag(rng.choice((LISTS, PARTS, 'exports'))),
+            client=here,
+            service=self.cluster.address(LISTS),
+            balancer=here,
+            packet=_short_packet(rng.randbytes(17)),
+        )
+
+    async def _wait_dropped(self, reason: str) -> None:
+        async def dropped() -> bool:
+            balancers = [each.address for each in self.cluster.balancers]
+            reports = [await self.status(each) for each in balancers]
+            return all(_dropped(each, reason) for each in reports)
+
+        await eventually(dropped, what=f'both balancers dropped: {reason}')
+
+
+def _dropped(report, reason: str) -> float:
+    """Return how many datagrams a daemon dropped for a reason."""
+    role = report['role']
+    name = f'dragonflyshift.{role}.dropped.{reason}'
+    return report['counters'].get(name, 0)
+
+
+def _short_packet(cid: bytes) -> bytes:
+    return bytes((SHORT_HEADER,)) + cid + bytes(PACKET_BYTES)
+
+
+def _open_socket(host: str) -> socket.socket:
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender.setblocking(False)
+    sender.bind((host, 0))
+    return sender
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -10,8 +10,8 @@
 
 from dragonflyshift._internal.models import Address, Endpoint
 from tests.lib import certificates
+from tests.lib.control import ControlClient
 from tests.lib.h3 import H3Client
-from tests.lib.http import ControlClient
 from tests.lib.jobs import Options
 from tests.lib.journal import JournalEntry
 from tests.lib.load import Target
--- a/tests/lib/http.py
+++ b/tests/lib/http.py
@@ -1,4 +1,4 @@
-"""A small HTTP/1.1 server on h11, and JSON calls to control ports."""
+"""A small HTTP/1.1 server on h11."""
 
 import asyncio
 import contextlib
@@ -9,11 +9,9 @@
 
 import cattrs
 import h11
-import httpx
 from attrs import field, frozen
 
 READ_BYTES = 65536
-CALL_TIMEOUT_SECONDS = 10.0
 _ShapeT = TypeVar('_ShapeT')
 Headers: TypeAlias = Iterable[tuple[str, str]]
 
@@ -212,42 +210,3 @@
 def bound_port(server: asyncio.Server) -> int:
     """Return the port that a server listens on."""
     return int(server.sockets[0].getsockname()[1])
-
-
-class ControlClient:
-    """JSON calls to the control port of one stand-in."""
-
-    def __init__(self, address: str) -> None:
-        self._base = f'http://{address}'
-        self._http = httpx.AsyncClient(
-            verify=False,
-            timeout=CALL_TIMEOUT_SECONDS,
-            trust_env=False,
-        )
-
-    async def get(self, path: str) -> Any:
-        """Read a JSON value."""
-        return (await self._call('GET', path, None)).json()
-
-    async def put(self, path: str, value: Any) -> None:
-        """Set a JSON value."""
-        await self._call('PUT', path, json.dumps(value).encode())
-
-    async def put_bytes(self, path: str, body: bytes) -> None:
-        """Set a value as it stands."""
-        await self._call('PUT', path, body)
-
-    async def aclose(self) -> None:
-        """Close the connections."""
-        await self._http.aclose()
-
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        body: bytes | None,
-    ) -> httpx.Response:
-        url = self._base + path
-        answer = await self._http.request(method, url, content=body)
-        answer.raise_for_status()
-        return answer
--- a/tests/lib/register.py
+++ b/tests/lib/register.py
@@ -17,7 +17,7 @@
     ServiceRules,
 )
 from dragonflyshift._internal.models.documents import INDEX_KEY, service_key
-from tests.lib.http import ControlClient
+from tests.lib.control import ControlClient
 
 ANYWHERE = ServiceRules(
     locality=Locality.ANYWHERE,
--- a/tests/unit/lib/test_standins.py
+++ b/tests/unit/lib/test_standins.py
@@ -13,8 +13,8 @@
 from aioquic.quic.configuration import QuicConfiguration
 
 from tests.lib import answers, certificates, processes
+from tests.lib.control import ControlClient
 from tests.lib.h3 import H3Client
-from tests.lib.http import ControlClient
 from tests.lib.network import Network
 from tests.lib.waiting import eventually
 
