Hold the healing of a settled partition and the identity of answers

The partition's test healed through probes that had begun before the verdict of death; it now waits until these have ended, and fails if dead members are not probed. An answer counts only from the member that was asked.

--- a/tests/unit/membership/test_probing.py
+++ b/tests/unit/membership/test_probing.py
@@ -8,7 +8,14 @@
 
 from dragonflyshift._internal.exceptions import MembershipError
 from dragonflyshift._internal.membership.greeting import NO_VIEW, Greeting
-from dragonflyshift._internal.membership.messages import Probe, encode_probe
+from dragonflyshift._internal.membership.messages import (
+    Ack,
+    Probe,
+    ProbeVia,
+    encode_ack,
+    encode_probe,
+    encode_probe_via,
+)
 from dragonflyshift._internal.models import MemberState
 from dragonflyshift._internal.wire.datagram import Kind
 from tests.lib.members import address_of, build_member
@@ -122,6 +129,46 @@
         heard = one.table.record(two.address)
         self.assertEqual((heard.free_slots, heard.queued), (3, 5))
 
+    async def test_only_the_one_asked_can_answer(self):
+        mesh = Mesh(1)
+        node = mesh.nodes[0]
+        sent = []
+        mesh.carry = lambda _source, target, kind, _body: sent.append(
+            (target, kind),
+        )
+        node.table.merge([build_member(2)], 0)
+        probing = asyncio.create_task(node.prober._probe(address_of(2)))
+        await self._until(lambda: sent)
+        self._hear_ack(node, 1, 3)
+        await probing
+        self.assertIs(
+            node.table.state_of(address_of(2)),
+            MemberState.SUSPECT,
+        )
+        greeting = Greeting(mesh.tag, 9, build_member(4), NO_VIEW, 1)
+        via = ProbeVia(greeting, address_of(2))
+        node.prober.handle(
+            Kind.PROBE_VIA,
+            encode_probe_via(via),
+            address_of(4),
+            0,
+        )
+        relayed = (address_of(4), Kind.ACK)
+        sequence = node.prober._sequence
+        self._hear_ack(node, sequence, 3)
+        self.assertNotIn(relayed, sent)
+        self._hear_ack(node, sequence, 2)
+        self.assertIn(relayed, sent)
+
+    def _hear_ack(self, node, sequence, number):
+        greeting = Greeting(7, sequence, build_member(number), NO_VIEW, 1)
+        node.prober.handle(
+            Kind.ACK,
+            encode_ack(Ack(greeting)),
+            address_of(number),
+            0,
+        )
+
     async def test_verdict_is_dropped_if_a_pause_fell_into_it(self):
         for waited, state in (
             (1, MemberState.SUSPECT),
@@ -148,8 +195,11 @@
             mesh.partition(left, right)
             await self._until(
                 lambda: all(
-                    left[0].table.state_of(node.address) is MemberState.DEAD
-                    for node in right
+                    one.table.state_of(other.address) is MemberState.DEAD
+                    for one, other in (
+                        *itertools.product(left, right),
+                        *itertools.product(right, left),
+                    )
                 ),
             )
             for node in left:
@@ -157,6 +207,9 @@
                     left[0].table.state_of(node.address),
                     MemberState.ALIVE,
                 )
+            # Probes that began before the verdicts have to end first.
+            sent = left[0].sent_messages
+            await self._until(lambda: left[0].sent_messages > sent + 30)
             mesh.cut.clear()
             await self._until(
                 lambda: all(
