--- a/src/dragonflyshift/_internal/state/transfer.py
+++ b/src/dragonflyshift/_internal/state/transfer.py
@@ -8,7 +8,7 @@
 from dragonflyshift._internal.models import Address, StoredEntry
 from dragonflyshift._internal.wire.messages import OutcomeTransfer
 
-PART_BYTES = 512 * 1024
+PART_BYTES = 64 * 1024
 # Key, status and lengths around the bytes of an outcome.
 _ENTRY_COST_BYTES = 128
 _HEADER_COST_BYTES = 10
