--- a/src/dragonflyshift/_internal/control/server.py
+++ b/src/dragonflyshift/_internal/control/server.py
@@ -4,6 +4,7 @@
 requests of peers. A role adds handlers of its own.
 """
 
+import asyncio
 import json
 import logging
 from abc import ABC, abstractmethod
@@ -27,6 +28,9 @@
 
 logger = logging.getLogger(__name__)
 
+# A peer that went silent must not hold one of the server's connections.
+IDLE_LIMIT_SECONDS = 10.0
+
 Handler = Callable[[MessageStream, Any], Awaitable[None]]
 
 
@@ -82,7 +86,7 @@
 
     async def _serve_messages(self, stream: MessageStream) -> None:
         while True:
-            message = await stream.receive()
+            message = await _receive(stream)
             handler = self._handlers.get(type(message))
             if handler is None:
                 raise WireError(f'{type(message).__name__} is not expected')
@@ -114,3 +118,11 @@
         if version > request.above:
             raw = self._store.raw(request.key) or b''
         await stream.send(DocumentReply(request.key, version, raw))
+
+
+async def _receive(stream: MessageStream) -> Message:
+    try:
+        async with asyncio.timeout(IDLE_LIMIT_SECONDS):
+            return await stream.receive()
+    except TimeoutError as exc:
+        raise PeerError('the peer went silent') from exc
--- a/tests/unit/control/test_server.py
+++ b/tests/unit/control/test_server.py
@@ -1,6 +1,8 @@
+import asyncio
 import json
-import unittest
+from unittest import IsolatedAsyncioTestCase, mock
 
+from dragonflyshift._internal.control import server
 from dragonflyshift._internal.exceptions import PeerError
 from dragonflyshift._internal.models.documents import service_key
 from dragonflyshift._internal.wire.messages import (
@@ -21,7 +23,7 @@
 TIMEOUT_SECONDS = 2.0
 
 
-class ControlServerTest(unittest.IsolatedAsyncioTestCase):
+class ControlServerTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.seed = Seed()
         self.seed.store.offer(KEY, RAW)
@@ -67,3 +69,10 @@
         self.seed.server.add_handler(StatusReply, handle)
         reply = await self.ask(StatusReply(b'ab'))
         self.assertEqual(reply, StatusReply(b'abab'))
+
+    async def test_silent_peer_is_let_go(self) -> None:
+        with mock.patch.object(server, 'IDLE_LIMIT_SECONDS', 0.1):
+            await self.ask(StatusRequest())
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                with self.assertRaises(PeerError):
+                    await self.stream.receive()
