--- /dev/null
+++ b/bench/micro_sidecar.py
@@ -0,0 +1,250 @@
+"""Measure what flows and requests cost a sidecar and a balancer.
+
+The real processes run on loopback: fabric, one balancer, one sidecar, one
+backend server. Run ``python -m bench.micro_sidecar [--json] [--seed N]``.
+"""
+
+import asyncio
+import functools
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+
+from attrs import evolve, frozen
+
+from bench.micro import Options, parse_options, show
+from bench.process_cost import ProcessCost
+from bench.slopes import fit_line
+from tests.lib.cluster import LISTS, Cluster, ClusterPlan
+from tests.lib.h3 import H3Client
+from tests.lib.register import ANYWHERE, ServicePlan
+
+HANDSHAKE_SIZES = (50, 100, 200)
+REQUEST_SIZES = (100, 200, 400)
+EXPORT_SIZES = (1_000_000, 2_000_000, 4_000_000)
+FLOW_SIZES = (50, 100, 200)
+AT_A_TIME = 8
+IDLE_SECONDS = 5.0
+SLOTS = 8
+US_PER_S = 1_000_000
+CLIENT_IDLE_SECONDS = 60.0
+
+
+@frozen
+class Sample:
+    """Costs of one piece of work of a certain size."""
+
+    work: str
+    size: int
+    sidecar_cpu_s: float
+    balancer_cpu_s: float
+    sidecar_bytes: int
+    balancer_bytes: int
+
+
+@frozen
+class Slope:
+    """The cost of one more unit, from a line through three sizes."""
+
+    work: str
+    sidecar_us: float
+    balancer_us: float
+    sidecar_bytes: float
+    balancer_bytes: float
+    worst_fit: float
+
+
+@frozen
+class Costs:
+    """The two processes at one moment."""
+
+    sidecar: ProcessCost
+    balancer: ProcessCost
+
+
+class Rig:
+    """A cluster of one endpoint, and the costs of its processes."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        """Measure a cluster that runs."""
+        self.cluster = cluster
+        self.flows: list[H3Client] = []
+
+    def read(self) -> Costs:
+        """Read the costs now."""
+        sidecar = self.cluster.instances[0].sidecar
+        balancer = self.cluster.balancers[0].program
+        return Costs(
+            ProcessCost.read(sidecar.child.pid),
+            ProcessCost.read(balancer.child.pid),
+        )
+
+    async def measure(
+        self,
+        work: str,
+        size: int,
+        run: Callable[[int], Awaitable[None]],
+    ) -> Sample:
+        """Run a piece of work and return what it cost."""
+        before = self.read()
+        await run(size)
+        after = self.read()
+        return Sample(
+            work,
+            size,
+            after.sidecar.cpu_seconds - before.sidecar.cpu_seconds,
+            after.balancer.cpu_seconds - before.balancer.cpu_seconds,
+            after.sidecar.resident_bytes - before.sidecar.resident_bytes,
+            after.balancer.resident_bytes - before.balancer.resident_bytes,
+        )
+
+    async def connect(self) -> H3Client:
+        """Open a flow that stays open without requests."""
+        return await self.cluster.connect(
+            LISTS,
+            idle_timeout=CLIENT_IDLE_SECONDS,
+        )
+
+    async def handshakes(self, count: int) -> None:
+        """Open and close flows."""
+        await _spread(count, self._open_and_close)
+
+    async def hold_flows(self, count: int) -> None:
+        """Open flows until ``count`` are open."""
+        missing = count - len(self.flows)
+        await _spread(missing, self._open_and_hold)
+
+    async def requests(self, count: int) -> None:
+        """Send short requests, one after another on each of a few flows."""
+        flows = [await self.connect() for _ in range(AT_A_TIME)]
+        idle = asyncio.Queue[H3Client]()
+        for flow in flows:
+            idle.put_nowait(flow)
+        await _spread(count, functools.partial(_request_on, idle))
+        for flow in flows:
+            await flow.aclose()
+
+    async def export(self, size: int) -> None:
+        """Read an export of ``size`` bytes."""
+        flow = await self.connect()
+        answer = await flow.request('GET', f'/exports/{size}')
+        await flow.aclose()
+        if len(answer.body) != size:
+            raise RuntimeError(f'an export was cut: {answer.failure}')
+
+    async def _open_and_close(self) -> None:
+        flow = await self.connect()
+        await flow.aclose()
+
+    async def _open_and_hold(self) -> None:
+        self.flows.append(await self.connect())
+
+
+async def _spread(count: int, work: Callable[[], Awaitable[None]]) -> None:
+    """Do a piece of work ``count`` times, a few at a time."""
+    limit = asyncio.Semaphore(AT_A_TIME)
+
+    limited = (_limited(limit, work) for _ in range(count))
+    await asyncio.gather(*limited)
+
+
+async def _limited(
+    limit: asyncio.Semaphore,
+    work: Callable[[], Awaitable[None]],
+) -> None:
+    async with limit:
+        await work()
+
+
+async def _request_on(idle: asyncio.Queue[H3Client]) -> None:
+    flow = await idle.get()
+    await flow.request('GET', '/lists/1')
+    idle.put_nowait(flow)
+
+
+async def _idle(rig: Rig) -> Sample:
+    return await rig.measure(
+        'idle second',
+        int(IDLE_SECONDS),
+        lambda _size: asyncio.sleep(IDLE_SECONDS),
+    )
+
+
+async def _measure(rig: Rig) -> list[Sample]:
+    samples = [await _idle(rig)]
+    # Flows first: later work leaves freed memory that flows would reuse.
+    base = rig.read()
+    for size in FLOW_SIZES:
+        sample = await rig.measure('open flow', size, rig.hold_flows)
+        now = rig.read()
+        grown = evolve(
+            sample,
+            sidecar_bytes=now.sidecar.resident_bytes
+            - base.sidecar.resident_bytes,
+            balancer_bytes=now.balancer.resident_bytes
+            - base.balancer.resident_bytes,
+        )
+        samples.append(grown)
+    for size in HANDSHAKE_SIZES:
+        samples.append(await rig.measure('handshake', size, rig.handshakes))
+    for size in REQUEST_SIZES:
+        samples.append(await rig.measure('request', size, rig.requests))
+    for size in EXPORT_SIZES:
+        samples.append(await rig.measure('export byte', size, rig.export))
+    return samples
+
+
+def _slope(work: str, samples: Sequence[Sample]) -> Slope:
+    sizes = [sample.size for sample in samples]
+    sidecar = fit_line(sizes, [each.sidecar_cpu_s for each in samples])
+    balancer = fit_line(sizes, [each.balancer_cpu_s for each in samples])
+    memory = fit_line(sizes, [each.sidecar_bytes for each in samples])
+    other = fit_line(sizes, [each.balancer_bytes for each in samples])
+    fits = memory if work == 'open flow' else sidecar
+    return Slope(
+        work,
+        sidecar.slope * US_PER_S,
+        balancer.slope * US_PER_S,
+        memory.slope,
+        other.slope,
+        fits.worst,
+    )
+
+
+async def run(options: Options) -> None:
+    """Measure and print."""
+    plan = ClusterPlan(
+        services=(
+            ServicePlan(
+                LISTS,
+                'association',
+                endpoints=1,
+                slots=SLOTS,
+                rules=ANYWHERE,
+            ),
+        ),
+        balancers=1,
+        seed=options.seed,
+        daemon_flags=('--idle-timeout=60', '--log-level=info'),
+    )
+    async with Cluster(plan) as cluster:
+        rig = Rig(cluster)
+        samples = await _measure(rig)
+        for flow in rig.flows:
+            await flow.aclose()
+    works = dict.fromkeys(sample.work for sample in samples[1:])
+    slopes = [
+        _slope(work, [each for each in samples if each.work == work])
+        for work in works
+    ]
+    show(options, {'samples': samples, 'slopes': slopes})
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the benchmark."""
+    options = parse_options('Costs of flows and requests.', argv)
+    asyncio.run(run(options))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
