Hand a request to a clearly freer peer before the home is full

PeerChoice gains freer(): the freer of two random peers if its known room is larger than the sidecar's own. It is asked once; when it refuses, the request goes on as before.

--- a/bench/naive/routing.py
+++ b/bench/naive/routing.py
@@ -69,3 +69,12 @@
     ) -> tuple[MemberRecord, ...]:
         """Return no peer."""
         return ()
+
+    def freer(
+        self,
+        own_free: int,
+        peers: Sequence[MemberRecord],
+        rng: random.Random,
+    ) -> tuple[MemberRecord, ...]:
+        """Run every request here."""
+        return ()
--- a/bench/policy_alternatives.py
+++ b/bench/policy_alternatives.py
@@ -6,7 +6,7 @@
 from dragonflyshift._internal.limits import Adaptive, Ticket
 from dragonflyshift._internal.limits.queue import DeadlineQueue
 from dragonflyshift._internal.models import MemberRecord, MemberState
-from dragonflyshift._internal.routing import PeerChoice
+from dragonflyshift._internal.routing import PowerOfTwo
 
 
 def _alive(peers: Sequence[MemberRecord]) -> list[MemberRecord]:
@@ -17,7 +17,7 @@
     return peer.free_slots - peer.queued
 
 
-class BestOfAll(PeerChoice, name='best-of-all'):
+class BestOfAll(PowerOfTwo, name='best-of-all'):
     """Ask the peer that was freest when the view was taken."""
 
     def order(
@@ -31,7 +31,7 @@
         return tuple(ordered[:limit])
 
 
-class RandomPeers(PeerChoice, name='random'):
+class RandomPeers(PowerOfTwo, name='random'):
     """Ask any peer."""
 
     def order(
@@ -46,7 +46,7 @@
         return tuple(alive[:limit])
 
 
-class PowerOfThree(PeerChoice, name='power-of-three'):
+class PowerOfThree(PowerOfTwo, name='power-of-three'):
     """Take the freest of three random peers, again and again."""
 
     def order(
@@ -78,6 +78,19 @@
         return next(waiting, None)
 
 
+class OnlyWhenFull(PowerOfTwo, name='only-when-full'):
+    """Run every request here while a slot is free."""
+
+    def freer(
+        self,
+        own_free: int,
+        peers: Sequence[MemberRecord],
+        rng: random.Random,
+    ) -> tuple[MemberRecord, ...]:
+        """Return no peer."""
+        return ()
+
+
 class ArrivalOrder(Adaptive, name='adaptive-fifo'):
     """Adaptive admission that serves in order of arrival."""
 
--- a/bench/policy_handover.py
+++ b/bench/policy_handover.py
@@ -12,6 +12,8 @@
 
 HOP_SECONDS = 0.0015
 
+_Action = Callable[[Request], None]
+
 
 class HandOvers:
     """Move requests between the sidecars of a service."""
@@ -25,7 +27,7 @@
         rng: random.Random,
         tally: Tally,
         on_slot: Callable[[Request, Sidecar], None],
-        on_none: Callable[[Request], None],
+        on_none: _Action,
     ) -> None:
         """Call ``on_slot`` with the slot found, ``on_none`` without one."""
         self._peer_choice = peer_choice
@@ -44,23 +46,38 @@
             self._rng,
             self._limit,
         )
-        self._claim(req, peers)
+        self._claim(req, peers, self._on_none)
+
+    def start_at_freer(self, req: Request, otherwise: _Action) -> None:
+        """Ask a peer that has more free slots, if one is known."""
+        peers = self._peer_choice.freer(
+            req.home.admission.free(self._clock.now),
+            req.home.view,
+            self._rng,
+        )
+        self._claim(req, peers, otherwise)
 
-    def _claim(self, req: Request, peers: tuple[MemberRecord, ...]) -> None:
+    def _claim(
+        self,
+        req: Request,
+        peers: tuple[MemberRecord, ...],
+        otherwise: _Action,
+    ) -> None:
         if not peers:
-            self._on_none(req)
+            otherwise(req)
             return
         peer = self._by_address[peers[0].address]
+        following = partial(self._claim, req, peers[1:], otherwise)
         self._clock.after(
             HOP_SECONDS,
-            partial(self._answer_claim, req, peer, peers[1:]),
+            partial(self._answer_claim, req, peer, following),
         )
 
     def _answer_claim(
         self,
         req: Request,
         peer: Sidecar,
-        others: tuple[MemberRecord, ...],
+        following: Callable[[], None],
     ) -> None:
         self._tally.claims += req.is_counted
         if peer.admission.try_start(self._clock.now):
@@ -68,7 +85,7 @@
             self._on_slot(req, peer)
             return
         peer.offers.note(req.home.endpoint.address, self._clock.now)
-        self._clock.after(HOP_SECONDS, partial(self._claim, req, others))
+        self._clock.after(HOP_SECONDS, following)
 
     def offer(self, sidecar: Sidecar) -> None:
         """Tell who asked in vain that a slot is free now."""
@@ -90,7 +107,9 @@
             return
         # It leaves the queue first, so that it can't start at both.
         asker.admission.cancel(ticket)
+        req = request_of(ticket)
+        following = partial(self._on_none, req)
         self._clock.after(
             HOP_SECONDS,
-            partial(self._answer_claim, request_of(ticket), peer, ()),
+            partial(self._answer_claim, req, peer, following),
         )
--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -112,7 +112,7 @@
         )
         self._tally.arrived += req.is_counted
         home.retries.deposit(self._clock.now)
-        self._admit(req)
+        self._hand_overs.start_at_freer(req, self._admit)
 
     def _admit(self, req: Request) -> None:
         """Run a request at home if a slot is free, else ask the peers."""
--- a/src/dragonflyshift/_internal/routing/base.py
+++ b/src/dragonflyshift/_internal/routing/base.py
@@ -93,3 +93,16 @@
         limit: int,
     ) -> tuple[MemberRecord, ...]:
         """Return at most ``limit`` peers worth asking, best first."""
+
+    @abstractmethod
+    def freer(
+        self,
+        own_free: int,
+        peers: Sequence[MemberRecord],
+        rng: random.Random,
+    ) -> tuple[MemberRecord, ...]:
+        """Return the peer, if any, to run a request in place of this sidecar.
+
+        Called while this sidecar has ``own_free`` free slots itself. At most
+        one peer; none when the request should run here.
+        """
--- a/src/dragonflyshift/_internal/routing/peer_choice.py
+++ b/src/dragonflyshift/_internal/routing/peer_choice.py
@@ -29,6 +29,23 @@
             ordered.append(_take_freer(left))
         return tuple(ordered)
 
+    def freer(
+        self,
+        own_free: int,
+        peers: Sequence[MemberRecord],
+        rng: random.Random,
+    ) -> tuple[MemberRecord, ...]:
+        """Return the freer one of two random peers if it has more room.
+
+        Flows are pinned and differ in their rates, so without this an
+        endpoint with busy flows works more than its peers long before it is
+        full.
+        """
+        if own_free <= 0:
+            return ()
+        first = self.order(peers, rng, 1)
+        return tuple(peer for peer in first if _room(peer) > own_free)
+
 
 def _take_freer(shuffled: list[MemberRecord]) -> MemberRecord:
     """Remove and return the freer of the last two."""
--- a/tests/unit/routing/test_decisions.py
+++ b/tests/unit/routing/test_decisions.py
@@ -83,3 +83,17 @@
         self.assertEqual(firsts[0], 0)
         self.assertGreater(firsts[5], firsts[1])
         self.assertLess(firsts[5], 300)
+
+    def test_freer_peer_only_if_it_has_more_room(self) -> None:
+        rng = random.Random(1)
+        queued = build_member(1, free_slots=3, queued=2)
+        peer = build_member(2, free_slots=2)
+        leaving = build_member(3, free_slots=3, state=MemberState.LEAVING)
+        choice = PowerOfTwo()
+        self.assertEqual(
+            choice.freer(1, (queued, peer, leaving), rng),
+            (peer,),
+        )
+        self.assertEqual(choice.freer(2, (queued, peer, leaving), rng), ())
+        self.assertEqual(choice.freer(1, (leaving,), rng), ())
+        self.assertEqual(choice.freer(0, (peer,), rng), ())
