Choose among the peers with more room

Two ways to the same end met here: freer() of the peer choice replaces relieve(). The sidecar asks it for long requests alone: a hop costs a short request about as much processor time as the request itself.

--- a/src/dragonflyshift/_internal/routing/peer_choice.py
+++ b/src/dragonflyshift/_internal/routing/peer_choice.py
@@ -29,26 +29,22 @@
             ordered.append(_take_freer(left))
         return tuple(ordered)
 
-    def relieve(
+    def freer(
         self,
+        own_free: int,
         peers: Sequence[MemberRecord],
         rng: random.Random,
-        free_slots: int,
-    ) -> MemberRecord | None:
-        """Return the freer of two random peers with more room than here.
+    ) -> tuple[MemberRecord, ...]:
+        """Return the freer one of two random peers if it has more room.
 
-        A long request holds a slot for minutes or hours, so the hop to a
-        peer costs little against the balance that it brings.
+        Flows are pinned and differ in their rates, so without this an
+        endpoint with busy flows works more than its peers long before it is
+        full.
         """
-        freer = [
-            peer
-            for peer in peers
-            if peer.state is MemberState.ALIVE and _room(peer) > free_slots
-        ]
-        if not freer:
-            return None
-        rng.shuffle(freer)
-        return _take_freer(freer)
+        if own_free <= 0:
+            return ()
+        freer = [peer for peer in peers if _room(peer) > own_free]
+        return self.order(freer, rng, 1)
 
 
 def _take_freer(shuffled: list[MemberRecord]) -> MemberRecord:
--- a/src/dragonflyshift/_internal/sidecar/peers.py
+++ b/src/dragonflyshift/_internal/sidecar/peers.py
@@ -82,14 +82,14 @@
                 return place
         return None
 
-    async def claim_relief(
+    async def claim_freer(
         self,
         req: Request,
         free_slots: int,
     ) -> PeerPlace | None:
         """Claim a slot for a long request at a peer with more room."""
-        peer = self._choice.relieve(self._others(), self._rng, free_slots)
-        return None if peer is None else await self._ask(peer, req)
+        peers = self._choice.freer(free_slots, self._others(), self._rng)
+        return await self._ask(peers[0], req) if peers else None
 
     async def claim_at(
         self,
--- a/src/dragonflyshift/_internal/sidecar/placing.py
+++ b/src/dragonflyshift/_internal/sidecar/placing.py
@@ -139,7 +139,7 @@
         if self._admission.running == 0:
             return None
         free = self._admission.free(time.monotonic())
-        place = await self._claims.claim_relief(req, free)
+        place = await self._claims.claim_freer(req, free)
         if place is not None:
             self._metrics.incr('relieved')
         return place
