Bring a change into force within 5 s of an outage's end

A balancer whose index arrived during the first, empty round of its puller read every document singly. The round is now planned after the wait.

--- a/src/dragonflyshift/_internal/config/pulls.py
+++ b/src/dragonflyshift/_internal/config/pulls.py
@@ -61,7 +61,11 @@
 
 
 class ServicePuller:
-    """Bring the services' documents up to the versions of the index."""
+    """Bring the services' documents up to the versions of the index.
+
+    ``is_spread`` tells that daemons did not read the index at the same time,
+    so that their next reads need no spreading.
+    """
 
     def __init__(
         self,
@@ -73,6 +77,7 @@
         self._store = store
         self._client = client
         self._rng = rng
+        self.is_spread = False
         self._index_changed = asyncio.Event()
 
     async def run(self) -> None:
@@ -88,9 +93,13 @@
             self._index_changed.set()
 
     async def _catch_up(self) -> None:
-        attempt = self._plan_bundles() or self._plan_services()
-        # All balancers see a change at once: spread their reads.
-        await asyncio.sleep(self._rng.uniform(0, attempt.spread))
+        attempt = self._plan_first()
+        if not attempt.keys:
+            return
+        if not self.is_spread:
+            # All balancers see a change at once: spread their reads.
+            await asyncio.sleep(self._rng.uniform(0, attempt.spread))
+            attempt = self._plan_first()
         backoff = Backoff(self._rng)
         while self._store.stale_keys():
             await self._run(attempt)
@@ -100,11 +109,14 @@
                 await asyncio.sleep(backoff.next_delay(attempt.failure))
             attempt = self._plan_next(attempt)
 
+    def _plan_first(self) -> _Round:
+        return self._plan_bundles() or self._plan_services()
+
     def _plan_next(self, ended: _Round) -> _Round:
         # Bundles that were read well and left something are behind: what is
         # missing is read singly, lest this daemon waits for their writer.
         if ended.are_bundles and ended.failure is not None:
-            return self._plan_bundles() or self._plan_services()
+            return self._plan_first()
         return self._plan_services()
 
     def _plan_bundles(self) -> _Round | None:
--- a/src/dragonflyshift/_internal/config/watcher.py
+++ b/src/dragonflyshift/_internal/config/watcher.py
@@ -65,6 +65,7 @@
         self._wait = wait
         self._rng = rng
         self._backoff = Backoff(rng)
+        self._puller = ServicePuller(store, client, rng)
         self._etag = ''
 
     async def run(self) -> None:
@@ -72,8 +73,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._watch())
             if not self._scope.service:
-                puller = ServicePuller(self._store, self._client, self._rng)
-                group.create_task(puller.run())
+                group.create_task(self._puller.run())
 
     async def _watch(self) -> None:
         while True:
@@ -101,6 +101,8 @@
         if fetched is None:
             return False
         self._etag = fetched.etag
+        # The waits after a failure have spread the daemons already.
+        self._puller.is_spread = self._backoff.has_failed
         return self._store.offer(self._scope.key, fetched.raw)
 
     async def _pause(self, exc: PlatformError | ConfigurationError) -> None:
--- a/tests/unit/config/test_watcher.py
+++ b/tests/unit/config/test_watcher.py
@@ -3,6 +3,7 @@
 import random
 import statistics
 import unittest
+from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from unittest.mock import patch
 
@@ -54,7 +55,8 @@
     def setUp(self) -> None:
         for module, name in (
             (backoff, 'FIRST_CEILING_SECONDS'),
-            (backoff, 'MAX_CEILING_SECONDS'),
+            (backoff, 'LATER_FLOOR_SECONDS'),
+            (backoff, 'LATER_CEILING_SECONDS'),
             (backoff, 'MISSING_CEILING_SECONDS'),
             (pulls, 'SPREAD_SECONDS'),
         ):
@@ -128,9 +130,13 @@
         return [key for key in self.platform.reads if key.startswith(prefix)]
 
     async def test_fresh_balancer_reads_bundles(self) -> None:
-        keys = self.publish_many(1)
-        async with self.watching():
-            await until(lambda: self.is_level(keys, 1))
+        # Longer than it takes to read the index.
+        with patch.object(pulls, 'SPREAD_SECONDS', 0.3):
+            async with self.watching():
+                with self.assertLogs(level='WARNING'):
+                    await until(lambda: INDEX_KEY in self.platform.reads)
+                keys = self.publish_many(1)
+                await until(lambda: self.is_level(keys, 1))
         bundles = [bundle_key(number) for number in range(BUNDLES)]
         self.assertEqual(self.singles(), [])
         for key in bundles:
@@ -285,6 +291,22 @@
         ]
         self.assertLess(max(each_second), 2000)
 
+    def test_herd_stays_spread_through_a_long_outage(self) -> None:
+        rng = random.Random(3)
+        reads: Counter[int] = Counter()
+        for _ in range(6150):
+            waits = backoff.Backoff(rng)
+            moment = waits.next_delay()
+            while moment < 120:
+                reads[int(moment)] += 1
+                delay = waits.next_delay()
+                self.assertLess(delay, 5)
+                moment += delay
+        self.assertLess(max(reads.values()), 2000)
+        # A balancer that finds a change makes three reads instead of one.
+        late = max(reads[second] for second in range(60, 120))
+        self.assertLess(late * (1 + 2 * 850 / 6150), 2000)
+
     def test_missing_key_is_read_again_soon(self) -> None:
         exc = PlatformRequestError('none', context='', status=404)
         each = backoff.Backoff(random.Random(3))
