Repeat a digest to a balancer ever more rarely while views stay unequal

A balancer only listens, so a record of higher precedence that it holds alone keeps its hash unlike the sidecars' for ever, and each sidecar added its digest to a reply five times a second. Happens when a whole service is replaced while an endpoint is down, or while configurations differ. The period now doubles up to 30 s; a change on either side is told at once.

--- a/src/dragonflyshift/_internal/sidecar/replies.py
+++ b/src/dragonflyshift/_internal/sidecar/replies.py
@@ -1,13 +1,11 @@
 """The way of a reply: wrapped, through a balancer, to the client.
 
 A reply carries the service's membership digest when the balancer's view was
-seen to differ, and not more often than the digest period, so that control
-bytes follow changes instead of traffic.
+seen to differ, so that control bytes follow changes instead of traffic.
 """
 
 import os
 import time
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
@@ -15,23 +13,14 @@
 
 from dragonflyshift._internal.models import Address
 from dragonflyshift._internal.recovery import BalancerDirectory, ReturnPath
+from dragonflyshift._internal.sidecar.balancer_views import BalancerViews
 from dragonflyshift._internal.wire import DatagramCodec, Forward, Kind, Reply
 
-DIGEST_PERIOD_SECONDS = 0.2
-MAX_BALANCERS = 2048
 MAX_TOGETHER_BYTES = 1350
 _SHORT_HEADER = 0x40
 _SHORT_HEADER_MASK = 0x3F
 
 
-@define(eq=False)
-class _BalancerView:
-    """What a balancer was last seen to know."""
-
-    digest_hash: bytes
-    told_at: float = -DIGEST_PERIOD_SECONDS
-
-
 @define
 class ServiceWord:
     """What a sidecar has to tell: its view and configuration version."""
@@ -57,7 +46,7 @@
         self._codec = codec
         self._send = send
         self._word = word
-        self._views: OrderedDict[Address, _BalancerView] = OrderedDict()
+        self._views = BalancerViews()
         self.directory = directory
 
     def heard(self, forward: Forward) -> None:
@@ -68,14 +57,7 @@
             now,
             leaving=forward.leaving,
         )
-        view = self._views.setdefault(
-            forward.balancer,
-            _BalancerView(forward.digest_hash),
-        )
-        view.digest_hash = forward.digest_hash
-        self._views.move_to_end(forward.balancer)
-        if len(self._views) > MAX_BALANCERS:
-            self._views.popitem(last=False)
+        self._views.heard(forward.balancer, forward.digest_hash)
 
     def open_path(self, forward: Forward) -> 'ReplyPath':
         """Return the way back of the flow that a packet started."""
@@ -124,14 +106,11 @@
         self._send(self._codec.seal(Kind.REPLY, reply.encode()), balancer)
 
     def _digest_for(self, balancer: Address, word: ServiceWord) -> bytes:
-        view = self._views.get(balancer)
-        if view is None or view.digest_hash == word.digest_hash:
+        if not word.digest:
             return b''
         now = time.monotonic()
-        if now - view.told_at < DIGEST_PERIOD_SECONDS:
-            return b''
-        view.told_at = now
-        return word.digest
+        due = self._views.take_due(balancer, word.digest_hash, now)
+        return word.digest if due else b''
 
 
 class ReplyPath:
--- /dev/null
+++ b/tests/unit/sidecar/test_balancer_views.py
@@ -0,0 +1,48 @@
+import unittest
+
+from dragonflyshift._internal.sidecar import balancer_views as module
+from tests.lib.members import address_of
+
+BALANCER = address_of(1)
+OWN, OTHER, NEWER = b'own', b'other', b'newer'
+
+
+class BalancerViewsTest(unittest.TestCase):
+    def setUp(self):
+        self.views = module.BalancerViews()
+
+    def _due(self, now, own=OWN, balancer=BALANCER):
+        return self.views.take_due(balancer, own, now)
+
+    def test_nothing_is_due_to_an_equal_or_unknown_view(self):
+        self.assertFalse(self._due(0))
+        self.views.heard(BALANCER, OWN)
+        self.assertFalse(self._due(0))
+
+    def test_views_that_stay_unequal_cost_ever_less(self):
+        told = 0
+        for tick in range(6000):
+            self.views.heard(BALANCER, OTHER)
+            told += self._due(tick / 10)
+        self.assertLess(told, 30)
+        self.assertGreater(told, 600 / module.MAX_PERIOD_SECONDS)
+
+    def test_lost_digest_is_repeated_soon(self):
+        self.views.heard(BALANCER, OTHER)
+        due = [self._due(tick / 10) for tick in range(21)]
+        self.assertEqual(sum(due), 4)
+
+    def test_change_on_either_side_is_told_at_once(self):
+        self.views.heard(BALANCER, OTHER)
+        self.assertTrue(self._due(0))
+        self.assertFalse(self._due(0.1))
+        self.assertTrue(self._due(0.1, NEWER))
+        self.assertFalse(self._due(0.15, NEWER))
+        self.views.heard(BALANCER, bytes(8))
+        self.assertTrue(self._due(0.15, NEWER))
+
+    def test_memory_is_bounded(self):
+        for number in range(module.MAX_BALANCERS + 1):
+            self.views.heard(address_of(number), OTHER)
+        self.assertFalse(self._due(0, balancer=address_of(0)))
+        self.assertTrue(self._due(0, balancer=address_of(1)))
