--- a/tests/unit/control/test_configuration.py
+++ b/tests/unit/control/test_configuration.py
@@ -9,7 +9,6 @@
     configuration,
     documents,
 )
-from dragonflyshift._internal.control.reporting import describe_versions
 from dragonflyshift._internal.kernel.settings import Role, Settings
 from dragonflyshift._internal.kernel.tasks import TaskGroup
 from dragonflyshift._internal.models.documents import INDEX_KEY, service_key
@@ -102,7 +101,7 @@
             self.seed.store.offer(KEY, build_service_raw(version=2))
             async with asyncio.timeout(5):
                 await started
-        self.assertEqual(describe_versions(feed.store), {KEY: 2})
+        self.assertEqual(feed.store.versions(), {KEY: 2})
 
     async def test_higher_version_heard_is_pulled(self) -> None:
         feed = self.build_feed(WatchScope(SERVICE))
