--- a/bench/policy_handover.py
+++ b/bench/policy_handover.py
@@ -80,7 +80,6 @@
         following: Callable[[], None],
     ) -> None:
         self._tally.claims += req.is_counted
-        self._learn(req.home, peer)
         if peer.admission.try_start(self._clock.now):
             self._tally.handed_over += req.is_counted
             self._on_slot(req, peer)
@@ -88,14 +87,6 @@
         peer.offers.note(req.home.endpoint.address, self._clock.now)
         self._clock.after(HOP_SECONDS, following)
 
-    def _learn(self, home: Sidecar, peer: Sidecar) -> None:
-        """Put what a claim's answer tells of the peer into the view."""
-        newest = peer.record(self._clock.now)
-        home.view = tuple(
-            newest if known.address == newest.address else known
-            for known in home.view
-        )
-
     def offer(self, sidecar: Sidecar) -> None:
         """Tell who asked in vain that a slot is free now."""
         if sidecar.admission.free(self._clock.now) <= 0:
