--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -133,7 +133,11 @@
                 req.client,
             )
         except QueueFullError:
-            self._refuse(req)
+            if req.was_swept:
+                self._refuse(req)
+                return
+            req.was_swept = True
+            self._hand_overs.sweep(req)
             return
         ticket.waiter = req
         self._clock.after(
