--- a/bench/policy_handover.py
+++ b/bench/policy_handover.py
@@ -48,15 +48,6 @@
         )
         self._claim(req, peers, self._on_none)
 
-    def sweep(self, req: Request) -> None:
-        """Ask all peers once more before a refusal."""
-        peers = self._peer_choice.order(
-            req.home.view,
-            self._rng,
-            len(req.home.view),
-        )
-        self._claim(req, peers, self._on_none)
-
     def start_at_freer(self, req: Request, otherwise: _Action) -> None:
         """Ask a peer that has more free slots, if one is known."""
         peers = self._peer_choice.freer(
--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -133,11 +133,7 @@
                 req.client,
             )
         except QueueFullError:
-            if req.was_swept:
-                self._refuse(req)
-                return
-            req.was_swept = True
-            self._hand_overs.sweep(req)
+            self._refuse(req)
             return
         ticket.waiter = req
         self._clock.after(
--- a/bench/policy_sidecar.py
+++ b/bench/policy_sidecar.py
@@ -123,7 +123,6 @@
     home: Sidecar
     is_counted: bool
     attempt: int = 1
-    was_swept: bool = False
     started_at: float = field(default=0)
 
     @property
