--- /dev/null
+++ b/bench/policy_rank.py
@@ -0,0 +1,53 @@
+"""Time of one candidate choice, by the number of endpoints.
+
+Example:
+    python -m bench.policy_rank
+"""
+
+import timeit
+from functools import partial
+
+from dragonflyshift._internal.models import Address, Endpoint
+from dragonflyshift._internal.routing import Candidate, Place, Rendezvous
+
+SIZES = (3, 7, 20, 50)
+CALLS = 5000
+US_PER_SECOND = 1_000_000
+PLACE = Place('adama', 'oromia')
+
+
+def build_view(size: int) -> tuple[Candidate, ...]:
+    """Build endpoints of one data center."""
+    return tuple(
+        Candidate(
+            Endpoint(
+                name=f'parts-{number}',
+                address=Address('192.0.2.1', 1000 + number),
+                data_center=PLACE.data_center,
+                region=PLACE.region,
+                slots=4,
+            ),
+        )
+        for number in range(size)
+    )
+
+
+def measure_us(size: int, calls: int = CALLS) -> float:
+    """Return microseconds of processor time for a call on an old view."""
+    choice = Rendezvous()
+    rank = partial(choice.rank, b'flow-key', build_view(size), PLACE)
+    rank()
+    timer = timeit.Timer(rank)
+    return min(timer.repeat(3, calls)) / calls * US_PER_SECOND
+
+
+def main() -> None:
+    """Print a table."""
+    print('| endpoints | us a choice |')
+    print('| --- | --- |')
+    for size in SIZES:
+        print(f'| {size} | {measure_us(size):.1f} |')
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/unit/limits/test_adaptive.py
+++ b/tests/unit/limits/test_adaptive.py
@@ -99,6 +99,16 @@
             taken.append(limit.next_ready(now))
         self.assertEqual(taken, [early, equal, late])
 
+    def test_expires_at_the_deadline_itself(self) -> None:
+        limit = _build(slots=1)
+        limit.try_start(0)
+        ticket = limit.enqueue(0, 5, b'')
+        later = limit.enqueue(0, 6, b'')
+        self.assertEqual(limit.expire(4.9), ())
+        self.assertEqual(limit.expire(5), (ticket,))
+        limit.finish(5, 5)
+        self.assertIs(limit.next_ready(5), later)
+
     def test_a_free_slot_is_never_hopeless(self) -> None:
         limit = _build(slots=1)
         now = _measure_pace(limit, held=2, rounds=20)
--- a/tests/unit/routing/test_rendezvous.py
+++ b/tests/unit/routing/test_rendezvous.py
@@ -122,6 +122,16 @@
                 delta=0.1,
             )
 
+    def test_weight_zero_comes_last_in_one_order(self) -> None:
+        idle = (build_candidate(1, weight=0), build_candidate(2, weight=0))
+        view = (*idle, build_candidate(3))
+        ranked = Rendezvous().rank(b'flow-key', view, HERE, 3)
+        self.assertEqual(ranked, (view[2], *idle))
+        reordered = Rendezvous().rank(
+            b'flow-key', tuple(reversed(view)), HERE, 3
+        )
+        self.assertEqual(reordered, ranked)
+
     def test_ladder_of_distance(self) -> None:
         near = build_candidate(1)
         region = build_candidate(2, data_center='batu')
