Refuse idempotency keys in plain base64

Python's decoder takes + and / also with another alphabet, so a key had several texts; the altered-character test failed in some runs, since the nonce of a new issuer is random. Before: a key with + for - was accepted (the new test failed); after: only the canonical text is.

--- a/src/dragonflyshift/_internal/state/idempotency.py
+++ b/src/dragonflyshift/_internal/state/idempotency.py
@@ -73,7 +73,9 @@
         if len(raw) == ENCODED_BYTES:
             with suppress(ValueError):
                 decoded = base64.b64decode(raw, b'-_', validate=True)
-        if len(decoded) != _RAW_BYTES:
+        # The decoder takes + and / for - and _ too: only one form is valid.
+        canonical = base64.urlsafe_b64encode(decoded) == raw
+        if len(decoded) != _RAW_BYTES or not canonical:
             raise StateError('idempotency key is malformed')
         fields = decoded[: _FIELDS.size]
         try:
--- a/tests/unit/state/test_idempotency.py
+++ b/tests/unit/state/test_idempotency.py
@@ -61,6 +61,15 @@
         with self.assertRaises(StateError):
             _issuer().parse(bytes(raw))
 
+    def test_plain_base64_characters_are_refused(self) -> None:
+        issuer = _issuer()
+        raw = issuer.issue()
+        while b'-' not in raw or b'_' not in raw:
+            raw = issuer.issue()
+        for safe, plain in ((b'-', b'+'), (b'_', b'/')):
+            with self.assertRaises(StateError):
+                issuer.parse(raw.replace(safe, plain))
+
     @settings(derandomize=True, deadline=None, max_examples=100)
     @given(st.binary(max_size=80) | st.binary(min_size=52, max_size=52))
     def test_odd_bytes_raise_state_errors_only(self, raw: bytes) -> None:
