--- a/src/dragonflyshift/_internal/routing/base.py
+++ b/src/dragonflyshift/_internal/routing/base.py
@@ -94,14 +94,15 @@
     ) -> tuple[MemberRecord, ...]:
         """Return at most ``limit`` peers worth asking, best first."""
 
-    def relieve(
+    @abstractmethod
+    def freer(
         self,
+        own_free: int,
         peers: Sequence[MemberRecord],
         rng: random.Random,
-        free_slots: int,
-    ) -> MemberRecord | None:
-        """Return a peer that should rather run a long request, if any.
+    ) -> tuple[MemberRecord, ...]:
+        """Return the peer, if any, to run a request in place of this sidecar.
 
-        ``free_slots`` are the decider's own. By default there is none, and
-        requests run where their flow is while a slot is free there.
+        Called while this sidecar has ``own_free`` free slots itself. At most
+        one peer; none when the request should run here.
         """
