--- /dev/null
+++ b/bench/config_documents.py
@@ -0,0 +1,126 @@
+"""Seeded documents of a design-like inventory, and Markdown tables."""
+
+import random
+from collections.abc import Iterator, Sequence
+
+from attrs import AttrsInstance, asdict, evolve, frozen
+
+from dragonflyshift._internal.config import encode_document, service_tag
+from dragonflyshift._internal.config.bundles import (
+    choose_bundles,
+    encode_bundles,
+)
+from dragonflyshift._internal.models import (
+    Address,
+    Endpoint,
+    IndexDocument,
+    IndexEntry,
+    ServiceDocument,
+)
+from dragonflyshift._internal.models.documents import (
+    INDEX_KEY,
+    bundle_key,
+    service_key,
+)
+
+HOSTS = 65_536
+HOST_BITS = 8
+
+
+@frozen
+class Inventory:
+    """All documents at one version."""
+
+    services: tuple[ServiceDocument, ...]
+    version: int = 1
+    has_bundles: bool = True
+
+    @property
+    def index(self) -> IndexDocument:
+        """The index of these services."""
+        entries = tuple(
+            IndexEntry(one.name, one.tag, one.version, one.addresses)
+            for one in self.services
+        )
+        return IndexDocument(self.version, entries, self.bundles)
+
+    @property
+    def bundles(self) -> int:
+        """The number of bundles."""
+        return choose_bundles(self.services) if self.has_bundles else 0
+
+    def raise_first(self) -> 'Inventory':
+        """Return the next version, in which one service changed."""
+        version = self.version + 1
+        first, *others = self.services
+        risen = evolve(first, version=version)
+        return evolve(self, services=(risen, *others), version=version)
+
+    def published(self) -> Iterator[tuple[str, bytes]]:
+        """Yield each key with its value, the index last."""
+        for document in self.services:
+            yield service_key(document.name), encode_document(document)
+        bundles = encode_bundles(self.services, self.bundles)
+        for number, raw in enumerate(bundles):
+            yield bundle_key(number), raw
+        yield INDEX_KEY, encode_document(self.index)
+
+
+def build_inventory(services: int, endpoints: int, seed: int) -> Inventory:
+    """Return an inventory with names and weights drawn from the seed."""
+    rng = random.Random(seed)
+    return Inventory(
+        tuple(
+            _build_service(number, endpoints, rng) for number in range(services)
+        ),
+    )
+
+
+def print_tables(sections: dict[str, Sequence[AttrsInstance]]) -> None:
+    """Print the rows of each section as a Markdown table."""
+    for title, rows in sections.items():
+        print(f'\n### {title}\n')
+        columns = list(asdict(rows[0]))
+        print(f'| {" | ".join(columns)} |')
+        print(f'|{"---|" * len(columns)}')
+        for row in rows:
+            print(f'| {" | ".join(map(_text, asdict(row).values()))} |')
+
+
+def _build_service(
+    number: int,
+    endpoints: int,
+    rng: random.Random,
+) -> ServiceDocument:
+    name = f'service-{rng.getrandbits(40):010x}-{number}'
+    first = number * endpoints
+    return ServiceDocument(
+        name=name,
+        organisation=rng.choice(('council', 'assembly')),
+        tag=service_tag(name),
+        version=1,
+        addresses=(Address(_host(192, number), 443),),
+        endpoints=tuple(
+            Endpoint(
+                name=f'{name}-{each}',
+                address=Address(_host(10, first + each), 7000),
+                data_center=rng.choice(('north-1', 'north-2', 'south-1')),
+                region='main-region',
+                slots=rng.choice((3, 4)),
+            )
+            for each in range(endpoints)
+        ),
+    )
+
+
+def _host(network: int, number: int) -> str:
+    if number >= HOSTS:
+        raise ValueError(f'{number} is beyond one network')
+    high, low = divmod(number, 1 << HOST_BITS)
+    return f'{network}.1.{high}.{low}'
+
+
+def _text(cell: object) -> str:
+    if isinstance(cell, float):
+        return f'{cell:,.3g}' if abs(cell) < 1000 else f'{cell:,.0f}'
+    return f'{cell:,}' if isinstance(cell, int) else str(cell)
--- /dev/null
+++ b/bench/config_readers.py
@@ -0,0 +1,344 @@
+"""Measure many readers of the configuration before one platform stand-in.
+
+Run ``python -m bench.config_readers --part PART [--json] [--seed N]``; each
+part takes less than a minute: ``change`` watches at rest and publishes one
+change, ``outage`` publishes it while the platform is down, ``fresh`` starts
+readers that hold nothing, with and without bundles. The readers are real
+watchers in two processes; the stand-in takes 2,000 reads a second.
+"""
+
+import argparse
+import asyncio
+import json
+import signal
+import socket
+import time
+from collections.abc import AsyncIterator, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any
+
+import numpy as np
+from attrs import AttrsInstance, asdict, evolve, frozen
+
+from bench.config_documents import Inventory, build_inventory, print_tables
+from bench.slopes import fit_line
+from tests.lib import processes
+from tests.lib.http import ControlClient
+
+PARTS = ('change', 'outage', 'fresh')
+SIZES = (200, 600, 1200)
+FRESH_SIZES = (50, 100, 200)
+WORKERS = 2
+SERVICES = 12
+FRESH_SERVICES = 40
+ENDPOINTS = 7
+WATCH_WAIT_S = 3.0
+SETTLE_S = 2 * WATCH_WAIT_S
+REST_S = 3.0
+OUTAGE_S = 4.0
+TIMEOUT_S = 30.0
+P99 = 99
+MS_PER_S = 1000
+KIB = 1024
+
+
+@frozen
+class Wave:
+    """How one version came into force at all readers."""
+
+    readers: int
+    services: int
+    bundles: int
+    max_s: float
+    p99_s: float
+    median_s: float
+    reads: int
+    peak_reads_a_second: int
+    refused: int
+    bytes_a_reader: float
+    cpu_ms_a_reader: float
+
+
+@frozen
+class Rest:
+    """Readers while nothing changes."""
+
+    readers: int
+    watch_wait_s: float
+    reads_a_second: float
+    cpu_ms_a_read: float
+    bytes_a_read: float
+    kib_a_reader: float
+
+
+@frozen
+class Slope:
+    """A least-squares line through the sizes."""
+
+    figure: str
+    fixed: float
+    a_reader: float
+    worst_distance: float
+
+
+class Rig:
+    """The platform and the worker processes of one size."""
+
+    def __init__(self, control: ControlClient, inventory: Inventory) -> None:
+        """Start without workers."""
+        self.inventory = inventory
+        self.workers: list[processes.Child] = []
+        self._control = control
+        self._asked = 0
+
+    async def publish(self) -> None:
+        """Publish all documents that a reader may ask for."""
+        for key, raw in self.inventory.published():
+            await self._control.put_bytes(f'/control/keys/{key}', raw)
+
+    async def change(self) -> float:
+        """Publish a change of one service; return when it was done."""
+        before = dict(self.inventory.published())
+        self.inventory = self.inventory.raise_first()
+        for key, raw in self.inventory.published():
+            if before[key] != raw:
+                await self._control.put_bytes(f'/control/keys/{key}', raw)
+        return time.monotonic()
+
+    async def switch(self, mode: str) -> float:
+        """Switch the platform's mode; return when it was done."""
+        await self._control.put('/control/mode', mode)
+        return time.monotonic()
+
+    async def counts(self) -> dict[str, int]:
+        """Return the platform's counts."""
+        counts: dict[str, int] = await self._control.get('/control/counts')
+        return counts
+
+    async def costs(self) -> dict[str, float]:
+        """Return the sums of what the workers have used so far."""
+        self._asked += 1
+        latest = [await _ask(worker, self._asked) for worker in self.workers]
+        return {
+            name: sum(each[name] for each in latest)
+            for name in ('reads', 'bytes', 'cpu_s', 'rss', 'empty')
+        }
+
+    async def times(self) -> list[float]:
+        """Wait until all readers hold the inventory; return when."""
+        version = self.inventory.version
+        found: list[float] = []
+        for worker in self.workers:
+            found.extend((await _find(worker, 'version', version))['times'])
+        return found
+
+
+async def _ask(worker: processes.Child, asked: int) -> dict[str, Any]:
+    worker.send_signal(signal.SIGUSR1)
+    return await _find(worker, 'asked', asked)
+
+
+async def _find(
+    worker: processes.Child,
+    name: str,
+    wanted: int,
+) -> dict[str, Any]:
+    def matches(event: dict[str, Any]) -> bool:  # noqa: WPS430 -- binds name
+        return event.get(name) == wanted
+
+    await worker.wait_line(matches, TIMEOUT_S)
+    return next(filter(matches, worker.events()))
+
+
+def _free_address() -> str:
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        return f'127.0.0.1:{server.getsockname()[1]}'
+
+
+@asynccontextmanager
+async def start_platform(
+    inventory: Inventory,
+) -> AsyncIterator[tuple[Rig, str]]:
+    """Run a platform that has published an inventory."""
+    async with AsyncExitStack() as cleanup:
+        address = _free_address()
+        platform = await processes.start(
+            'platform',
+            'tests.lib.platform',
+            ('--listen', address),
+        )
+        cleanup.push_async_callback(platform.stop)
+        await platform.wait_ready()
+        control = ControlClient(address)
+        cleanup.push_async_callback(control.aclose)
+        rig = Rig(control, inventory)
+        await rig.publish()
+        yield rig, f'http://{address}'
+
+
+@asynccontextmanager
+async def start_rig(
+    readers: int,
+    inventory: Inventory,
+    seed: int,
+    *,
+    fresh: bool = False,
+) -> AsyncIterator[Rig]:
+    """Run a platform and readers; return once the readers run."""
+    async with AsyncExitStack() as cleanup:
+        rig, url = await cleanup.enter_async_context(start_platform(inventory))
+        for number in range(WORKERS):
+            options = {
+                'platform': url,
+                'readers': readers // WORKERS,
+                'services': len(inventory.services),
+                'endpoints': ENDPOINTS,
+                'seed': seed + number if fresh else seed,
+                'watch-wait': WATCH_WAIT_S,
+            }
+            words = [f'--{name}={text}' for name, text in options.items()]
+            worker = await processes.start(
+                f'readers-{number}',
+                'bench.config_worker',
+                [*words, *(['--fresh'] if fresh else [])],
+            )
+            cleanup.push_async_callback(worker.stop)
+            rig.workers.append(worker)
+        for worker in rig.workers:
+            await worker.wait_ready()
+        yield rig
+
+
+async def measure_wave(
+    rig: Rig,
+    began: float,
+    before: dict[str, int],
+    costs: dict[str, float],
+) -> Wave:
+    """Wait until the inventory is in force everywhere and sum up."""
+    times = np.array(await rig.times()) - began
+    spent = await rig.costs()
+    after = await rig.counts()
+    readers = len(times)
+    return Wave(
+        readers=readers,
+        services=len(rig.inventory.services),
+        bundles=rig.inventory.bundles,
+        max_s=float(np.max(times)),
+        p99_s=float(np.percentile(times, P99)),
+        median_s=float(np.median(times)),
+        reads=int(spent['reads'] - costs['reads']),
+        peak_reads_a_second=after['peak'],
+        refused=after.get('429', 0) - before.get('429', 0),
+        bytes_a_reader=(spent['bytes'] - costs['bytes']) / readers,
+        cpu_ms_a_reader=(
+            (spent['cpu_s'] - costs['cpu_s']) * MS_PER_S / readers
+        ),
+    )
+
+
+async def measure_change(readers: int, seed: int) -> tuple[Rest, Wave]:
+    """Let readers rest, then publish one change."""
+    inventory = build_inventory(SERVICES, ENDPOINTS, seed)
+    async with start_rig(readers, inventory, seed) as rig:
+        await asyncio.sleep(SETTLE_S)
+        first = await rig.costs()
+        began = time.monotonic()
+        await asyncio.sleep(REST_S)
+        second = await rig.costs()
+        seconds = time.monotonic() - began
+        before = await rig.counts()
+        wave = await measure_wave(rig, await rig.change(), before, second)
+    reads = second['reads'] - first['reads']
+    rest = Rest(
+        readers=readers,
+        watch_wait_s=WATCH_WAIT_S,
+        reads_a_second=reads / seconds,
+        cpu_ms_a_read=(second['cpu_s'] - first['cpu_s']) * MS_PER_S / reads,
+        bytes_a_read=(second['bytes'] - first['bytes']) / reads,
+        kib_a_reader=(second['rss'] - second['empty']) / KIB / readers,
+    )
+    return rest, wave
+
+
+async def measure_outage(readers: int, seed: int) -> Wave:
+    """Publish a change during an outage; time runs from its end."""
+    inventory = build_inventory(SERVICES, ENDPOINTS, seed)
+    async with start_rig(readers, inventory, seed) as rig:
+        await asyncio.sleep(WATCH_WAIT_S)
+        await rig.switch('down')
+        await asyncio.sleep(OUTAGE_S)
+        await rig.change()
+        before = await rig.counts()
+        costs = await rig.costs()
+        return await measure_wave(rig, await rig.switch('up'), before, costs)
+
+
+async def measure_fresh(readers: int, seed: int, *, bundles: bool) -> Wave:
+    """Start readers that hold nothing, all at once."""
+    inventory = build_inventory(FRESH_SERVICES, ENDPOINTS, seed)
+    inventory = evolve(inventory, has_bundles=bundles)
+    nothing: dict[str, float] = dict.fromkeys(('reads', 'bytes', 'cpu_s'), 0)
+    async with start_rig(readers, inventory, seed, fresh=True) as rig:
+        began = max(worker.events()[0]['at'] for worker in rig.workers)
+        return await measure_wave(rig, began, {}, nothing)
+
+
+async def run_part(
+    part: str,
+    seed: int,
+) -> dict[str, Sequence[AttrsInstance]]:
+    """Measure one part at all its sizes."""
+    if part == 'change':
+        pairs = [await measure_change(size, seed) for size in SIZES]
+        rests = [rest for rest, _wave in pairs]
+        waves = [wave for _rest, wave in pairs]
+        slopes = fit_waves(waves)
+        return {'At rest': rests, 'One change': waves, 'Slopes': slopes}
+    if part == 'outage':
+        waves = [await measure_outage(size, seed) for size in SIZES]
+        return {'After an outage': waves, 'Slopes': fit_waves(waves)}
+    singly = [
+        await measure_fresh(size, seed, bundles=False) for size in FRESH_SIZES
+    ]
+    bundled = [
+        await measure_fresh(size, seed, bundles=True) for size in FRESH_SIZES
+    ]
+    return {
+        'Fresh readers without bundles': singly,
+        'Slopes without bundles': fit_waves(singly),
+        'Fresh readers with bundles': bundled,
+        'Slopes with bundles': fit_waves(bundled),
+    }
+
+
+def fit_waves(waves: Sequence[Wave]) -> list[Slope]:
+    """Fit a line through time, reads and bytes at all sizes."""
+    sizes = [wave.readers for wave in waves]
+    slopes = []
+    for figure in ('max_s', 'reads', 'bytes_a_reader', 'cpu_ms_a_reader'):
+        line = fit_line(sizes, [getattr(wave, figure) for wave in waves])
+        slopes.append(Slope(figure, line.fixed, line.slope, line.worst))
+    return slopes
+
+
+def main() -> None:
+    """Measure and print."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--part', choices=PARTS, default=PARTS[0])
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--json', action='store_true')
+    args = parser.parse_args()
+    sections = asyncio.run(run_part(args.part, args.seed))
+    if args.json:
+        plain = {
+            title: [asdict(row) for row in rows]
+            for title, rows in sections.items()
+        }
+        print(json.dumps({'seed': args.seed, **plain}))
+        return
+    print_tables(sections)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/dragonflyshift/_internal/config/pulls.py
+++ b/src/dragonflyshift/_internal/config/pulls.py
@@ -38,26 +38,29 @@
 logger = logging.getLogger(__name__)
 
 CONCURRENT_PULLS = 8
-# 850 balancers that each make two reads within a second stay below the rate
-# that the platform's service takes.
+# 850 balancers that watch on at once and each begin 1.1 reads in a second
+# stay below the rate that the platform's service takes. Before bundles all of
+# them may just have started, and read the index besides.
 SPREAD_SECONDS = 1
-READS_IN_SPREAD = 2
-MAX_SPREADS = 4
+READS_IN_SPREAD = 1.1
+MAX_SPREADS = 4.5
+BUNDLE_DELAY_SECONDS = 1
 
 
 @define
-class _Round:
+class PullRound:
     """One attempt at all documents that are behind."""
 
     keys: list[str]
     are_bundles: bool = False
     failure: PlatformError | None = None
 
-    @property
-    def spread(self) -> float:
-        """The seconds over which all daemons begin a round like this."""
+    def choose_delay(self, rng: random.Random) -> float:
+        """Return the seconds until this daemon begins its reads."""
         spreads = len(self.keys) / READS_IN_SPREAD
-        return SPREAD_SECONDS * min(max(1, spreads), MAX_SPREADS)
+        spread = SPREAD_SECONDS * min(max(1, spreads), MAX_SPREADS)
+        earliest = BUNDLE_DELAY_SECONDS if self.are_bundles else 0
+        return earliest + rng.uniform(0, spread)
 
 
 class ServicePuller:
@@ -98,7 +101,7 @@
             return
         if not self.is_spread:
             # All balancers see a change at once: spread their reads.
-            await asyncio.sleep(self._rng.uniform(0, attempt.spread))
+            await asyncio.sleep(attempt.choose_delay(self._rng))
             attempt = self._plan_first()
         backoff = Backoff(self._rng)
         while self._store.stale_keys():
@@ -109,17 +112,17 @@
                 await asyncio.sleep(backoff.next_delay(attempt.failure))
             attempt = self._plan_next(attempt)
 
-    def _plan_first(self) -> _Round:
+    def _plan_first(self) -> PullRound:
         return self._plan_bundles() or self._plan_services()
 
-    def _plan_next(self, ended: _Round) -> _Round:
+    def _plan_next(self, ended: PullRound) -> PullRound:
         # Bundles that were read well and left something are behind: what is
         # missing is read singly, lest this daemon waits for their writer.
         if ended.are_bundles and ended.failure is not None:
             return self._plan_first()
         return self._plan_services()
 
-    def _plan_bundles(self) -> _Round | None:
+    def _plan_bundles(self) -> PullRound | None:
         """Return a round of bundles, or None when single reads are fewer."""
         index = self._store.index
         if index is None or not index.bundles:
@@ -134,7 +137,7 @@
             return None
         return self._shuffled(map(bundle_key, sorted(numbers)), bundles=True)
 
-    def _plan_services(self) -> _Round:
+    def _plan_services(self) -> PullRound:
         return self._shuffled(self._store.stale_keys())
 
     def _shuffled(
@@ -142,16 +145,16 @@
         keys: Iterable[str],
         *,
         bundles: bool = False,
-    ) -> _Round:
+    ) -> PullRound:
         ordered = list(keys)
         self._rng.shuffle(ordered)
-        return _Round(ordered, are_bundles=bundles)
+        return PullRound(ordered, are_bundles=bundles)
 
-    async def _run(self, attempt: _Round) -> None:
+    async def _run(self, attempt: PullRound) -> None:
         workers = (self._work(attempt) for _ in range(CONCURRENT_PULLS))
         await asyncio.gather(*workers)
 
-    async def _work(self, attempt: _Round) -> None:
+    async def _work(self, attempt: PullRound) -> None:
         while attempt.keys and attempt.failure is None:
             key = attempt.keys.pop()
             try:
--- a/tests/unit/config/test_watcher.py
+++ b/tests/unit/config/test_watcher.py
@@ -59,6 +59,7 @@
             (backoff, 'LATER_CEILING_SECONDS'),
             (backoff, 'MISSING_CEILING_SECONDS'),
             (pulls, 'SPREAD_SECONDS'),
+            (pulls, 'BUNDLE_DELAY_SECONDS'),
         ):
             patcher = patch.object(module, name, 0.02)
             patcher.start()
