Keep the connection of a watch that found no change

The 304 was left before its end was read, so that every watch of every reader opened a connection anew.

--- a/bench/config_worker.py
+++ b/bench/config_worker.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import gc
 import json
 import logging
 import random
@@ -153,6 +154,8 @@
     if not args.fresh:
         inventory = build_inventory(args.services, args.endpoints, args.seed)
         _fill(readers, inventory)
+    # A daemon has one store: collecting hundreds would only be a burden here.
+    gc.freeze()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGUSR1, tally.answer)
     standin.announce(at=time.monotonic())
--- a/src/dragonflyshift/_internal/config/client.py
+++ b/src/dragonflyshift/_internal/config/client.py
@@ -151,6 +151,8 @@
             headers=headers,
         ) as answer:
             if answer.status_code == httpx.codes.NOT_MODIFIED:
+                # Without the end of the answer the connection is closed.
+                await answer.aread()
                 return None
             if answer.status_code != httpx.codes.OK:
                 raise _failure(
--- a/tests/unit/config/test_watcher.py
+++ b/tests/unit/config/test_watcher.py
@@ -271,6 +271,29 @@
         exc = await self.failure(refuse)
         self.assertEqual(exc.status, 0)
 
+    async def test_watches_share_a_connection(self) -> None:
+        opened = 0
+
+        async def serve(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            nonlocal opened
+            opened += 1
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while True:
+                    await reader.readuntil(b'\r\n\r\n')
+                    writer.write(b'HTTP/1.1 304 Not Modified\r\n\r\n')
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        async with PlatformClient(f'http://127.0.0.1:{port}') as client:
+            for _ in range(3):
+                self.assertIsNone(await client.watch('a', '"1"', 1))
+        self.assertEqual(opened, 1)
+
     async def test_silent_service(self) -> None:
         async def hang(_request: httpx.Request) -> httpx.Response:
             await asyncio.sleep(DEADLINE_SECONDS)
