--- a/bench/config_rig.py
+++ b/bench/config_rig.py
@@ -11,7 +11,7 @@
 
 from bench.config_documents import Inventory
 from tests.lib import processes
-from tests.lib.http import ControlClient
+from tests.lib.control import ControlClient
 
 COSTS = ('reads', 'bytes', 'cpu_s', 'rss', 'empty')
 USER_TICKS = 11
