--- a/tests/functional/test_endpoint_changes.py
+++ b/tests/functional/test_endpoint_changes.py
@@ -8,7 +8,7 @@
 from tests.lib.cases import ClusterTest
 from tests.lib.cluster import LISTS
 
-BOARD_SECONDS = 3.0
+BOARD_SECONDS = 5.0
 
 
 class EndpointsTest(ClusterTest):
@@ -35,7 +35,16 @@
             self.assertEqual(statuses, [0, 0])
         await self.assert_promises(summary)
 
-    async def test_endpoint_leaves_the_register_while_its_flow_runs(self):
+    async def _replace_all_balancers(self):
+        cluster = self.cluster
+        old = tuple(cluster.balancers)
+        await asyncio.gather(*(cluster.add_balancer() for _ in old))
+        removals = map(cluster.remove_balancer, old)
+        self.assertEqual(await asyncio.gather(*removals), [0 for _ in old])
+
+    async def test_endpoint_leaves_the_register_and_balancers_are_replaced(
+        self,
+    ):
         conn = await self.cluster.connect(LISTS)
         home = self.home(conn)
         board = conn.open('GET', f'/boards/{BOARD_SECONDS}')
@@ -45,6 +54,7 @@
         await self.wait_version(service_key(LISTS), 2, self.daemons())
         fresh = await self.cluster.connect(LISTS)
         self.assertIs(self.home(fresh), other)
+        await self._replace_all_balancers()
         answer = await board.answer(BOARD_SECONDS * 2)
         self.assertEqual(answer.failure, '')
         self.assertEqual(answer.body, answers.board_body(BOARD_SECONDS))
--- a/tests/functional/test_not_run.py
+++ b/tests/functional/test_not_run.py
@@ -13,6 +13,7 @@
 SLOTS = 2
 QUEUE = 2
 SERVICE_SECONDS = 1.0
+BUSY_SECONDS = 0.1
 TIGHT = evolve(
     ONE_SERVICE,
     services=(
@@ -97,8 +98,7 @@
     plan = ECHO
 
     async def test_kill_while_it_runs_is_unknown(self):
-        for instance in self.cluster.instances:
-            await instance.set_behavior(delay=3)
+        await self.set_delay(3)
         conn = await self.cluster.connect(LISTS)
         headers = (('x-request-id', 'running'),)
         stream = conn.open('POST', '/lists/1/edits', headers, b'1')
@@ -112,7 +112,8 @@
         self.assertEqual([each.id for each in entries], ['running'])
 
     async def test_kill_under_load_leaves_every_refusal_true(self):
-        async with self.load(self.target(6, list=1, edit=3)) as summary:
+        await self.set_delay(BUSY_SECONDS)
+        async with self.load(self.target(8, list=1, edit=3)) as summary:
             await self.wait_work(20)
             victim = self.cluster.instances[0]
             await victim.kill_backend()
@@ -122,13 +123,15 @@
         self.assert_counts(summary, wrong_body=0, wrong_service=0)
         await self.assert_journals(summary)
         self.assertGreater(summary.whole, 20)
+        self.assertGreater(summary.unknown, 0)
 
 
 class KilledSidecarTest(ClusterTest):
     """A sidecar is killed under load."""
 
     async def test_kill_under_load_leaves_every_refusal_true(self):
-        mix = self.target(6, list=1, edit=3)
+        await self.set_delay(BUSY_SECONDS)
+        mix = self.target(8, list=1, edit=3)
         async with self.load(mix, idle_timeout=4.0) as summary:
             await self.wait_work(20)
             victim = self.cluster.instances[0]
@@ -138,6 +141,7 @@
             await asyncio.sleep(1)
         self.assert_counts(summary, wrong_body=0, wrong_service=0)
         await self.assert_journals(summary)
+        self.assertGreater(summary.broken_flows, 0)
 
 
 if __name__ == '__main__':
--- a/tests/lib/cases.py
+++ b/tests/lib/cases.py
@@ -60,6 +60,11 @@
         finally:
             await load.stop()
 
+    async def set_delay(self, seconds: float) -> None:
+        """Set the service time of all backend servers."""
+        for instance in self.cluster.instances:
+            await instance.set_behavior(delay=seconds)
+
     async def assert_promises(self, summary: Summary) -> None:
         """Fail unless all answers and journals are as promised."""
         self.assertGreater(summary.whole, 0, summary)
