Run scenarios with real processes, ours against naive

The load notes when each refusal was asked for and answered, so that a refusal can be compared with the journals; balancers can be given data centres of their own.

--- /dev/null
+++ b/bench/scenario_report.py
@@ -0,0 +1,236 @@
+"""Results as JSON and as Markdown tables."""
+
+import json
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+
+import cattrs
+from attrs import frozen
+
+from bench.scenario_figures import Figures, RoleCost
+from bench.scenario_plots import write_plots
+from bench.scenario_scores import (
+    FORMULA,
+    Score,
+    losses,
+    pair_runs,
+    worst,
+)
+
+KILOBYTE = 1000
+
+
+@frozen
+class Column:
+    """One column of a table of runs."""
+
+    title: str
+    read: Callable[[Figures], str]
+
+
+def write_results(
+    directory: Path,
+    runs: Sequence[Figures],
+    texts: Mapping[str, str],
+    seed: int,
+) -> str:
+    """Write all files into a directory and return the Markdown."""
+    directory.mkdir(parents=True, exist_ok=True)
+    plain = {'seed': seed, 'runs': cattrs.unstructure(runs)}
+    text = json.dumps(plain, indent=1)
+    (directory / 'results.json').write_text(f'{text}\n')
+    markdown = render(runs, texts, seed)
+    (directory / 'results.md').write_text(markdown)
+    write_plots(directory, runs)
+    return markdown
+
+
+def render(
+    runs: Sequence[Figures],
+    texts: Mapping[str, str],
+    seed: int,
+) -> str:
+    """Return all tables of some runs as Markdown."""
+    sections = (
+        f'Seed {seed}.\n',
+        _table('Flows and answers', ANSWERS, runs),
+        _table('Imbalance', IMBALANCE, runs),
+        _table('Time and cost', COSTS, runs),
+        '### Both weightings\n',
+        FORMULA,
+        '',
+        *_weightings(runs),
+        '',
+        '### Where ours is worse\n',
+        *_losses(runs),
+        '',
+        '### Scenarios\n',
+        *(f'- `{name}`: {text}' for name, text in texts.items()),
+        *_problems(runs),
+    )
+    text = '\n'.join(sections)
+    return f'{text}\n'
+
+
+def _table(
+    title: str,
+    columns: Sequence[Column],
+    runs: Sequence[Figures],
+) -> str:
+    rows = [
+        f'### {title}\n',
+        _row(('scenario', 'version', *(each.title for each in columns))),
+        _row(('---', '---', *('---:' for _ in columns))),
+    ]
+    for figures in runs:
+        cells = (
+            ('failed' for _ in columns)
+            if figures.failed
+            else (each.read(figures) for each in columns)
+        )
+        rows.append(_row((figures.scenario, figures.version, *cells)))
+    return '\n'.join((*rows, ''))
+
+
+def _row(cells: Sequence[str]) -> str:
+    return f'| {" | ".join(cells)} |'
+
+
+def _weightings(runs: Sequence[Figures]) -> list[str]:
+    rows = [
+        _row(
+            (
+                'scenario',
+                'Tesfa: ours',
+                'naive',
+                'first',
+                'association: ours',
+                'naive',
+                'first',
+            ),
+        ),
+        _row(('---', '---:', '---:', '---', '---:', '---:', '---')),
+    ]
+    for pair in pair_runs(runs):
+        ours = Score.of(pair.ours)
+        naive = Score.of(pair.naive)
+        rows.append(
+            _row(
+                (
+                    pair.ours.scenario,
+                    f'{ours.tesfa:.1f}',
+                    f'{naive.tesfa:.1f}',
+                    _first(ours.tesfa_order, naive.tesfa_order),
+                    f'{ours.association:.1f}',
+                    f'{naive.association:.1f}',
+                    _first(ours.association_order, naive.association_order),
+                ),
+            ),
+        )
+    return rows
+
+
+def _first(ours: tuple[float, float], naive: tuple[float, float]) -> str:
+    if ours == naive:
+        return 'equal'
+    return 'ours' if ours < naive else 'naive'
+
+
+def _losses(runs: Sequence[Figures]) -> list[str]:
+    lines = [
+        f'- `{pair.ours.scenario}`: {"; ".join(found)}'
+        for pair in pair_runs(runs)
+        if (found := losses(pair))
+    ]
+    return lines or ['Nowhere in these runs.']
+
+
+def _problems(runs: Sequence[Figures]) -> list[str]:
+    lines = ['', '### Problems\n']
+    for figures in runs:
+        name = f'{figures.scenario} ({figures.version})'
+        lines.extend(f'- {name}: {each}' for each in figures.problems)
+    return lines if len(lines) > 2 else []
+
+
+def _cost(figures: Figures, role: str) -> RoleCost:
+    return figures.costs.get(role, RoleCost())
+
+
+def _shares(figures: Figures, role: str) -> str:
+    cost = _cost(figures, role)
+    return f'{cost.rest_mean:.1%} / {cost.load_mean:.1%}'
+
+
+def _seconds(numbers: Sequence[float]) -> str:
+    largest = worst(numbers)
+    return '' if largest is None else f'{largest:.2f}'
+
+
+def _in_force(figures: Figures) -> str:
+    if figures.never_in_force:
+        return 'never'
+    return _seconds(figures.force_seconds)
+
+
+def _control(figures: Figures) -> str:
+    cost = _cost(figures, 'sidecar')
+    rest = cost.control_rest_mean / KILOBYTE
+    load = cost.control_load_mean / KILOBYTE
+    return f'{rest:.2f} / {load:.2f}'
+
+
+def _largest(figures: Figures, name: str) -> str:
+    numbers = [getattr(each, name) for each in figures.balance]
+    return f'{max(numbers, default=0):.2f}'
+
+
+def _latency(figures: Figures) -> str:
+    numbers = (figures.percentile(each) for each in (50, 90, 99, 100))
+    return ' / '.join(f'{each:.0f}' for each in numbers)
+
+
+def _count(name: str) -> Callable[[Figures], str]:
+    return lambda figures: str(getattr(figures, name))
+
+
+def _balance(name: str) -> Callable[[Figures], str]:
+    return lambda figures: _largest(figures, name)
+
+
+ANSWERS = (
+    Column('requests', _count('requests')),
+    Column('whole answers', _count('whole')),
+    Column('broken flows', _count('broken_flows')),
+    Column('failed handshakes', _count('failed_handshakes')),
+    Column('refused as not run', _count('refused_not_run')),
+    Column('wrongly refused (at least)', _count('wrongly_refused')),
+    Column('unknown', _count('unknown')),
+    Column('other errors', _count('refused_other')),
+    Column('wrong body', _count('wrong_body')),
+    Column('run twice', _count('run_twice')),
+    Column('refused but ran', _count('refused_but_ran')),
+    Column('lost saves', _count('lost_saves')),
+    Column('wrong service', _count('wrong_service')),
+)
+IMBALANCE = (
+    Column('slot-seconds max/mean', _balance('slots_max_to_mean')),
+    Column('slot-seconds variation', _balance('slots_variation')),
+    Column('requests max/mean', _balance('requests_max_to_mean')),
+    Column('requests variation', _balance('requests_variation')),
+)
+COSTS = (
+    Column('short requests ms, 50 / 90 / 99 / 100 %', _latency),
+    Column(
+        'last new request after leaving s',
+        lambda each: _seconds(each.leave_seconds),
+    ),
+    Column('in force s', _in_force),
+    Column(
+        'balancer core, rest / load', lambda each: _shares(each, 'balancer')
+    ),
+    Column('sidecar core, rest / load', lambda each: _shares(each, 'sidecar')),
+    Column('sidecar control KB/s, rest / load', _control),
+    Column("clients' core", lambda each: f'{each.client_share:.0%}'),
+    Column('load average', lambda each: f'{each.load_average:.1f}'),
+)
--- a/tests/lib/client.py
+++ b/tests/lib/client.py
@@ -27,6 +27,7 @@
     if not ids:
         plain.pop('confirmed_ids')
         plain.pop('refused_ids')
+        plain.pop('refusals')
     return json.dumps(plain)
 
 
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -54,6 +54,7 @@
 
     host: str
     program: Program
+    data_center: str
 
     @property
     def address(self) -> Address:
@@ -304,8 +305,9 @@
     def _build_balancer(self) -> Balancer:
         program = self.programs.balancer(self._built)
         host = self.programs.balancer_host(self._built)
+        place = self.programs.balancer_place(self._built)
         self._built += 1
-        return Balancer(host, program)
+        return Balancer(host, program, place)
 
     def _build_instance(self, plan: ServicePlan, number: int) -> Endpoint:
         host = FIRST_ENDPOINT_HOST + len(self.instances)
--- a/tests/lib/load.py
+++ b/tests/lib/load.py
@@ -12,7 +12,7 @@
 from tests.lib.h3 import FlowError, H3Client
 from tests.lib.jobs import JOBS, SAVES, SUCCESS, Job, Options
 from tests.lib.stream import NOT_RUN, Answer
-from tests.lib.summary import ID_SEPARATOR, Summary
+from tests.lib.summary import ID_SEPARATOR, Refusal, Summary
 
 KEY_PATH = '/.well-known/dragonflyshift/idempotency-key'
 KEY_HEADER = 'idempotency-key'
@@ -212,8 +212,10 @@
             return
         problem = f'{request_id} {job.path}: '
         if answer.outcome == NOT_RUN:
-            summary.refused_not_run += 1
-            summary.refused_ids.append(request_id)
+            now = time.time()
+            service = self.target.service
+            refusal = Refusal(request_id, service, now - seconds, now)
+            summary.refuse(refusal)
         elif answer.flow_broken:
             summary.broken_flows += 1
             summary.note(problem + answer.failure)
--- a/tests/lib/plan.py
+++ b/tests/lib/plan.py
@@ -33,6 +33,8 @@
 
     ``lag`` is the delay of the platform's instance list in seconds;
     ``backend_flags`` and ``daemon_flags`` go to every such process.
+    ``balancer_places`` are the data centres of the balancers in turn; by
+    default all are in the first one of the first service.
     """
 
     services: tuple[ServicePlan, ...] = SMALL_SERVICES
@@ -42,6 +44,7 @@
     fleet_keys: str = FLEET_KEYS
     backend_flags: tuple[str, ...] = ()
     daemon_flags: tuple[str, ...] = ('--log-level=info',)
+    balancer_places: tuple[str, ...] = ()
 
 
 @frozen
@@ -85,6 +88,12 @@
         """Return the IP of the balancer with a number."""
         return self.network.host(FIRST_BALANCER_HOST + number)
 
+    def balancer_place(self, number: int) -> str:
+        """Return the data centre of the balancer with a number."""
+        first = self.plan.services[0].data_centers[0]
+        places = self.plan.balancer_places or (first,)
+        return places[number % len(places)]
+
     def balancer(self, number: int) -> Program:
         """Build the balancer with a number, on an IP of its own."""
         host = self.balancer_host(number)
@@ -94,7 +103,7 @@
             '--role=balancer',
             f'--listen={host}:{DAEMON_PORT}',
             f'--entry-ip={host}',
-            f'--data-center={place.data_centers[0]}',
+            f'--data-center={self.balancer_place(number)}',
             f'--region={place.region}',
         )
 
--- a/tests/lib/summary.py
+++ b/tests/lib/summary.py
@@ -13,6 +13,16 @@
 QUANTILES = (0.5, 0.9, 0.99, 1.0)
 
 
+@frozen
+class Refusal:
+    """One attempt called "not run", and when it was, in Unix seconds."""
+
+    request_id: str
+    service: str
+    asked: float
+    answered: float
+
+
 @define
 class Summary:
     """Counts of one load run.
@@ -36,6 +46,7 @@
     saves_confirmed: int = 0
     confirmed_ids: list[str] = Factory(list)
     refused_ids: list[str] = Factory(list)
+    refusals: list[Refusal] = Factory(list)
     problems: list[str] = Factory(list)
     latencies: dict[str, list[float]] = Factory(dict)
 
@@ -49,6 +60,12 @@
         self.saves_confirmed += 1
         self.confirmed_ids.append(name)
 
+    def refuse(self, refusal: Refusal) -> None:
+        """Take note of an attempt that was called "not run"."""
+        self.refused_not_run += 1
+        self.refused_ids.append(refusal.request_id)
+        self.refusals.append(refusal)
+
     def count_error(self, outcome: str, problem: str) -> None:
         """Take note of a whole answer that reports an error."""
         if outcome == 'unknown':
@@ -68,6 +85,7 @@
             setattr(self, name, total)
         self.confirmed_ids.extend(other.confirmed_ids)
         self.refused_ids.extend(other.refused_ids)
+        self.refusals.extend(other.refusals)
         for problem in other.problems:
             self.note(problem)
         for kind, seconds in other.latencies.items():
