--- a/tests/unit/config/test_watcher.py
+++ b/tests/unit/config/test_watcher.py
@@ -344,3 +344,24 @@
         self.assertGreaterEqual(min(delays), 3)
         self.assertLessEqual(max(delays), 11)
         self.assertGreater(statistics.stdev(delays), 1)
+
+
+class PullRoundTest(unittest.TestCase):
+    def busiest_second(self, *, keys: int, bundles: bool) -> int:
+        """Return the most reads in a second of 850 balancers."""
+        rng = random.Random(3)
+        names = [str(number) for number in range(keys)]
+        # They read the index if they have just started, and watch it on.
+        reads = Counter({0: 850 * (1 + bundles)})
+        for _ in range(850):
+            attempt = pulls.PullRound(names, are_bundles=bundles)
+            delay = attempt.choose_delay(rng)
+            self.assertLess(delay, 5)
+            reads[int(delay)] += keys
+        return max(reads.values())
+
+    def test_herd_stays_below_the_rate_of_the_service(self) -> None:
+        for keys, bundles in ((1, False), (5, False), (3, True)):
+            with self.subTest(keys=keys, bundles=bundles):
+                busiest = self.busiest_second(keys=keys, bundles=bundles)
+                self.assertLess(busiest, 2000)
