--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import shlex
 import sys
 import time
 from collections.abc import Iterator, Sequence
@@ -21,7 +22,7 @@
     load_scenarios,
 )
 from bench.scenario_limits import check_limits
-from bench.scenario_report import write_results
+from bench.scenario_report import Origin, write_results
 from bench.scenario_run import VERSIONS, run_scenario
 from bench.scenario_steps import check_steps
 from dragonflyshift._internal.kernel.registry import load_modules
@@ -130,7 +131,12 @@
     except KeyboardInterrupt:
         print('interrupted; all processes ended', file=sys.stderr)
     texts = {each.scenario.name: each.scenario.text for each in planned}
-    print(write_results(cfg.out, runs, texts, cfg.seed))
+    origin = Origin(
+        shlex.join(('python', '-m', 'bench', *arguments)),
+        cfg.seed,
+        time.strftime('%Y-%m-%d %H:%M UTC', time.gmtime()),
+    )
+    print(write_results(cfg.out, runs, texts, origin))
     if len(runs) < len(planned):
         return INCOMPLETE_STATUS
     return int(any(each.failed for each in runs))
--- a/bench/scenario_report.py
+++ b/bench/scenario_report.py
@@ -20,6 +20,15 @@
 KILOBYTE = 1000
 
 
+@frozen
+class Origin:
+    """How some results came about."""
+
+    command: str
+    seed: int
+    date: str
+
+
 @frozen
 class Column:
     """One column of a table of runs."""
@@ -32,14 +41,14 @@
     directory: Path,
     runs: Sequence[Figures],
     texts: Mapping[str, str],
-    seed: int,
+    origin: Origin,
 ) -> str:
     """Write all files into a directory and return the Markdown."""
     directory.mkdir(parents=True, exist_ok=True)
-    plain = {'seed': seed, 'runs': cattrs.unstructure(runs)}
+    plain = {**cattrs.unstructure(origin), 'runs': cattrs.unstructure(runs)}
     text = json.dumps(plain, indent=1)
     (directory / 'results.json').write_text(f'{text}\n')
-    markdown = render(runs, texts, seed)
+    markdown = render(runs, texts, origin)
     (directory / 'results.md').write_text(markdown)
     write_plots(directory, runs)
     return markdown
@@ -48,11 +57,11 @@
 def render(
     runs: Sequence[Figures],
     texts: Mapping[str, str],
-    seed: int,
+    origin: Origin,
 ) -> str:
     """Return all tables of some runs as Markdown."""
     sections = (
-        f'Seed {seed}.\n',
+        f'`{origin.command}`, seed {origin.seed}, {origin.date}.\n',
         _table('Flows and answers', ANSWERS, runs),
         _table('Imbalance', IMBALANCE, runs),
         _table('Time and cost', COSTS, runs),
@@ -137,9 +146,12 @@
 
 
 def _losses(runs: Sequence[Figures]) -> list[str]:
+    pairs = pair_runs(runs)
+    if not pairs:
+        return ['Not compared.']
     lines = [
         f'- `{pair.ours.scenario}`: {"; ".join(found)}'
-        for pair in pair_runs(runs)
+        for pair in pairs
         if (found := losses(pair))
     ]
     return lines or ['Nowhere in these runs.']
@@ -159,6 +171,8 @@
 
 def _shares(figures: Figures, role: str) -> str:
     cost = _cost(figures, role)
+    if not cost.daemons:
+        return ''
     return f'{cost.rest_mean:.1%} / {cost.load_mean:.1%}'
 
 
--- a/tests/unit/bench/test_scenario_figures.py
+++ b/tests/unit/bench/test_scenario_figures.py
@@ -11,7 +11,7 @@
     last_begins,
     latencies,
 )
-from bench.scenario_report import render
+from bench.scenario_report import Origin, render
 from bench.scenario_scores import Pair, Score, losses, pair_runs
 from bench.scenario_stage import Leaving
 from tests.lib.journal import JournalEntry
@@ -78,7 +78,7 @@
         ours = evolve(_figures('ours', 0, 0), failed=True, problems=['boom'])
         runs = [ours, _figures('naive', 0, 0)]
         self.assertEqual(pair_runs(runs), ())
-        text = render(runs, {}, 1)
+        text = render(runs, {}, Origin('bench', 1, 'today'))
         self.assertIn('| steady | ours | failed |', text)
         self.assertIn('- steady (ours): boom', text)
 
