--- /dev/null
+++ b/tests/functional/test_naive_retries.py
@@ -0,0 +1,80 @@
+"""A backend server that is killed while it runs a save, in both versions."""
+
+import unittest
+
+from attrs import evolve
+
+from bench.naive import NAIVE_FLAGS
+from tests.lib.cases import ONE_SERVICE, ClusterTest
+from tests.lib.cluster import LISTS
+from tests.lib.stream import NOT_RUN, UNKNOWN, Answer
+
+SAVE = '/lists/1/edits'
+FLAGS = (*ONE_SERVICE.daemon_flags, *NAIVE_FLAGS)
+
+
+class KilledBackend(ClusterTest):
+    """A backend server is killed while it runs a save."""
+
+    async def save_through_a_kill(self) -> Answer:
+        """Return the answer to a save whose backend server is killed."""
+        cluster = self.cluster
+        for instance in cluster.instances:
+            await instance.set_behavior(delay=1)
+        conn = await cluster.connect(LISTS)
+        headers = (('x-request-id', 'running'),)
+        # A body that was read can't be sent again, so this save has none.
+        stream = conn.open('POST', SAVE, headers)
+        await self.wait_work()
+        journal = await cluster.journal()
+        await cluster.find(journal[0].instance).kill_backend()
+        return await stream.answer(8)
+
+    async def assert_ran(self, *ids: str) -> None:
+        """Compare the ids of what the backend servers ran."""
+        journal = await self.cluster.journal()
+        self.assertEqual([each.id for each in journal], list(ids))
+
+
+class KilledBackendTest(KilledBackend):
+    """The product."""
+
+    plan = evolve(ONE_SERVICE, backend_flags=('--echo',))
+
+    async def test_save_that_ran_is_unknown(self):
+        answer = await self.save_through_a_kill()
+        self.assertEqual(answer.outcome, UNKNOWN, answer)
+        await self.assert_ran('running')
+
+
+class NaiveRetryTest(KilledBackend):
+    """Of the naive version only its retries."""
+
+    plan = evolve(
+        KilledBackendTest.plan,
+        daemon_flags=(
+            *ONE_SERVICE.daemon_flags,
+            '--plugin-modules=bench.naive',
+            '--retry-policy=any-error',
+        ),
+    )
+
+    async def test_naive_retry_runs_the_save_twice(self):
+        answer = await self.save_through_a_kill()
+        self.assertEqual(answer.status, 201, answer)
+        await self.assert_ran('running', 'running')
+
+
+class NaiveRefusalTest(KilledBackend):
+    """The whole naive version, where no peer takes the retry."""
+
+    plan = evolve(KilledBackendTest.plan, daemon_flags=FLAGS)
+
+    async def test_naive_version_says_not_run_of_a_save_that_ran(self):
+        answer = await self.save_through_a_kill()
+        self.assertEqual(answer.outcome, NOT_RUN, answer)
+        await self.assert_ran('running')
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/functional/test_wrong_service.py
+++ b/tests/functional/test_wrong_service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import socket
 import unittest
 
 from attrs import evolve
@@ -15,13 +14,12 @@
 from tests.lib import answers
 from tests.lib.cases import ClusterTest
 from tests.lib.cluster import LISTS, PARTS, ClusterPlan
+from tests.lib.packets import PACKET_BYTES, open_socket, short_packet
 from tests.lib.waiting import eventually
 
 SEED = 11
 FOREIGN_KEYS = f'1:{"00" * 32}'
 DATAGRAMS = 300
-SHORT_HEADER = 0x40
-PACKET_BYTES = 60
 
 
 class WrongServiceTest(ClusterTest):
@@ -61,8 +59,8 @@
         conn = await self.cluster.connect(LISTS)
         self.assertTrue((await conn.request('GET', '/lists/1')).complete)
         before = len(await self.cluster.journal())
-        with _open_socket(self.cluster.network.host(4)) as sender:
-            packet = _short_packet(conn.peer_id)
+        with open_socket(self.cluster.network.host(4)) as sender:
+            packet = short_packet(conn.peer_id)
             for _ in range(DATAGRAMS):
                 sender.sendto(packet, self.cluster.address(PARTS).pair)
             await self._wait_dropped('foreign-id')
@@ -86,7 +84,7 @@
             self.assertGreater(dropped, 0)
 
     async def _spray(self, rng):
-        with _open_socket(self.cluster.network.host(4)) as sender:
+        with open_socket(self.cluster.network.host(4)) as sender:
             for target in self._targets():
                 for datagram in self._datagrams(rng):
                     sender.sendto(datagram, target.pair)
@@ -118,7 +116,7 @@
             client=here,
             service=self.cluster.address(LISTS),
             balancer=here,
-            packet=_short_packet(rng.randbytes(17)),
+            packet=short_packet(rng.randbytes(17)),
         )
 
     async def _wait_dropped(self, reason: str) -> None:
@@ -137,16 +135,5 @@
     return report['counters'].get(name, 0)
 
 
-def _short_packet(cid: bytes) -> bytes:
-    return bytes((SHORT_HEADER,)) + cid + bytes(PACKET_BYTES)
-
-
-def _open_socket(host: str) -> socket.socket:
-    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sender.setblocking(False)
-    sender.bind((host, 0))
-    return sender
-
-
 if __name__ == '__main__':
     unittest.main()
