Call a retried request unknown when an earlier attempt may have run

A list or an upload may be tried again after a failure that leaves its outcome unknown. When the next attempt found no slot, the client was told "not run" of a request that had run. The request now remembers it.

Seen once in KilledBackendTest under load (refused_but_ran of one request); then by construction, with the only backend server killed while it ran a list: 503 "not-run" before, 502 "unknown" after. Ruled out: a byte written and counted as unreachable (the error is BackendBrokenError), and saves, which the policy doesn't try again after an unknown outcome.

--- a/src/dragonflyshift/_internal/sidecar/request.py
+++ b/src/dragonflyshift/_internal/sidecar/request.py
@@ -131,11 +131,12 @@
 
 @define(eq=False)
 class Request:
-    """A request with its body, and the attempts made so far."""
+    """A request with its body, and what came of the attempts so far."""
 
     info: RequestInfo
     body: RequestBody | ReplayBody
     attempts: int = field(default=0)
+    may_have_run: bool = field(default=False)
 
     @property
     def resendable(self) -> bool:
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -57,6 +57,23 @@
     async def run(self, req: Request, sink: AnswerSink) -> None:
         """Run a request; raise RunFailedError when it got no whole answer."""
         self._retries.deposit(time.monotonic())
+        try:
+            await self._run_until_answered(req, sink)
+        except RunFailedError as exc:
+            if exc.kind is OutcomeKind.NOT_RUN and req.may_have_run:
+                # Only the last attempt did not run.
+                raise RunFailedError(
+                    OutcomeKind.UNKNOWN,
+                    exc.reason,
+                    exc.retry_after,
+                ) from exc
+            raise
+
+    async def _run_until_answered(
+        self,
+        req: Request,
+        sink: AnswerSink,
+    ) -> None:
         avoid_own = False
         while True:
             req.attempts += 1
@@ -64,6 +81,8 @@
             try:
                 await place.run(req, sink)
             except RunFailedError as exc:
+                if exc.kind is not OutcomeKind.NOT_RUN:
+                    req.may_have_run = True
                 self._require_retry(req, sink, exc)
             else:
                 return
