Fill the queue before a refusal is expected

Four saves of two flows were opened at once. When both slots went to one flow, the other one, which may hold half of the queue, got one place only, and the save that was to be refused took the last one: 2.0 s instead of a refusal. Now the slots are taken first, and the queue is seen to be full by the sidecar's own status. Nothing is asserted less.

--- a/tests/functional/test_not_run.py
+++ b/tests/functional/test_not_run.py
@@ -9,6 +9,7 @@
 from tests.lib.cluster import LISTS, ServicePlan
 from tests.lib.register import ANYWHERE
 from tests.lib.stream import NOT_RUN, UNKNOWN
+from tests.lib.waiting import eventually
 
 SLOTS = 2
 QUEUE = 2
@@ -62,9 +63,10 @@
 
     async def _assert_refusal_does_not_wait(self):
         before = len(await self._ran())
-        busy = range(SLOTS + QUEUE)
-        streams = [self._save(f'busy-{each}', each) for each in busy]
+        streams = [self._save(f'slot-{each}', each) for each in range(SLOTS)]
         await self.wait_work(before + SLOTS)
+        streams += [self._save(f'queue-{each}', each) for each in range(QUEUE)]
+        await eventually(self._queue_is_full, what='full queue')
         loop = asyncio.get_running_loop()
         began = loop.time()
         answer = await self._save('late', 0).answer(5)
@@ -75,7 +77,7 @@
 
     async def _assert_deadline_that_passes_in_the_queue(self):
         before = len(await self._ran())
-        streams = [self._save(f'slot-{each}', each) for each in range(SLOTS)]
+        streams = [self._save(f'held-{each}', each) for each in range(SLOTS)]
         await self.wait_work(before + SLOTS)
         limit = ('x-request-timeout-ms', '300')
         answer = await self._save('expired', 0, limit).answer(5)
@@ -88,6 +90,10 @@
         conn = self.flows[flow % len(self.flows)]
         return conn.open('POST', '/lists/1/edits', fields, b'1')
 
+    async def _queue_is_full(self):
+        report = await self.status(self.instance.endpoint.address)
+        return report['queued'] == QUEUE
+
     async def _ran(self):
         return {each.id for each in await self.instance.journal()}
 
