--- a/tests/functional/test_naive_retries.py
+++ b/tests/functional/test_naive_retries.py
@@ -7,7 +7,7 @@
 from bench.naive import NAIVE_FLAGS
 from tests.lib.cases import ONE_SERVICE, ClusterTest
 from tests.lib.cluster import LISTS
-from tests.lib.stream import NOT_RUN, UNKNOWN, Answer
+from tests.lib.stream import UNKNOWN, Answer
 
 SAVE = '/lists/1/edits'
 FLAGS = (*ONE_SERVICE.daemon_flags, *NAIVE_FLAGS)
@@ -65,16 +65,5 @@
         await self.assert_ran('running', 'running')
 
 
-class NaiveRefusalTest(KilledBackend):
-    """The whole naive version, where no peer takes the retry."""
-
-    plan = evolve(KilledBackendTest.plan, daemon_flags=FLAGS)
-
-    async def test_naive_version_says_not_run_of_a_save_that_ran(self):
-        answer = await self.save_through_a_kill()
-        self.assertEqual(answer.outcome, NOT_RUN, answer)
-        await self.assert_ran('running')
-
-
 if __name__ == '__main__':
     unittest.main()
