--- a/tests/functional/test_wrong_service.py
+++ b/tests/functional/test_wrong_service.py
@@ -4,8 +4,6 @@
 import random
 import unittest
 
-from attrs import evolve
-
 from dragonflyshift._internal.config.validation import service_tag
 from dragonflyshift._internal.models import Address
 from dragonflyshift._internal.wire import DatagramCodec, Forward
@@ -15,6 +13,7 @@
 from tests.lib.cases import ClusterTest
 from tests.lib.cluster import LISTS, PARTS, ClusterPlan
 from tests.lib.packets import PACKET_BYTES, open_socket, short_packet
+from tests.lib.successor import pass_address
 from tests.lib.waiting import eventually
 
 SEED = 11
@@ -32,16 +31,7 @@
         conn = await cluster.connect(LISTS)
         self.assertTrue((await conn.request('GET', '/lists/1')).complete)
         passed = self.home(conn)
-        await passed.sidecar.kill()
-        await passed.backend.stop()
-        await cluster.register.remove_endpoint(LISTS, passed.name)
-        successor = evolve(passed.endpoint, name=f'{PARTS}-9', slots=4)
-        document = cluster.register.documents[PARTS]
-        endpoints = (*document.endpoints, successor)
-        await cluster.register.change(PARTS, endpoints=endpoints)
-        passed.sidecar = cluster.programs.sidecar(PARTS, successor)
-        passed.backend = cluster.programs.backend(PARTS, successor)
-        await asyncio.gather(passed.sidecar.start(), passed.backend.start())
+        await pass_address(cluster, passed, PARTS)
         answer = await conn.request('GET', '/lists/2', timeout=2)
         self.assertFalse(answer.complete, answer)
         self.assertEqual(await passed.journal(), [])
