--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -63,6 +63,7 @@
 
 PAUSE_LIMIT_SECONDS = 1.0
 PUMP_PERIOD_SECONDS = 0.05
+IDLE_PERIOD_SECONDS = 0.25
 
 
 class SidecarNode:
@@ -284,7 +285,10 @@
                 self._admission.free(now),
                 self._admission.queued,
             )
-            await asyncio.sleep(PUMP_PERIOD_SECONDS)
+            busy = self._admission.running or self._admission.queued
+            await asyncio.sleep(
+                PUMP_PERIOD_SECONDS if busy else IDLE_PERIOD_SECONDS,
+            )
 
     def _busy(self) -> int:
         return self._admission.running + self._requests.keyed.running
