Call a request not run only if no attempt may have run

Cause: after an idempotent request's first attempt was cut (outcome unknown) it was tried again, and when that attempt found no free slot its refusal went to the client as not run. Saves were not concerned, as they get no second attempt after an unknown one. The queue test now waits until the queue is full, which it had left to chance.

--- a/src/dragonflyshift/_internal/sidecar/request.py
+++ b/src/dragonflyshift/_internal/sidecar/request.py
@@ -131,11 +131,16 @@
 
 @define(eq=False)
 class Request:
-    """A request with its body, and the attempts made so far."""
+    """A request with its body, and the attempts made so far.
+
+    ``may_have_run`` tells that an attempt ended with an unknown outcome, so
+    a later refusal doesn't mean that the request has not run.
+    """
 
     info: RequestInfo
     body: RequestBody | ReplayBody
     attempts: int = field(default=0)
+    may_have_run: bool = field(default=False)
 
     @property
     def resendable(self) -> bool:
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -57,6 +57,15 @@
     async def run(self, req: Request, sink: AnswerSink) -> None:
         """Run a request; raise RunFailedError when it got no whole answer."""
         self._retries.deposit(time.monotonic())
+        try:
+            await self._run_attempts(req, sink)
+        except RunFailedError as exc:
+            if exc.kind is not OutcomeKind.NOT_RUN or not req.may_have_run:
+                raise
+            # Only the last attempt was refused; an earlier one may have run.
+            raise RunFailedError(OutcomeKind.UNKNOWN, exc.reason) from exc
+
+    async def _run_attempts(self, req: Request, sink: AnswerSink) -> None:
         avoid_own = False
         while True:
             req.attempts += 1
@@ -79,6 +88,8 @@
         exc: RunFailedError,
     ) -> None:
         """Return if the request may be tried again; else raise ``exc``."""
+        if exc.kind is not OutcomeKind.NOT_RUN:
+            req.may_have_run = True
         safe = self._retries.allows(
             exc.kind,
             idempotent=req.info.idempotent,
--- a/tests/functional/test_not_run.py
+++ b/tests/functional/test_not_run.py
@@ -9,6 +9,7 @@
 from tests.lib.cluster import LISTS, ServicePlan
 from tests.lib.register import ANYWHERE
 from tests.lib.stream import NOT_RUN, UNKNOWN
+from tests.lib.waiting import eventually
 
 SLOTS = 2
 QUEUE = 2
@@ -62,9 +63,12 @@
 
     async def _assert_refusal_does_not_wait(self):
         before = len(await self._ran())
-        busy = range(SLOTS + QUEUE)
-        streams = [self._save(f'busy-{each}', each) for each in busy]
+        streams = [self._save(f'busy-{each}', each) for each in range(SLOTS)]
         await self.wait_work(before + SLOTS)
+        streams.extend(
+            self._save(f'next-{each}', each) for each in range(QUEUE)
+        )
+        await eventually(self._is_queue_full, what='the queue is full')
         loop = asyncio.get_running_loop()
         began = loop.time()
         answer = await self._save('late', 0).answer(5)
@@ -88,6 +92,10 @@
         conn = self.flows[flow % len(self.flows)]
         return conn.open('POST', '/lists/1/edits', fields, b'1')
 
+    async def _is_queue_full(self) -> bool:
+        status = await self.status(self.instance.endpoint.address)
+        return status['queued'] == QUEUE
+
     async def _ran(self):
         return {each.id for each in await self.instance.journal()}
 
