Bound what one long gap does to the measured pace

Cause: after a pause of the process the first slot that comes free closes a gap as long as the pause. It raised the estimate to a fifth of the gap, 12 s after a pause of 60 s with requests of 0.1 s, by which deadlines and the time to come back are then judged. The new test failed with a wait of 12.08 s instead of 0.2 s at most.

Ruled out: leaving the gap out, because the estimate must follow a server that has become slow for good. A gap now counts at most as four times the estimate.

--- a/src/dragonflyshift/_internal/limits/pace.py
+++ b/src/dragonflyshift/_internal/limits/pace.py
@@ -1,6 +1,8 @@
 """The measured pace at which an endpoint frees its slots."""
 
 SMOOTHING = 0.2
+MAX_RISE = 4.0
+MIN_RISE_SECONDS = 0.01
 
 
 class Pace:
@@ -48,4 +50,6 @@
         if self._interval is None:
             self._interval = seen
         else:
-            self._interval += SMOOTHING * (seen - self._interval)
+            # One gap, such as a pause of the process, must not rule for long.
+            bounded = min(seen, self._interval * MAX_RISE + MIN_RISE_SECONDS)
+            self._interval += SMOOTHING * (bounded - self._interval)
--- a/tests/unit/limits/test_adaptive.py
+++ b/tests/unit/limits/test_adaptive.py
@@ -139,6 +139,15 @@
         self.assertLess(limit.retry_after(now), 1)
         self.assertGreaterEqual(limit.retry_after(now + 30), 30)
 
+    def test_a_paused_process_does_not_look_slow_for_long(self) -> None:
+        limit = _build(slots=1)
+        now = _measure_pace(limit, held=0.1, rounds=20)
+        limit.enqueue(now, now + 1000, b'')
+        now += 60
+        limit.finish(now, 60)
+        limit.next_ready(now)
+        self.assertLess(limit.retry_after(now), 0.2)
+
     def test_refused_clients_are_told_to_come_back_apart(self) -> None:
         limit = _build(slots=1, queue_limit=0)
         now = _measure_pace_without_queue(limit)
