--- a/src/dragonflyshift/_internal/sidecar/local.py
+++ b/src/dragonflyshift/_internal/sidecar/local.py
@@ -32,6 +32,7 @@
 )
 from dragonflyshift._internal.telemetry import Metrics
 
+DEFAULT_RETRY_AFTER_SECONDS = 1.0
 _ANSWERED = (OUTCOME_HEADER, OutcomeKind.ANSWERED.encode())
 
 
@@ -75,13 +76,14 @@
             self._note_unreachable()
             raise NotRunError('the backend server is unreachable') from exc
         except BackendError as exc:
+            self._note_broken()
             raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         except RequestCutError as exc:
             raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         try:
             await self._pass_on(answer, sink)
         except BackendError as exc:
-            self._metrics.incr('broken-answers')
+            self._note_broken()
             raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         finally:
             await answer.close()
@@ -92,7 +94,10 @@
             # The backend server's own word that it has not run the request.
             self._metrics.incr('shed')
             self._admission.shed(time.monotonic())
-            raise NotRunError('the backend server sheds load')
+            raise NotRunError(
+                'the backend server sheds load',
+                _seconds(retry_after),
+            )
         self.served_at = time.monotonic()
         self._admission.served(self.served_at)
         await sink.send_head(answer.status, (*answer.headers, _ANSWERED))
@@ -105,11 +110,22 @@
         self._admission.finish(now, now - started)
         self._metrics.timing('held', now - started)
 
+    def _note_broken(self) -> None:
+        self._metrics.incr('broken-answers')
+        self._admission.shed(time.monotonic())
+
     def _note_unreachable(self) -> None:
         self._metrics.incr('backend-unreachable')
         self._admission.shed(time.monotonic())
 
 
+def _seconds(retry_after: bytes) -> float:
+    """Read a Retry-After in seconds; a date counts as the default."""
+    if retry_after.isdigit():
+        return float(retry_after)
+    return DEFAULT_RETRY_AFTER_SECONDS
+
+
 def _backend_request(req: Request) -> BackendRequest:
     left = max(0, req.info.deadline - time.monotonic())
     timeout = str(int(left * MS_PER_SECOND)).encode()
