Let a refused request move on once without budget

Cause, by reading: when a backend server drains it refuses all requests for up to a second, until its sidecar leaves, and the retry budget (a tenth of first attempts) let only a few of them go to a peer; a planned change would show as refusals. Nothing has run, so one more attempt does no harm; further ones need the budget. A changed retry ratio is applied at once now. Not measured with real processes.

--- a/bench/naive/retries.py
+++ b/bench/naive/retries.py
@@ -12,6 +12,9 @@
     def __init__(self, ratio: float, rng: random.Random) -> None:
         """Ignore the ratio."""
 
+    def retune(self, ratio: float) -> None:
+        """Ignore the ratio."""
+
     def deposit(self, now: float) -> None:
         """Keep no count of first attempts."""
 
--- a/src/dragonflyshift/_internal/retries/base.py
+++ b/src/dragonflyshift/_internal/retries/base.py
@@ -14,6 +14,10 @@
     def __init__(self, ratio: float, rng: random.Random) -> None:
         """Allow ``ratio`` retries for each first attempt."""
 
+    @abstractmethod
+    def retune(self, ratio: float) -> None:
+        """Apply a changed rule."""
+
     @abstractmethod
     def deposit(self, now: float) -> None:
         """Take note of a first attempt."""
--- a/src/dragonflyshift/_internal/retries/budget.py
+++ b/src/dragonflyshift/_internal/retries/budget.py
@@ -28,6 +28,10 @@
         self._tokens = FIRST_TOKENS
         self._refilled_at: float | None = None
 
+    def retune(self, ratio: float) -> None:
+        """Apply a changed ratio; what was saved up stays."""
+        self._ratio = ratio
+
     def deposit(self, now: float) -> None:
         """Take note of a first attempt."""
         self._refill(now)
--- a/src/dragonflyshift/_internal/sidecar/parts.py
+++ b/src/dragonflyshift/_internal/sidecar/parts.py
@@ -135,6 +135,7 @@
     runner = RequestRunner(
         finder,
         retries(rules().retry_ratio, rng),
+        rules,
         metrics,
     )
     issuer = KeyIssuer(
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -37,6 +37,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_ATTEMPTS = 3
+FIRST_ATTEMPT = 1
 _NOT_RUN = (OUTCOME_HEADER, OutcomeKind.NOT_RUN.encode())
 
 
@@ -47,11 +48,13 @@
         self,
         finder: SlotFinder,
         retries: RetryPolicy,
+        rules: Callable[[], ServiceRules],
         metrics: Metrics,
     ) -> None:
         """Ask ``finder`` for slots and ``retries`` before trying again."""
         self._finder = finder
         self._retries = retries
+        self._rules = rules
         self._metrics = metrics
 
     async def run(self, req: Request, sink: AnswerSink) -> None:
@@ -99,10 +102,23 @@
         possible = not sink.started and req.resendable
         if not possible or req.attempts >= MAX_ATTEMPTS:
             raise exc
-        if not self._retries.withdraw(time.monotonic()):
+        if not self._is_free(req, exc) and not self._withdraw():
             raise exc
         self._metrics.incr('retries')
 
+    def _is_free(self, req: Request, exc: RunFailedError) -> bool:
+        """Tell whether a further attempt needs no budget.
+
+        The first one after a refusal doesn't: nothing has run, and when a
+        backend server drains all its requests have to go elsewhere at once.
+        """
+        refused = exc.kind is OutcomeKind.NOT_RUN
+        return refused and req.attempts == FIRST_ATTEMPT
+
+    def _withdraw(self) -> bool:
+        self._retries.retune(self._rules().retry_ratio)
+        return self._retries.withdraw(time.monotonic())
+
 
 class RequestService:
     """Answer every request of a flow."""
