--- a/tests/unit/sidecar/test_requests.py
+++ b/tests/unit/sidecar/test_requests.py
@@ -31,16 +31,18 @@
 class RequestRunnerTest(unittest.IsolatedAsyncioTestCase):
     """The runner's word on a request that failed several times."""
 
-    has_budget = True
-
-    async def run_attempts(self, *ends: RunFailedError) -> OutcomeKind:
+    async def run_attempts(
+        self,
+        *ends: RunFailedError,
+        budget: bool = True,
+    ) -> OutcomeKind:
         """Let one attempt end in each way; the last finds no slot."""
         *attempts, refusal = ends
         places = [Mock(run=AsyncMock(side_effect=each)) for each in attempts]
         finder = Mock(find=AsyncMock(side_effect=[*places, refusal]))
         retries = Mock(
             backoff=Mock(return_value=0),
-            withdraw=Mock(return_value=self.has_budget),
+            withdraw=Mock(return_value=budget),
         )
         runner = RequestRunner(finder, retries, Mock(), Mock())
         req = Request(_INFO, ReplayBody())
@@ -62,15 +64,13 @@
         )
 
     async def test_refusals_move_on_once_without_budget(self) -> None:
-        self.has_budget = False
         self.assertEqual(
-            await self.run_attempts(_BUSY, _BUSY),
+            await self.run_attempts(_BUSY, _BUSY, budget=False),
             OutcomeKind.NOT_RUN,
         )
         with self.assertRaises(AssertionError):
-            await self.run_attempts(_BUSY, _BUSY, _BUSY)
+            await self.run_attempts(_BUSY, _BUSY, _BUSY, budget=False)
 
     async def test_a_cut_answer_is_not_tried_again_without_budget(self) -> None:
-        self.has_budget = False
         with self.assertRaises(AssertionError):
-            await self.run_attempts(_CUT, _BUSY)
+            await self.run_attempts(_CUT, _BUSY, budget=False)
