Give a granted slot back whatever becomes of its request

Cause, by reading: the local runner gave the slot back, and a peer that closed its stream right after its request had the run cancelled before that runner started; the slot was lost for good. A claim table that is full and a trace that can't be read lost it too. The slot is an object now that is given back once.

--- a/src/dragonflyshift/_internal/sidecar/local.py
+++ b/src/dragonflyshift/_internal/sidecar/local.py
@@ -54,7 +54,7 @@
     async def run(self, req: Request, sink: AnswerSink) -> None:
         """Run a request; raise RunFailedError when it got no whole answer.
 
-        The slot that the caller took is given back in any case.
+        The caller holds a slot for it and gives that back.
         """
         started = time.monotonic()
         try:
@@ -64,7 +64,7 @@
             self._metrics.incr('timeouts')
             raise RequestTimeoutError from exc
         finally:
-            self._give_back(started)
+            self._metrics.timing('held', time.monotonic() - started)
 
     async def _exchange(self, req: Request, sink: AnswerSink) -> None:
         try:
@@ -105,11 +105,6 @@
             await sink.send_chunk(chunk)
         await sink.finish()
 
-    def _give_back(self, started: float) -> None:
-        now = time.monotonic()
-        self._admission.finish(now, now - started)
-        self._metrics.timing('held', now - started)
-
     def _note_broken(self) -> None:
         self._metrics.incr('broken-answers')
         self._admission.shed(time.monotonic())
--- a/src/dragonflyshift/_internal/sidecar/placing.py
+++ b/src/dragonflyshift/_internal/sidecar/placing.py
@@ -25,6 +25,7 @@
     Wakeup,
 )
 from dragonflyshift._internal.sidecar.request import Request
+from dragonflyshift._internal.sidecar.slot import Slot
 from dragonflyshift._internal.telemetry import Metrics
 
 ASK_AGAIN_SECONDS = 0.1
@@ -73,7 +74,7 @@
             if place is not None:
                 return place
         if own and self._admission.try_start(time.monotonic()):
-            return LocalPlace(self._runner, self._admission)
+            return LocalPlace(self._runner, Slot(self._admission))
         place = await self._ask_peers(req)
         if place is not None:
             return place
--- a/src/dragonflyshift/_internal/sidecar/queueing.py
+++ b/src/dragonflyshift/_internal/sidecar/queueing.py
@@ -10,6 +10,7 @@
 from dragonflyshift._internal.sidecar.failures import NotRunError
 from dragonflyshift._internal.sidecar.local import LocalRunner
 from dragonflyshift._internal.sidecar.request import AnswerSink, Request
+from dragonflyshift._internal.sidecar.slot import Slot
 from dragonflyshift._internal.telemetry import Metrics
 
 
@@ -18,15 +19,19 @@
     """A slot of the sidecar's own backend server."""
 
     runner: LocalRunner
-    admission: Admission
+    slot: Slot
 
     async def run(self, req: Request, sink: AnswerSink) -> None:
         """Run the request here; raise RunFailedError."""
-        await self.runner.run(req, sink)
+        self.slot.begin()
+        try:
+            await self.runner.run(req, sink)
+        finally:
+            self.slot.give_back()
 
     def release(self) -> None:
         """Give the slot back unused."""
-        self.admission.finish(time.monotonic(), 0)
+        self.slot.give_back()
 
 
 @frozen
@@ -104,7 +109,7 @@
             ticket = self._admission.next_ready(now)
             if ticket is None:
                 return
-            place = LocalPlace(self._runner, self._admission)
+            place = LocalPlace(self._runner, Slot(self._admission))
             if not _wake(ticket, place):
                 place.release()
 
--- a/src/dragonflyshift/_internal/sidecar/serving.py
+++ b/src/dragonflyshift/_internal/sidecar/serving.py
@@ -1,6 +1,7 @@
 """What a sidecar does for its peers: grant claims and run requests."""
 
 import asyncio
+import functools
 import logging
 import time
 from collections.abc import Callable, Coroutine
@@ -33,6 +34,7 @@
     Request,
     RequestBody,
 )
+from dragonflyshift._internal.sidecar.slot import Slot
 from dragonflyshift._internal.state import ClaimTable
 from dragonflyshift._internal.telemetry import Metrics, SpanContext, Tracing
 from dragonflyshift._internal.wire.messages import (
@@ -109,38 +111,46 @@
 
     async def _hold_slot(self, stream: MessageStream) -> None:
         """Hold a slot until its request ran or the lease ended."""
-        now = time.monotonic()
-        claim = self.claims.grant(now)
-        redeemed = False
+        slot = Slot(self._admission)
         try:
-            await stream.send(
-                ClaimGranted(
-                    claim_id=claim.claim_id,
-                    lease_ms=int(LEASE_SECONDS * MS_PER_SECOND),
-                    free_slots=self._admission.free(now),
-                    queued=self._admission.queued,
-                ),
-            )
-            head = await receive_within(stream, LEASE_SECONDS)
-            redeemed = isinstance(head, RequestHead) and self.claims.redeem(
-                head.claim_id,
-                time.monotonic(),
-            )
+            head = await self._await_request(stream)
+            if head is None:
+                await send_failed(stream, NotRunError('the lease ended'))
+            else:
+                run = functools.partial(self._run_traced, slot)
+                await run_for_peer(stream, head, run)
         finally:
-            if not redeemed:
-                self.claims.expire(time.monotonic())
-                self._admission.finish(time.monotonic(), 0)
+            self.claims.expire(time.monotonic())
+            slot.give_back()
+
+    async def _await_request(
+        self,
+        stream: MessageStream,
+    ) -> RequestHead | None:
+        """Grant a claim; return the request under it, None if too late."""
+        now = time.monotonic()
+        claim = self.claims.grant(now)
+        await stream.send(
+            ClaimGranted(
+                claim_id=claim.claim_id,
+                lease_ms=int(LEASE_SECONDS * MS_PER_SECOND),
+                free_slots=self._admission.free(now),
+                queued=self._admission.queued,
+            ),
+        )
+        head = await receive_within(stream, LEASE_SECONDS)
         if not isinstance(head, RequestHead):
             raise WireError('a request is expected under the claim')
-        if redeemed:
-            await self._run(stream, head)
-        else:
-            await send_failed(stream, NotRunError('the lease ended'))
-
-    async def _run(self, stream: MessageStream, head: RequestHead) -> None:
-        await run_for_peer(stream, head, self._run_traced)
+        redeemed = self.claims.redeem(head.claim_id, time.monotonic())
+        return head if redeemed else None
 
-    async def _run_traced(self, req: Request, sink: AnswerSink) -> None:
+    async def _run_traced(
+        self,
+        slot: Slot,
+        req: Request,
+        sink: AnswerSink,
+    ) -> None:
+        slot.begin()
         context = SpanContext.decode(req.info.trace)
         with self._tracing.start_span(
             'run-for-peer',
