Refuse new flows on a service address that has passed to another service

Cause, by reading: a balancer that does not know yet that a service address has another owner steers new flows to the old one, and the sidecars there saw their own tag and took them. They compare the address with their own document now. The new test failed before (the flow was accepted) and passes now; the other tests of the flow table hold what it did already.

--- a/src/dragonflyshift/_internal/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/sidecar/flows.py
@@ -55,7 +55,8 @@
 
     ``load`` returns the sidecar's exact load for a number of flows,
     ``believed`` the newest word on another sidecar; ``relay`` sends a
-    forward on to it; ``refuses_all`` tells that the service winds down.
+    forward on to it; ``refuses_all`` tells that the service winds down, and
+    ``owns`` whether a service address belongs to the service.
     """
 
     decision: FlowDecision
@@ -63,6 +64,7 @@
     believed: Callable[[Address], MemberRecord | None]
     relay: Callable[[Forward, Address], None]
     refuses_all: Callable[[], bool]
+    owns: Callable[[Address], bool]
 
 
 @define(eq=False)
@@ -151,6 +153,11 @@
         self._sender.send_reset(forward, RESET_BYTES, token)
 
     def _new_flow(self, header: QuicHeader, forward: Forward) -> None:
+        if not self._policy.owns(forward.service):
+            # A balancer that doesn't know yet that the address has passed to
+            # another service sent the packet here.
+            self._metrics.incr('dropped.wrong-service')
+            return
         now = time.monotonic()
         placed = self._placements.find(header.destination, now)
         if placed is not None:
--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -217,6 +217,7 @@
             self._members.record,
             self._link.relay,
             lambda: self._service.state is ServiceState.WINDING_DOWN,
+            lambda address: address in self._service.addresses,
         )
 
     def _forwarded(self, forward: Forward) -> None:
--- /dev/null
+++ b/tests/unit/sidecar/test_flows.py
@@ -0,0 +1,134 @@
+"""What a sidecar does with packets that balancers deliver."""
+
+import asyncio
+import unittest
+from unittest.mock import Mock
+
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from attrs import evolve
+
+from dragonflyshift._internal.models import Address, MemberState
+from dragonflyshift._internal.routing import LeastLoaded, LoadSnapshot
+from dragonflyshift._internal.sidecar.flows import (
+    RESET_BYTES,
+    FlowPolicy,
+    FlowTable,
+)
+from dragonflyshift._internal.sidecar.identity import SidecarIdentity
+from dragonflyshift._internal.telemetry import NoMetrics
+from dragonflyshift._internal.wire import (
+    ConnectionIdCodec,
+    FleetKeys,
+    Forward,
+    IssuedId,
+)
+from tests.lib.builders import FLEET_KEYS_TEXT
+
+TAG = 7
+OWN = Address('192.0.2.1', 7000)
+SECOND = Address('192.0.2.2', 7000)
+SERVICE = Address('198.51.100.1', 443)
+SHORT_HEADER = b'\x40'
+FILLER = bytes(60)
+
+
+def _initial() -> bytes:
+    quic = QuicConnection(configuration=QuicConfiguration(is_client=True))
+    quic.connect(SERVICE.pair, now=0)
+    return quic.datagrams_to_send(now=0)[0][0]
+
+
+def _forward(packet: bytes) -> Forward:
+    return Forward(
+        tag=TAG,
+        client=Address('203.0.113.1', 5000),
+        service=SERVICE,
+        balancer=Address('192.0.2.10', 7000),
+        packet=packet,
+        second=SECOND,
+    )
+
+
+class FlowTableTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.codec = ConnectionIdCodec(FleetKeys.parse(FLEET_KEYS_TEXT))
+        self.state = MemberState.ALIVE
+        self.metrics = NoMetrics('sidecar')
+        self.sender = Mock()
+        self.relay = Mock()
+        self.accepted = Mock()
+        policy = FlowPolicy(
+            LeastLoaded(),
+            lambda open_flows: LoadSnapshot(self.state, open_flows, 9, 3, 0),
+            lambda _address: None,
+            self.relay,
+            bool,
+            lambda address: address == SERVICE,
+        )
+        self.table = FlowTable(
+            SidecarIdentity(OWN, TAG, 1, self.codec),
+            QuicConfiguration(is_client=False),
+            self.codec,
+            self.sender,
+            policy,
+            Mock(),
+            self.metrics,
+        )
+        self.table._accept = self.accepted  # type: ignore[method-assign] # no TLS here
+
+    def counted(self, name: str) -> float:
+        return self.metrics.snapshot().get(f'dragonflyshift.sidecar.{name}', 0)
+
+    async def test_new_flow_is_accepted(self) -> None:
+        self.table.receive(_forward(_initial()))
+        self.accepted.assert_called_once()
+
+    async def test_new_flow_on_an_address_of_another_service(self) -> None:
+        other = evolve(
+            _forward(_initial()),
+            service=Address('198.51.100.2', 443),
+        )
+        self.table.receive(other)
+        self.accepted.assert_not_called()
+        self.relay.assert_not_called()
+        self.assertEqual(self.counted('dropped.wrong-service'), 1)
+
+    async def test_packet_with_the_tag_of_another_service(self) -> None:
+        self.table.receive(evolve(_forward(_initial()), tag=TAG + 1))
+        self.accepted.assert_not_called()
+        self.assertEqual(self.counted('dropped.wrong-service'), 1)
+
+    async def test_leaving_sidecar_passes_a_flow_on_and_sticks_to_it(self):
+        packet = _initial()
+        self.state = MemberState.LEAVING
+        self.table.receive(_forward(packet))
+        self.state = MemberState.ALIVE
+        self.table.receive(_forward(packet))
+        self.assertEqual(self.relay.call_count, 2)
+        self.accepted.assert_not_called()
+
+    async def test_relayed_flow_is_not_passed_on_again(self) -> None:
+        self.state = MemberState.LEAVING
+        self.table.receive(evolve(_forward(_initial()), hops=1))
+        self.relay.assert_not_called()
+
+    async def test_packet_of_an_unknown_flow_is_answered_by_a_reset(self):
+        cid = self.codec.issue(IssuedId(OWN, TAG, 1))
+        packet = b''.join((SHORT_HEADER, cid, FILLER))
+        self.table.receive(_forward(packet))
+        await asyncio.sleep(0)
+        _forwarded, size, token = self.sender.send_reset.call_args.args
+        self.assertEqual(token, self.codec.reset_token(cid))
+        self.assertLess(size, len(packet))
+        self.assertEqual(size, RESET_BYTES)
+
+    async def test_short_packet_gets_no_reset(self) -> None:
+        cid = self.codec.issue(IssuedId(OWN, TAG, 1))
+        self.table.receive(_forward(b''.join((SHORT_HEADER, cid))))
+        self.sender.send_reset.assert_not_called()
+
+    async def test_random_bytes_are_dropped(self) -> None:
+        self.table.receive(_forward(b''.join((SHORT_HEADER, bytes(range(60))))))
+        self.assertEqual(self.counted('dropped.foreign-id'), 1)
+        self.accepted.assert_not_called()
