--- a/bench/naive/steering.py
+++ b/bench/naive/steering.py
@@ -2,6 +2,8 @@
 
 from collections import OrderedDict
 
+from attrs import evolve
+
 from dragonflyshift._internal.balancer import (
     Decision,
     Steering,
@@ -9,7 +11,6 @@
     Verdict,
 )
 from dragonflyshift._internal.models import Address, ServiceDocument
-from dragonflyshift._internal.routing import Place
 from dragonflyshift._internal.wire.envelope import pack_address
 
 MAX_FLOWS = 100_000
@@ -48,19 +49,4 @@
 
     def place(self, service: ServiceDocument, flow_key: bytes) -> Decision:
         """Choose an endpoint for a new flow; there is no second one."""
-        context = self.context
-        place = Place(
-            context.data_center,
-            context.region,
-            service.rules.locality,
-        )
-        ranked = context.choice.rank(flow_key, context.view(service), place)
-        if not ranked:
-            return Decision(Verdict.NO_ENDPOINT, flow_key=flow_key)
-        return Decision(
-            Verdict.NEW_FLOW,
-            ranked[0].endpoint.address,
-            None,
-            flow_key,
-            ranked,
-        )
+        return evolve(super().place(service, flow_key), second=None)
--- a/src/dragonflyshift/_internal/balancer/by_connection_id.py
+++ b/src/dragonflyshift/_internal/balancer/by_connection_id.py
@@ -11,7 +11,6 @@
 )
 from dragonflyshift._internal.exceptions import WireError
 from dragonflyshift._internal.models import Address, ServiceDocument
-from dragonflyshift._internal.routing import Place
 from dragonflyshift._internal.wire.quic_header import (
     MIN_INITIAL_BYTES,
     Form,
@@ -41,23 +40,3 @@
         if len(packet) < MIN_INITIAL_BYTES:
             return Decision(Verdict.TOO_SHORT)
         return self.place(service, header.destination)
-
-    def place(self, service: ServiceDocument, flow_key: bytes) -> Decision:
-        """Choose the first and second candidate for a new flow."""
-        context = self.context
-        place = Place(
-            context.data_center,
-            context.region,
-            service.rules.locality,
-        )
-        ranked = context.choice.rank(flow_key, context.view(service), place)
-        if not ranked:
-            return Decision(Verdict.NO_ENDPOINT, flow_key=flow_key)
-        second = ranked[1].endpoint.address if len(ranked) > 1 else None
-        return Decision(
-            Verdict.NEW_FLOW,
-            ranked[0].endpoint.address,
-            second,
-            flow_key,
-            ranked,
-        )
