--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -2,16 +2,13 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterable
 from typing import Any, Self
 
-import cattrs
-from attrs import Factory, define
-
 from dragonflyshift._internal.models import Address, Endpoint
 from tests.lib import certificates
 from tests.lib.control import ControlClient
 from tests.lib.h3 import H3Client
+from tests.lib.instance import Balancer, Instance
 from tests.lib.jobs import Options
 from tests.lib.journal import JournalEntry
 from tests.lib.load import Target
@@ -20,7 +17,6 @@
     BACKEND_PORT,
     CLIENT_HOST,
     CONTROL_PORT,
-    DAEMON_PORT,
     FABRIC_HOST,
     FIRST_ENDPOINT_HOST,
     LISTS,
@@ -48,62 +44,6 @@
 DRAIN_SECONDS = 30.0
 
 
-@define(eq=False)
-class Balancer:
-    """One balancer and the IP on which the fabric reaches it."""
-
-    host: str
-    program: Program
-    data_center: str
-
-    @property
-    def address(self) -> Address:
-        """Where it takes status requests."""
-        return Address(self.host, DAEMON_PORT)
-
-
-@define(eq=False)
-class Instance:
-    """One endpoint: a backend server and the sidecar beside it."""
-
-    service: str
-    endpoint: Endpoint
-    sidecar: Program
-    backend: Program
-    control: ControlClient
-    retired: list[JournalEntry] = Factory(list)
-
-    @property
-    def name(self) -> str:
-        """The instance's name in the register."""
-        return self.endpoint.name
-
-    async def set_behavior(self, **changes: Any) -> None:
-        """Change how the backend server behaves."""
-        await self.control.put('/control/behavior', changes)
-
-    async def journal(self) -> list[JournalEntry]:
-        """Return what the backend server ran.
-
-        Of one that was killed this is only known when it ran with --echo.
-        """
-        if self.backend.running:
-            plain = await self.control.get('/control/journal')
-            return [*self.retired, *_structure(plain)]
-        return [*self.retired, *self._echoed()]
-
-    async def kill_backend(self) -> None:
-        """Kill the backend server, keeping what it echoed."""
-        await self.backend.kill()
-        self.retired.extend(self._echoed())
-
-    def _echoed(self) -> list[JournalEntry]:
-        if self.retired or not self.backend.lives:
-            return []
-        events = self.backend.child.events()
-        return _structure(each['entry'] for each in events if 'entry' in each)
-
-
 class Cluster:
     """Fabric, platform, balancers, sidecars and backend servers.
 
@@ -326,7 +266,3 @@
 async def _end(program: Program) -> None:
     if program.running:
         await program.kill()
-
-
-def _structure(plain: Iterable[Any]) -> list[JournalEntry]:
-    return [cattrs.structure(each, JournalEntry) for each in plain]
