Reset flows whose sidecar's address has passed to another service

Cause: their packets were dropped in silence, so the client waited for its idle timeout. The reset token follows from the id and the fleet key, so the sidecar that has the address now can tell the client at once; the packet still reaches no instance. The new test failed before (no reset) and passes now.

--- a/src/dragonflyshift/_internal/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/sidecar/flows.py
@@ -112,27 +112,34 @@
 
     def receive(self, forward: Forward) -> None:
         """Take in a packet that a balancer or sidecar delivered."""
-        if forward.tag != self._identity.tag:
-            self._metrics.incr('dropped.wrong-service')
-            return
-        self._sender.heard(forward)
         try:
             header = read_header(forward.packet)
         except WireError:
             self._metrics.incr('dropped.malformed')
             return
+        if forward.tag == self._identity.tag:
+            self._receive_own(header, forward)
+        else:
+            self._metrics.incr('dropped.wrong-service')
+            self._reset(header, forward)
+
+    def _receive_own(self, header: QuicHeader, forward: Forward) -> None:
+        self._sender.heard(forward)
         known = self._by_id.get(header.destination)
         if known is not None:
             self._deliver(known, forward)
-            return
-        issued = self._codec.decode(header.destination)
-        if issued is not None and issued.tag == self._identity.tag:
-            self._unknown_flow(header, forward)
+        elif self._is_issued(header, forward.tag):
+            self._metrics.incr('unknown-flow')
+            self._reset(header, forward)
         elif header.form is Form.LONG:
             self._new_flow(header, forward)
         else:
             self._metrics.incr('dropped.foreign-id')
 
+    def _is_issued(self, header: QuicHeader, tag: int) -> bool:
+        issued = self._codec.decode(header.destination)
+        return issued is not None and issued.tag == tag
+
     def _deliver(self, known: _OpenFlow, forward: Forward) -> None:
         known.path.delivered(forward)
         known.flow.datagram_received(
@@ -142,13 +149,17 @@
         if known.flow.confirmed:
             self._half_open.discard(known.flow)
 
-    def _unknown_flow(self, header: QuicHeader, forward: Forward) -> None:
-        """Tell the client of a flow that is gone, at once."""
-        self._metrics.incr('unknown-flow')
+    def _reset(self, header: QuicHeader, forward: Forward) -> None:
+        """Tell the client of a flow that is not here, at once.
+
+        Also of a flow whose sidecar's address has passed to this service.
+        """
         if header.form is Form.LONG:
             return
         if len(forward.packet) < MIN_RESET_CAUSE_BYTES:
             return
+        if not self._is_issued(header, forward.tag):
+            return
         token = self._codec.reset_token(header.destination)
         self._sender.send_reset(forward, RESET_BYTES, token)
 
--- a/src/dragonflyshift/_internal/sidecar/replies.py
+++ b/src/dragonflyshift/_internal/sidecar/replies.py
@@ -64,13 +64,18 @@
         return ReplyPath(self, forward)
 
     def send_once(self, forward: Forward, packet: bytes) -> None:
-        """Answer a packet through the balancer that delivered it."""
-        self.send_packet(
-            forward.client,
-            forward.service,
-            packet,
-            forward.balancer,
+        """Answer a packet through the balancer that delivered it.
+
+        The answer carries the packet's own tag, which is that of another
+        service when the packet came to the wrong one.
+        """
+        reply = Reply(
+            tag=forward.tag,
+            client=forward.client,
+            service=forward.service,
+            packet=packet,
         )
+        self._seal(reply, forward.balancer)
 
     def send_reset(self, forward: Forward, size: int, token: bytes) -> None:
         """Send a stateless reset of ``size`` bytes that ends in a token."""
--- a/tests/unit/sidecar/test_flows.py
+++ b/tests/unit/sidecar/test_flows.py
@@ -123,6 +123,14 @@
         self.assertLess(size, len(packet))
         self.assertEqual(size, RESET_BYTES)
 
+    async def test_flow_of_a_service_that_had_the_address_is_reset(self):
+        cid = self.codec.issue(IssuedId(OWN, TAG + 1, 1))
+        packet = b''.join((SHORT_HEADER, cid, FILLER))
+        self.table.receive(evolve(_forward(packet), tag=TAG + 1))
+        self.sender.send_reset.assert_called_once()
+        self.accepted.assert_not_called()
+        self.assertEqual(self.counted('dropped.wrong-service'), 1)
+
     async def test_short_packet_gets_no_reset(self) -> None:
         cid = self.codec.issue(IssuedId(OWN, TAG, 1))
         self.table.receive(_forward(b''.join((SHORT_HEADER, cid))))
