--- a/src/dragonflyshift/_internal/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/sidecar/flows.py
@@ -126,7 +126,7 @@
     def _receive_own(self, header: QuicHeader, forward: Forward) -> None:
         self._sender.heard(forward)
         known = self._by_id.get(header.destination)
-        if known is not None:
+        if known:
             self._deliver(known, forward)
         elif self._is_issued(header, forward.tag):
             self._metrics.incr('unknown-flow')
