Spend no retry on a backend server that was not reached

Cause: until the watch of a killed backend server has confirmed its state (0.5 s), every request that a sidecar starts there fails to connect and takes a token of the retry budget to go to a peer. The budget of a young or quiet sidecar is spent after a few, and the rest were refused as not run in 6 to 16 ms, while peers had free slots.

Such an attempt did no work that a budget has to bound, and half a second later the same request is handed over without one. It is now tried elsewhere within the limit of three attempts. A peer's word that it could not run a request still costs a token, so a refusal remains possible.

--- a/src/dragonflyshift/_internal/sidecar/failures.py
+++ b/src/dragonflyshift/_internal/sidecar/failures.py
@@ -38,3 +38,11 @@
     def __init__(self, reason: str, retry_after: float = 1.0) -> None:
         """Say why, and when to come back."""
         super().__init__(OutcomeKind.NOT_RUN, reason, retry_after)
+
+
+class NotReachedError(NotRunError):
+    """The backend server could not be reached, so it spent nothing."""
+
+    def __init__(self) -> None:
+        """Say that it is unreachable."""
+        super().__init__('the backend server is unreachable')
--- a/src/dragonflyshift/_internal/sidecar/local.py
+++ b/src/dragonflyshift/_internal/sidecar/local.py
@@ -17,6 +17,7 @@
 )
 from dragonflyshift._internal.sidecar.classify import MS_PER_SECOND
 from dragonflyshift._internal.sidecar.failures import (
+    NotReachedError,
     NotRunError,
     RequestTimeoutError,
     RunFailedError,
@@ -73,7 +74,7 @@
             )
         except BackendUnreachableError as exc:
             self._note_unreachable()
-            raise NotRunError('the backend server is unreachable') from exc
+            raise NotReachedError from exc
         except BackendError as exc:
             raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         except RequestCutError as exc:
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -16,6 +16,7 @@
 )
 from dragonflyshift._internal.sidecar.classify import BadRequestError, classify
 from dragonflyshift._internal.sidecar.failures import (
+    NotReachedError,
     RequestTimeoutError,
     RunFailedError,
 )
@@ -88,6 +89,9 @@
         possible = not sink.started and req.resendable
         if not possible or req.attempts >= MAX_ATTEMPTS:
             raise exc
+        if isinstance(exc, NotReachedError):
+            # No backend server did any work that a budget has to bound.
+            return
         if not self._retries.withdraw(time.monotonic()):
             raise exc
         self._metrics.incr('retries')
