--- a/bench/scenario_run.py
+++ b/bench/scenario_run.py
@@ -204,4 +204,6 @@
     figures.costs = role_costs(samples.before, samples.rested, samples.after)
     figures.client_share = own_share(samples.rested, samples.after)
     figures.unended = not ended.ended
+    if figures.unended:
+        figures.problems.append('some requests had no end')
     figures.problems.extend((*ended.problems, *summary.problems))
