Merge the retries after a server that was not reached

Two repairs of the same kind met: the first attempt after any refusal needs no budget, and none does after a backend server that could not be reached.

--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -16,6 +16,7 @@
 )
 from dragonflyshift._internal.sidecar.classify import BadRequestError, classify
 from dragonflyshift._internal.sidecar.failures import (
+    NotReachedError,
     RequestTimeoutError,
     RunFailedError,
 )
@@ -111,7 +112,11 @@
 
         The first one after a refusal doesn't: nothing has run, and when a
         backend server drains all its requests have to go elsewhere at once.
+        Nor does any after a backend server that could not be reached, since
+        no work was done that a budget has to bound.
         """
+        if isinstance(exc, NotReachedError):
+            return True
         refused = exc.kind is OutcomeKind.NOT_RUN
         return refused and req.attempts == FIRST_ATTEMPT
 
--- a/tests/unit/sidecar/test_requests.py
+++ b/tests/unit/sidecar/test_requests.py
@@ -3,6 +3,7 @@
 
 from dragonflyshift._internal.models import OutcomeKind
 from dragonflyshift._internal.sidecar.failures import (
+    NotReachedError,
     NotRunError,
     RunFailedError,
 )
@@ -74,3 +75,10 @@
     async def test_a_cut_answer_is_not_tried_again_without_budget(self) -> None:
         with self.assertRaises(AssertionError):
             await self.run_attempts(_CUT, _BUSY, budget=False)
+
+    async def test_unreachable_servers_need_no_budget(self) -> None:
+        gone = NotReachedError()
+        self.assertEqual(
+            await self.run_attempts(gone, gone, _BUSY, budget=False),
+            OutcomeKind.NOT_RUN,
+        )
