Tell the time to come back of a refused request with a key

Cause, by reading: the failure was turned into an outcome on its way to the client's task, and an outcome has no time, so each refusal said one second. The parts that read and answer moved to a module of their own.

--- a/src/dragonflyshift/_internal/sidecar/keyed.py
+++ b/src/dragonflyshift/_internal/sidecar/keyed.py
@@ -9,10 +9,8 @@
 import asyncio
 import logging
 import time
-from collections.abc import Coroutine
-from typing import Any, TypeVar
 
-from attrs import evolve
+from attrs import evolve, frozen
 
 from dragonflyshift._internal.exceptions import (
     PeerError,
@@ -30,7 +28,6 @@
     STATUS_BAD_REQUEST,
     STATUS_CREATED,
     STATUS_TOO_LARGE,
-    send_outcome,
     send_text,
 )
 from dragonflyshift._internal.sidecar.capture import CapturingSink
@@ -40,15 +37,19 @@
 )
 from dragonflyshift._internal.sidecar.failures import (
     NotRunError,
-    RequestTimeoutError,
     RunFailedError,
 )
 from dragonflyshift._internal.sidecar.identity import SidecarIdentity
+from dragonflyshift._internal.sidecar.keyed_answers import (
+    known_outcome,
+    read_whole,
+    refuse,
+    send_ended,
+    within_deadline,
+)
 from dragonflyshift._internal.sidecar.keyed_base import KeyedRequests
 from dragonflyshift._internal.sidecar.request import (
-    OUTCOME_HEADER,
     AnswerSink,
-    ReplayBody,
     Request,
     RequestInfo,
 )
@@ -56,7 +57,6 @@
 from dragonflyshift._internal.sidecar.serving import run_for_peer
 from dragonflyshift._internal.state import (
     Begun,
-    Fenced,
     KeyIssuer,
     KeyRetiredError,
     NeverRan,
@@ -72,15 +72,19 @@
     connect_stream,
 )
 
-_ResultT = TypeVar('_ResultT')
-
 logger = logging.getLogger(__name__)
 
 KEY_TARGET = b'/.well-known/dragonflyshift/idempotency-key'
-MAX_KEYED_BODY_BYTES = 8 * 1024 * 1024
 HOME_TIMEOUT_SECONDS = 1.0
 HOME_CLAIM_ID = 0
-_NOT_RUN = (OUTCOME_HEADER, OutcomeKind.NOT_RUN.encode())
+
+
+@frozen
+class _Ended:
+    """How a run ended; a failure also says when to come back."""
+
+    outcome: Outcome
+    failure: RunFailedError | None = None
 
 
 class HomeKeyed(KeyedRequests, name='home'):
@@ -123,11 +127,11 @@
         except KeyRetiredError as exc:
             raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         except StateError as exc:
-            await _refuse(sink, STATUS_BAD_REQUEST, exc.message)
+            await refuse(sink, STATUS_BAD_REQUEST, exc.message)
             return
-        whole = await _within_deadline(req, _read_whole(req))
+        whole = await within_deadline(req, read_whole(req))
         if whole is None:
-            await _refuse(sink, STATUS_TOO_LARGE, 'the body is too large')
+            await refuse(sink, STATUS_TOO_LARGE, 'the body is too large')
             return
         if self._is_home(key):
             await self._serve_home(key, whole, sink)
@@ -152,7 +156,7 @@
             key = self._issuer.parse(req.info.key)
         except StateError as exc:
             raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
-        whole = await _within_deadline(req, _read_whole(req))
+        whole = await within_deadline(req, read_whole(req))
         if whole is None:
             raise NotRunError('the body is too large')
         if self._is_home(key):
@@ -185,10 +189,10 @@
         if isinstance(beginning, Begun):
             await self._run(key, req, sink)
         elif isinstance(beginning, Running):
-            outcome = await _within_deadline(req, beginning.wait())
-            await _send_ended(sink, outcome)
+            outcome = await within_deadline(req, beginning.wait())
+            await send_ended(sink, outcome)
         else:
-            await _send_ended(sink, _known_outcome(beginning))
+            await send_ended(sink, known_outcome(beginning))
 
     async def _run(
         self,
@@ -203,29 +207,36 @@
             'keyed-request',
         )
         try:
-            outcome = await asyncio.shield(task)
+            ended = await asyncio.shield(task)
         except asyncio.CancelledError:
             capture.detach()
             raise
-        if not sink.started:
-            await _send_ended(sink, outcome)
+        if sink.started:
+            return
+        if ended.failure is not None:
+            raise ended.failure
+        await send_ended(sink, ended.outcome)
 
     async def _run_and_store(
         self,
         key: IdempotencyKey,
         req: Request,
         capture: CapturingSink,
-    ) -> Outcome:
+    ) -> _Ended:
         self._running += 1
-        outcome = Outcome(OutcomeKind.UNKNOWN, STATUS_BAD_GATEWAY)
+        ended = _Ended(Outcome(OutcomeKind.UNKNOWN, STATUS_BAD_GATEWAY))
         try:
-            outcome = await self._attempt(req, capture)
+            ended = await self._attempt(req, capture)
         finally:
             self._running -= 1
-            self._outcomes.finish(key, outcome, time.monotonic())
-        return outcome
+            self._outcomes.finish(key, ended.outcome, time.monotonic())
+        return ended
 
-    async def _attempt(self, req: Request, capture: CapturingSink) -> Outcome:
+    async def _attempt(
+        self,
+        req: Request,
+        capture: CapturingSink,
+    ) -> _Ended:
         # Only the home's table makes a second run safe to exclude, so the
         # request itself counts as non-idempotent on its way.
         once = Request(evolve(req.info, idempotent=False, key=b''), req.body)
@@ -234,8 +245,9 @@
         except RunFailedError as exc:
             if capture.started:
                 await capture.abort()
-            return Outcome(exc.kind, 0, (), exc.reason.encode())
-        return capture.outcome()
+            reason = exc.reason.encode()
+            return _Ended(Outcome(exc.kind, 0, (), reason), exc)
+        return _Ended(capture.outcome())
 
     async def _ask_home(
         self,
@@ -270,7 +282,7 @@
         """Answer for a home that has stopped and left its outcomes here."""
         adopted = self._outcomes.lookup_adopted(key, time.monotonic())
         if isinstance(adopted, Stored):
-            await _send_ended(sink, adopted.outcome)
+            await send_ended(sink, adopted.outcome)
         elif isinstance(adopted, NeverRan):
             raise NotRunError('the instance of the key stopped; take a new key')
         else:
@@ -278,53 +290,3 @@
                 OutcomeKind.UNKNOWN,
                 'the instance that had the outcome is gone',
             )
-
-
-def _known_outcome(beginning: Stored | Fenced | NeverRan) -> Outcome:
-    """Return the outcome of a request that does not begin."""
-    if isinstance(beginning, Stored):
-        return beginning.outcome
-    if isinstance(beginning, NeverRan):
-        reason = b'the instance is stopping; take a new key'
-        return Outcome(OutcomeKind.NOT_RUN, 0, (), reason)
-    reason = b'the key is older than the stored outcomes'
-    return Outcome(OutcomeKind.UNKNOWN, 0, (), reason)
-
-
-async def _send_ended(sink: AnswerSink, outcome: Outcome) -> None:
-    if outcome.kind is OutcomeKind.ANSWERED:
-        await send_outcome(sink, outcome)
-        return
-    reason = outcome.body.decode(errors='replace') or 'the outcome is unknown'
-    raise RunFailedError(outcome.kind, reason)
-
-
-async def _within_deadline(
-    req: Request,
-    waiting: Coroutine[Any, Any, _ResultT],
-) -> _ResultT:
-    """Wait no longer than the request may take.
-
-    The outcome is unknown then: it may have run when it was first asked for.
-    """
-    try:
-        async with asyncio.timeout_at(req.info.deadline):
-            return await waiting
-    except TimeoutError as exc:
-        raise RequestTimeoutError from exc
-
-
-async def _read_whole(req: Request) -> Request | None:
-    """Read the body before anything runs; None if it is too large."""
-    chunks = []
-    size = 0
-    async for chunk in req.body.chunks():
-        size += len(chunk)
-        if size > MAX_KEYED_BODY_BYTES:
-            return None
-        chunks.append(chunk)
-    return Request(req.info, ReplayBody(tuple(chunks)))
-
-
-async def _refuse(sink: AnswerSink, status: int, reason: str) -> None:
-    await send_text(sink, status, f'{reason}\n', (_NOT_RUN,))
--- a/tests/unit/sidecar/test_keyed.py
+++ b/tests/unit/sidecar/test_keyed.py
@@ -5,7 +5,10 @@
 
 from dragonflyshift._internal.kernel.tasks import TaskGroup
 from dragonflyshift._internal.models import Address, OutcomeKind
-from dragonflyshift._internal.sidecar.failures import RunFailedError
+from dragonflyshift._internal.sidecar.failures import (
+    NotRunError,
+    RunFailedError,
+)
 from dragonflyshift._internal.sidecar.identity import SidecarIdentity
 from dragonflyshift._internal.sidecar.keyed import HomeKeyed
 from dragonflyshift._internal.sidecar.request import (
@@ -27,6 +30,7 @@
 _WAIT_S = 5.0
 _LARGE = bytes(2_000_000)
 
+_RETRY_AFTER_S = 7
 _Script = Callable[[AnswerSink], Awaitable[None]]
 
 
@@ -128,6 +132,19 @@
         async with asyncio.timeout(_WAIT_S):
             await self.keyed.serve(Request(info, body or ReplayBody()), sink)
 
+    async def test_refusal_names_its_time_and_the_key_may_run_later(self):
+        async def refuse(_sink: AnswerSink) -> None:
+            raise NotRunError('all slots are busy', _RETRY_AFTER_S)
+
+        self._start(refuse)
+        with self.assertRaises(NotRunError) as caught:
+            await self._ask(_Sink())
+        self.assertEqual(caught.exception.retry_after, _RETRY_AFTER_S)
+        self.runner._script = _answer(b'saved')
+        again = _Sink()
+        await self._ask(again)
+        self.assertEqual(again.body, b'saved')
+
     async def test_stored_answer_without_its_body_says_so(self) -> None:
         self._start(_answer(_LARGE))
         first, again = _Sink(), _Sink()
