--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -130,6 +130,8 @@
         runs.extend(perform(planned, cfg))
     except KeyboardInterrupt:
         print('interrupted; all processes ended', file=sys.stderr)
+    if not runs:
+        return INCOMPLETE_STATUS
     texts = {each.scenario.name: each.scenario.text for each in planned}
     origin = Origin(
         shlex.join(('python', '-m', 'bench', *arguments)),
