--- a/src/dragonflyshift/_internal/sidecar/local.py
+++ b/src/dragonflyshift/_internal/sidecar/local.py
@@ -17,6 +17,7 @@
 )
 from dragonflyshift._internal.sidecar.classify import MS_PER_SECOND
 from dragonflyshift._internal.sidecar.failures import (
+    NotReachedError,
     NotRunError,
     RequestTimeoutError,
     RunFailedError,
@@ -32,6 +33,7 @@
 )
 from dragonflyshift._internal.telemetry import Metrics
 
+DEFAULT_RETRY_AFTER_SECONDS = 1.0
 _ANSWERED = (OUTCOME_HEADER, OutcomeKind.ANSWERED.encode())
 
 
@@ -53,7 +55,7 @@
     async def run(self, req: Request, sink: AnswerSink) -> None:
         """Run a request; raise RunFailedError when it got no whole answer.
 
-        The slot that the caller took is given back in any case.
+        The caller holds a slot for it and gives that back.
         """
         started = time.monotonic()
         try:
@@ -63,7 +65,7 @@
             self._metrics.incr('timeouts')
             raise RequestTimeoutError from exc
         finally:
-            self._give_back(started)
+            self._metrics.timing('held', time.monotonic() - started)
 
     async def _exchange(self, req: Request, sink: AnswerSink) -> None:
         try:
@@ -73,15 +75,16 @@
             )
         except BackendUnreachableError as exc:
             self._note_unreachable()
-            raise NotRunError('the backend server is unreachable') from exc
+            raise NotReachedError from exc
         except BackendError as exc:
+            self._note_broken()
             raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         except RequestCutError as exc:
             raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         try:
             await self._pass_on(answer, sink)
         except BackendError as exc:
-            self._metrics.incr('broken-answers')
+            self._note_broken()
             raise RunFailedError(OutcomeKind.UNKNOWN, exc.message) from exc
         finally:
             await answer.close()
@@ -92,7 +95,10 @@
             # The backend server's own word that it has not run the request.
             self._metrics.incr('shed')
             self._admission.shed(time.monotonic())
-            raise NotRunError('the backend server sheds load')
+            raise NotRunError(
+                'the backend server sheds load',
+                _seconds(retry_after),
+            )
         self.served_at = time.monotonic()
         self._admission.served(self.served_at)
         await sink.send_head(answer.status, (*answer.headers, _ANSWERED))
@@ -100,16 +106,22 @@
             await sink.send_chunk(chunk)
         await sink.finish()
 
-    def _give_back(self, started: float) -> None:
-        now = time.monotonic()
-        self._admission.finish(now, now - started)
-        self._metrics.timing('held', now - started)
+    def _note_broken(self) -> None:
+        self._metrics.incr('broken-answers')
+        self._admission.shed(time.monotonic())
 
     def _note_unreachable(self) -> None:
         self._metrics.incr('backend-unreachable')
         self._admission.shed(time.monotonic())
 
 
+def _seconds(retry_after: bytes) -> float:
+    """Read a Retry-After in seconds; a date counts as the default."""
+    if retry_after.isdigit():
+        return float(retry_after)
+    return DEFAULT_RETRY_AFTER_SECONDS
+
+
 def _backend_request(req: Request) -> BackendRequest:
     left = max(0, req.info.deadline - time.monotonic())
     timeout = str(int(left * MS_PER_SECOND)).encode()
--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -63,6 +63,7 @@
 
 PAUSE_LIMIT_SECONDS = 1.0
 PUMP_PERIOD_SECONDS = 0.05
+IDLE_PERIOD_SECONDS = 0.25
 
 
 class SidecarNode:
@@ -216,6 +217,7 @@
             self._members.record,
             self._link.relay,
             lambda: self._service.state is ServiceState.WINDING_DOWN,
+            lambda address: address in self._service.addresses,
         )
 
     def _forwarded(self, forward: Forward) -> None:
@@ -284,7 +286,10 @@
                 self._admission.free(now),
                 self._admission.queued,
             )
-            await asyncio.sleep(PUMP_PERIOD_SECONDS)
+            busy = self._admission.running or self._admission.queued
+            await asyncio.sleep(
+                PUMP_PERIOD_SECONDS if busy else IDLE_PERIOD_SECONDS,
+            )
 
     def _busy(self) -> int:
         return self._admission.running + self._requests.keyed.running
--- a/src/dragonflyshift/_internal/sidecar/request.py
+++ b/src/dragonflyshift/_internal/sidecar/request.py
@@ -131,7 +131,11 @@
 
 @define(eq=False)
 class Request:
-    """A request with its body, and what came of the attempts so far."""
+    """A request with its body, and the attempts made so far.
+
+    ``may_have_run`` tells that an attempt ended with an unknown outcome, so
+    a later refusal doesn't mean that the request has not run.
+    """
 
     info: RequestInfo
     body: RequestBody | ReplayBody
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -16,6 +16,7 @@
 )
 from dragonflyshift._internal.sidecar.classify import BadRequestError, classify
 from dragonflyshift._internal.sidecar.failures import (
+    NotReachedError,
     RequestTimeoutError,
     RunFailedError,
 )
@@ -37,6 +38,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_ATTEMPTS = 3
+FIRST_ATTEMPT = 1
 _NOT_RUN = (OUTCOME_HEADER, OutcomeKind.NOT_RUN.encode())
 
 
@@ -47,33 +49,27 @@
         self,
         finder: SlotFinder,
         retries: RetryPolicy,
+        rules: Callable[[], ServiceRules],
         metrics: Metrics,
     ) -> None:
         """Ask ``finder`` for slots and ``retries`` before trying again."""
         self._finder = finder
         self._retries = retries
+        self._rules = rules
         self._metrics = metrics
 
     async def run(self, req: Request, sink: AnswerSink) -> None:
         """Run a request; raise RunFailedError when it got no whole answer."""
         self._retries.deposit(time.monotonic())
         try:
-            await self._run_until_answered(req, sink)
+            await self._run_attempts(req, sink)
         except RunFailedError as exc:
-            if exc.kind is OutcomeKind.NOT_RUN and req.may_have_run:
-                # Only the last attempt did not run.
-                raise RunFailedError(
-                    OutcomeKind.UNKNOWN,
-                    exc.reason,
-                    exc.retry_after,
-                ) from exc
-            raise
-
-    async def _run_until_answered(
-        self,
-        req: Request,
-        sink: AnswerSink,
-    ) -> None:
+            if exc.kind is not OutcomeKind.NOT_RUN or not req.may_have_run:
+                raise
+            # Only the last attempt was refused; an earlier one may have run.
+            raise RunFailedError(OutcomeKind.UNKNOWN, exc.reason) from exc
+
+    async def _run_attempts(self, req: Request, sink: AnswerSink) -> None:
         avoid_own = False
         while True:
             req.attempts += 1
@@ -81,8 +77,6 @@
             try:
                 await place.run(req, sink)
             except RunFailedError as exc:
-                if exc.kind is not OutcomeKind.NOT_RUN:
-                    req.may_have_run = True
                 self._require_retry(req, sink, exc)
             else:
                 return
@@ -98,6 +92,8 @@
         exc: RunFailedError,
     ) -> None:
         """Return if the request may be tried again; else raise ``exc``."""
+        if exc.kind is not OutcomeKind.NOT_RUN:
+            req.may_have_run = True
         safe = self._retries.allows(
             exc.kind,
             idempotent=req.info.idempotent,
@@ -107,10 +103,27 @@
         possible = not sink.started and req.resendable
         if not possible or req.attempts >= MAX_ATTEMPTS:
             raise exc
-        if not self._retries.withdraw(time.monotonic()):
+        if not self._is_free(req, exc) and not self._withdraw():
             raise exc
         self._metrics.incr('retries')
 
+    def _is_free(self, req: Request, exc: RunFailedError) -> bool:
+        """Tell whether a further attempt needs no budget.
+
+        The first one after a refusal doesn't: nothing has run, and when a
+        backend server drains all its requests have to go elsewhere at once.
+        Nor does any after a backend server that could not be reached, since
+        no work was done that a budget has to bound.
+        """
+        if isinstance(exc, NotReachedError):
+            return True
+        refused = exc.kind is OutcomeKind.NOT_RUN
+        return refused and req.attempts == FIRST_ATTEMPT
+
+    def _withdraw(self) -> bool:
+        self._retries.retune(self._rules().retry_ratio)
+        return self._retries.withdraw(time.monotonic())
+
 
 class RequestService:
     """Answer every request of a flow."""
