Test a partition between the halves of a service

Daemons that load a test module drop datagrams to the other side, and their connections there find no end.

--- /dev/null
+++ b/tests/lib/partition.py
@@ -0,0 +1,92 @@
+"""A partition between daemons, made inside them.
+
+Loopback can't be cut without tools for isolation. So a daemon that loads this
+module as a plug-in module drops its datagrams to hosts on another side, and
+its connections to them find no end. A file, named by an environment variable,
+says which hosts are on which side; a host in no side reaches everybody.
+"""
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+from dragonflyshift._internal.models import Address
+from dragonflyshift._internal.utils.udp import DatagramSocket
+
+PATH_VARIABLE = 'DRAGONFLYSHIFT_TEST_PARTITION'
+FLAG = '--plugin-modules=tests.lib.partition'
+_LISTEN = '--listen='
+
+
+def write_sides(path: Path, *sides: Iterable[str]) -> None:
+    """Cut hosts on different sides off each other; no side heals all."""
+    fresh = path.with_suffix('.new')
+    fresh.write_text(json.dumps([list(side) for side in sides]))
+    fresh.replace(path)
+
+
+class _Sides:
+    """The sides that the file names, read again when it changes."""
+
+    def __init__(self, path: Path, own: str) -> None:
+        self._path = path
+        self._own = own
+        self._changed_at = 0
+        self._sides: list[list[str]] = []
+
+    def cuts(self, host: str) -> bool:
+        """Tell whether a host is on another side."""
+        changed_at = self._path.stat().st_mtime_ns
+        if changed_at != self._changed_at:
+            self._changed_at = changed_at
+            self._sides = json.loads(self._path.read_text())
+        own = self._side_of(self._own)
+        other = self._side_of(host)
+        return own is not None and other is not None and own is not other
+
+    def _side_of(self, host: str) -> list[str] | None:
+        return next((side for side in self._sides if host in side), None)
+
+
+def _cut_datagrams(sides: _Sides) -> None:
+    send = DatagramSocket.send
+
+    def send_within(
+        sock: DatagramSocket,
+        datagram: bytes,
+        address: Address,
+    ) -> None:
+        if not sides.cuts(address.host):
+            send(sock, datagram, address)
+
+    DatagramSocket.send = send_within  # type: ignore[method-assign, assignment] # the cut
+
+
+def _cut_connections(sides: _Sides) -> None:
+    connect = asyncio.open_connection
+
+    async def connect_within(host: str, port: int, **options: Any) -> Any:
+        if sides.cuts(host):
+            # Packets to the other side vanish; only a timeout ends this.
+            await asyncio.Event().wait()
+        return await connect(host, port, **options)
+
+    asyncio.open_connection = connect_within  # type: ignore[assignment] # the cut
+
+
+def _install() -> None:
+    path = os.environ.get(PATH_VARIABLE)
+    listen = [arg for arg in sys.argv if arg.startswith(_LISTEN)]
+    if not path or not listen:
+        return
+    own = Address.parse(listen[0].removeprefix(_LISTEN)).host
+    sides = _Sides(Path(path), own)
+    _cut_datagrams(sides)
+    _cut_connections(sides)
+
+
+_install()
