Refuse at once when there is no peer to ask

Cause, by reading: a request that the own backend server could not run asked for peers for 1.5 s even if no peer takes work, so a service with one instance answered its refusals late.

--- a/src/dragonflyshift/_internal/sidecar/peers.py
+++ b/src/dragonflyshift/_internal/sidecar/peers.py
@@ -9,7 +9,7 @@
 
 from dragonflyshift._internal.exceptions import PeerError, WireError
 from dragonflyshift._internal.membership import MemberTable
-from dragonflyshift._internal.models import Address, MemberRecord
+from dragonflyshift._internal.models import Address, MemberRecord, MemberState
 from dragonflyshift._internal.routing import PeerChoice
 from dragonflyshift._internal.sidecar.classify import MS_PER_SECOND
 from dragonflyshift._internal.sidecar.exchange import head_of, pass_on
@@ -73,6 +73,12 @@
         self._choice = choice
         self._rng = rng
 
+    def has_peers(self) -> bool:
+        """Tell whether a peer is known that takes work."""
+        return any(
+            record.state is MemberState.ALIVE for record in self._others()
+        )
+
     async def claim(self, req: Request) -> PeerPlace | None:
         """Return a claimed slot, or None if no peer granted one."""
         peers = self._others()
--- a/src/dragonflyshift/_internal/sidecar/placing.py
+++ b/src/dragonflyshift/_internal/sidecar/placing.py
@@ -155,7 +155,8 @@
         """Ask peers a few more times, and no longer than the deadline."""
         pause = ASK_AGAIN_SECONDS
         for _ in range(MAX_PEER_ROUNDS):
-            if time.monotonic() + pause >= req.info.deadline:
+            in_time = time.monotonic() + pause < req.info.deadline
+            if not in_time or not self._claims.has_peers():
                 break
             await asyncio.sleep(pause)
             place = await self._ask_peers(req)
