--- a/tests/unit/sidecar/test_flows.py
+++ b/tests/unit/sidecar/test_flows.py
@@ -11,6 +11,7 @@
 from dragonflyshift._internal.models import Address, MemberState
 from dragonflyshift._internal.routing import LeastLoaded, LoadSnapshot
 from dragonflyshift._internal.sidecar.flows import (
+    MAX_HALF_OPEN_FLOWS,
     RESET_BYTES,
     FlowPolicy,
     FlowTable,
@@ -75,6 +76,7 @@
             Mock(),
             self.metrics,
         )
+        self.accept = self.table._accept
         self.table._accept = self.accepted  # type: ignore[method-assign] # no TLS here
 
     def counted(self, name: str) -> float:
@@ -94,6 +96,13 @@
         self.relay.assert_not_called()
         self.assertEqual(self.counted('dropped.wrong-service'), 1)
 
+    async def test_unfinished_handshakes_are_bounded(self) -> None:
+        self.table._accept = self.accept  # type: ignore[method-assign] # real again
+        self.table._half_open.update(Mock() for _ in range(MAX_HALF_OPEN_FLOWS))
+        self.table.receive(_forward(_initial()))
+        self.assertEqual(len(self.table), 0)
+        self.assertEqual(self.counted('dropped.half-open'), 1)
+
     async def test_packet_with_the_tag_of_another_service(self) -> None:
         self.table.receive(evolve(_forward(_initial()), tag=TAG + 1))
         self.accepted.assert_not_called()
--- a/tests/unit/sidecar/test_quic.py
+++ b/tests/unit/sidecar/test_quic.py
@@ -30,6 +30,8 @@
 BODY_BYTES = 4 * STREAM_WINDOW_BYTES
 TAG = 7
 BOOT = 99
+SILENT_SECONDS = 60
+AMPLIFICATION_LIMIT = 3
 
 
 class Pair:
@@ -94,6 +96,24 @@
             event = self.server.next_event()
 
 
+class SpoofedClientTest(unittest.TestCase):
+    def test_little_is_sent_to_a_client_that_never_answers(self):
+        pair = Pair()
+        received = 0
+        for datagram, _server in pair.client.datagrams_to_send(0):
+            received += len(datagram)
+            pair.server.receive_datagram(datagram, CLIENT, 0)
+        sent = 0
+        now = 0
+        while now < SILENT_SECONDS:
+            now += 1
+            pair.server.handle_timer(now)
+            for answer in pair.server.datagrams_to_send(now):
+                sent += len(answer[0])
+        self.assertGreater(sent, 0)
+        self.assertLessEqual(sent, AMPLIFICATION_LIMIT * received)
+
+
 class IssuedConnectionTest(unittest.TestCase):
     def setUp(self):
         self.pair = Pair()
