--- a/src/dragonflyshift/_internal/balancer/forwarder.py
+++ b/src/dragonflyshift/_internal/balancer/forwarder.py
@@ -143,4 +143,4 @@
             'endpoint': str(decision.target),
         }
         with self.tracing.start_span('steer', trace_id, 0, attributes):
-            """The span only marks that the packet passed here."""
+            logger.debug('flow-steered', extra=attributes)
--- a/src/dragonflyshift/_internal/balancer/reports.py
+++ b/src/dragonflyshift/_internal/balancer/reports.py
@@ -14,7 +14,7 @@
 from dragonflyshift._internal.telemetry import Metrics
 from dragonflyshift._internal.wire.messages import RouteRequest
 
-_NO_CLIENT = Address('0.0.0.0', 1)  # noqa: S104 -- stands for no client
+_NO_CLIENT = Address('0.0.0.0', 1)  # stands for no client
 
 
 class BalancerReports(Reports):
--- a/src/dragonflyshift/_internal/balancer/sockets.py
+++ b/src/dragonflyshift/_internal/balancer/sockets.py
@@ -46,8 +46,7 @@
     def _open_one(self, address: Address) -> None:
         host = self._entry_ip or address.host
 
-        def receive(packet: bytes, client: Address) -> None:  # noqa: WPS430
-            # Binds the service address, which the datagram doesn't name.
+        def receive(packet: bytes, client: Address) -> None:  # noqa: WPS430 -- binds address
             self._receiver(address, packet, client)
 
         try:
--- a/src/dragonflyshift/_internal/kernel/registry.py
+++ b/src/dragonflyshift/_internal/kernel/registry.py
@@ -70,11 +70,6 @@
     return found
 
 
-def plugin_names(base: type[Plugin]) -> tuple[str, ...]:
-    """Return the names registered for a kind, sorted."""
-    return tuple(sorted(_registry.get(base.plugin_kind, {})))
-
-
 def load_modules(names: Iterable[str]) -> None:
     """Import modules so that their plug-ins register themselves."""
     for name in names:
--- a/src/dragonflyshift/_internal/sidecar/answers.py
+++ b/src/dragonflyshift/_internal/sidecar/answers.py
@@ -14,7 +14,6 @@
     HeaderList,
 )
 
-STATUS_OK = 200
 STATUS_CREATED = 201
 STATUS_BAD_REQUEST = 400
 STATUS_TOO_LARGE = 413
--- a/src/dragonflyshift/_internal/sidecar/placing.py
+++ b/src/dragonflyshift/_internal/sidecar/placing.py
@@ -70,7 +70,7 @@
         """
         own = self._runs_here() and not avoid_own
         if own and req.info.streaming:
-            place = await self._relieve(req)
+            place = await self._ask_freer(req)
             if place is not None:
                 return place
         if own and self._admission.try_start(time.monotonic()):
@@ -135,7 +135,7 @@
                 return place
             pause = min(pause * 2, MAX_ASK_AGAIN_SECONDS)
 
-    async def _relieve(self, req: Request) -> PeerPlace | None:
+    async def _ask_freer(self, req: Request) -> PeerPlace | None:
         """Move a long request to a peer that holds fewer of them."""
         if self._admission.running == 0:
             return None
--- a/src/dragonflyshift/_internal/sidecar/queueing.py
+++ b/src/dragonflyshift/_internal/sidecar/queueing.py
@@ -115,8 +115,9 @@
 
     def move_all(self) -> None:
         """Send all queued requests to the peers."""
-        while self.wake_next(Moved()):
-            """Each call takes one request out."""
+        has_moved = True
+        while has_moved:
+            has_moved = self.wake_next(Moved())
 
     def wake_next(self, wakeup: Wakeup) -> bool:
         """Take the next request out of the queue; False if none waits."""
--- a/src/dragonflyshift/_internal/wire/connection_id.py
+++ b/src/dragonflyshift/_internal/wire/connection_id.py
@@ -56,7 +56,7 @@
         ciphers = {
             key.key_id: Cipher(
                 algorithms.AES(key.derive(_ID_PURPOSE, _AES_KEY_BYTES)),
-                modes.ECB(),  # noqa: S305 -- one block, never two alike
+                modes.ECB(),  # one block, never two alike
             )
             for key in keys.keys
         }
