--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/balancer/carrier.py
@@ -0,0 +1,272 @@
+"""The balancer's packet path for carried flows."""
+
+__all__ = ('CarrierPorts', 'FlowCarrier')
+
+import logging
+import random
+from collections.abc import Callable
+
+from attrs import define, field
+
+from dragonflyshift._internal.carried.balancer.lookups import (
+    Lookup,
+    LookupPorts,
+    OwnerLookups,
+)
+from dragonflyshift._internal.carried.balancer.openings import (
+    FlowOpener,
+    OpenerPorts,
+)
+from dragonflyshift._internal.carried.balancer.sidecars import SidecarBook
+from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.flow_names import flow_name
+from dragonflyshift._internal.carried.messages import (
+    Carry,
+    Placement,
+    Verdict,
+)
+from dragonflyshift._internal.carried.packet import (
+    FlowKey,
+    Packet,
+    PacketCodec,
+    Pair,
+)
+from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.exceptions import WireError
+from dragonflyshift._internal.carried.policies.placement import FlowPlacement
+from dragonflyshift._internal.carried.telemetry import Counters
+
+logger = logging.getLogger(__name__)
+
+MAX_CACHED_FLOWS = 200_000
+# A view that the store confirmed within this time is taken as complete.
+FRESH_VIEW_S = 3.0
+MS_PER_S = 1000
+
+
+@define(eq=False)
+class CarrierPorts:
+    """How the carrier sends, and what it asks of its daemon."""
+
+    to_sidecar: Callable[[bytes, Pair], None]
+    to_client: Callable[[bytes, FlowKey], None]
+    sidecar: Callable[[EndpointRecord], Pair]
+    view_age_s: Callable[[float], float]
+
+
+@define(eq=False)
+class CachedFlow:
+    """Where a flow lives, as this balancer last heard."""
+
+    pair: Pair
+    service: str
+    last_at: float
+
+
+class FlowCarrier:
+    """Carry clients' packets to the sidecars that own their flows."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        sidecars: SidecarBook,
+        codec: PacketCodec,
+        placement: FlowPlacement,
+        ports: CarrierPorts,
+        rng: random.Random,
+        counters: Counters,
+    ) -> None:
+        """Start without a flow."""
+        self.view = view
+        self.sidecars = sidecars
+        self.cache: dict[FlowKey, CachedFlow] = {}
+        self._codec = codec
+        self._ports = ports
+        self._counters = counters
+        self.opener = FlowOpener(
+            view,
+            sidecars,
+            placement,
+            OpenerPorts(
+                ports.to_sidecar,
+                ports.sidecar,
+                self._refuse,
+                self._is_fresh,
+            ),
+            rng,
+        )
+        self.lookups = OwnerLookups(
+            LookupPorts(ports.to_sidecar, self._owner_unknown),
+        )
+
+    def client_packet(self, now: float, raw: bytes) -> None:
+        """Take a datagram from the fabric."""
+        try:
+            packet = self._codec.from_client(raw)
+        except WireError as exc:
+            self._counters.incr('dropped_malformed')
+            logger.debug('packet-malformed', extra={'reason': exc.message})
+            return
+        cached = self.cache.get(packet.key)
+        if cached is not None:
+            cached.last_at = now
+            self._counters.incr('carried')
+            self._forward(now, packet, cached)
+        elif packet.is_first:
+            self._counters.incr('openings')
+            self.opener.open(now, packet)
+        else:
+            self._look_up(now, packet)
+
+    def placement(self, now: float, verdict: Placement, pair: Pair) -> None:
+        """Take a sidecar's verdict on a flow."""
+        self.sidecars.heard(now, pair, verdict.load)
+        key = verdict.key
+        if verdict.verdict in _TAKEN:
+            self._note_owner(now, key, pair, verdict.verdict)
+        elif verdict.verdict is Verdict.UNSURE:
+            self.lookups.unsure(now, key, pair)
+        elif verdict.verdict is Verdict.REFUSED:
+            self._note_refusal(now, verdict, pair)
+        elif verdict.verdict is Verdict.NOT_OWNED:
+            self._note_stranger(now, verdict, pair)
+
+    def tick(self, now: float) -> None:
+        """Go on with openings and look-ups that lack an answer."""
+        self.opener.tick(now)
+        self.lookups.tick(now)
+
+    def sweep(self, now: float) -> None:
+        """Drop cached flows that are idle beyond the limit."""
+        idle_s = self.view.routes.idle_ms / MS_PER_S
+        stale = [
+            key
+            for key, cached in self.cache.items()
+            if now - cached.last_at > idle_s
+        ]
+        for key in stale:
+            self.cache.pop(key)
+
+    def _forward(self, now: float, packet: Packet, cached: CachedFlow) -> None:
+        if packet.is_first:
+            # The sidecar may have restarted since: it decides anew.
+            self.cache.pop(packet.key)
+            self.opener.open(now, packet, cached.pair)
+            return
+        datagram = Carry(cached.service, packet.raw).encode()
+        self._ports.to_sidecar(datagram, cached.pair)
+
+    def _look_up(self, now: float, packet: Packet) -> None:
+        route = self.view.routes.find(packet.key)
+        if route is None:
+            self._counters.incr('dropped_no_route')
+            return
+        self._counters.incr('lookups')
+        names = [option.name for option in route.services]
+        pairs = {
+            self._ports.sidecar(record)
+            for name in names
+            for record in self.view.endpoints(name)
+        }
+        service = route.service_for(packet.key)
+        self.lookups.start(now, packet, service, pairs)
+
+    def _note_owner(
+        self,
+        now: float,
+        key: FlowKey,
+        pair: Pair,
+        verdict: Verdict,
+    ) -> None:
+        if len(self.cache) < MAX_CACHED_FLOWS:
+            service = self._service_of(key, pair)
+            self.cache[key] = CachedFlow(pair, service, now)
+        if verdict is Verdict.ACCEPTED:
+            self.opener.accepted(key)
+        else:
+            self.lookups.owned(key, pair)
+            self._log('flow-found', now, key, pair)
+
+    def _service_of(self, key: FlowKey, pair: Pair) -> str:
+        route = self.view.routes.find(key)
+        if route is None:
+            return ''
+        for option in route.services:
+            for record in self.view.endpoints(option.name):
+                if self._ports.sidecar(record) == pair:
+                    return option.name
+        return route.service_for(key)
+
+    def _note_refusal(
+        self,
+        now: float,
+        verdict: Placement,
+        pair: Pair,
+    ) -> None:
+        self._counters.incr('sidecar_refusals')
+        self.cache.pop(verdict.key, None)
+        if not verdict.raw:
+            self.opener.refused(now, verdict.key, pair)
+            return
+        packet = self._codec.from_client(verdict.raw)
+        self.opener.reopen(now, packet, pair)
+
+    def _note_stranger(
+        self,
+        now: float,
+        verdict: Placement,
+        pair: Pair,
+    ) -> None:
+        cached = self.cache.get(verdict.key)
+        if cached is not None and cached.pair == pair:
+            self.cache.pop(verdict.key)
+        self.lookups.not_owned(now, verdict.key, pair)
+        if verdict.raw and verdict.key not in self.lookups.lookups:
+            packet = self._codec.from_client(verdict.raw)
+            if not packet.is_first:
+                self._look_up(now, packet)
+
+    def _owner_unknown(self, packet: Packet, lookup: Lookup) -> None:
+        self._counters.incr('owner_unknown')
+        logger.info(
+            'owner-unknown',
+            extra={
+                'flow': flow_name(packet.key),
+                'asked': len(lookup.asked),
+                'answered': len(lookup.answered),
+                'unsure': len(lookup.unsure),
+                'revision': self.view.revision,
+            },
+        )
+
+    def _refuse(self, key: FlowKey, reason: str) -> None:
+        """Reset a flow that has not run, so that its client returns soon."""
+        self._counters.incr('refused')
+        logger.info(
+            'flow-refused',
+            extra={
+                'flow': flow_name(key),
+                'reason': reason,
+                'revision': self.view.revision,
+                'version': self.view.routes.version,
+            },
+        )
+        self._ports.to_client(self._codec.reset(key, 0), key)
+
+    def _is_fresh(self, now: float) -> bool:
+        return self._ports.view_age_s(now) < FRESH_VIEW_S
+
+    def _log(self, event: str, now: float, key: FlowKey, pair: Pair) -> None:
+        belief = self.sidecars.belief(pair)
+        logger.info(
+            event,
+            extra={
+                'flow': flow_name(key),
+                'sidecar': pair[0],
+                'report_age_ms': int((now - belief.heard_at) * MS_PER_S),
+                'revision': self.view.revision,
+            },
+        )
+
+
+_TAKEN = frozenset((Verdict.ACCEPTED, Verdict.OWNED))
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -0,0 +1,126 @@
+"""The balancer daemon of carried flows."""
+
+__all__ = ('BalancerNode',)
+
+import asyncio
+import logging
+import time
+
+from dragonflyshift._internal.carried.balancer.carrier import (
+    CarrierPorts,
+    FlowCarrier,
+)
+from dragonflyshift._internal.carried.balancer.sidecars import SidecarBook
+from dragonflyshift._internal.carried.fleet.source import ViewSource
+from dragonflyshift._internal.carried.load import LoadReport
+from dragonflyshift._internal.carried.messages import (
+    Ask,
+    Carry,
+    Open,
+    Placement,
+    Status,
+)
+from dragonflyshift._internal.carried.node import CarryingNode
+from dragonflyshift._internal.carried.node_settings import NodeSettings
+from dragonflyshift._internal.carried.packet import (
+    FlowKey,
+    PacketCodec,
+    Pair,
+)
+from dragonflyshift._internal.carried.policies.placement import FlowPlacement
+from dragonflyshift._internal.exceptions import SettingsError
+from dragonflyshift._internal.kernel.registry import find_plugin
+from dragonflyshift._internal.utils.datagrams import PairSocket
+
+logger = logging.getLogger(__name__)
+
+# Left of the grace time for closing down.
+STOP_MARGIN_S = 0.8
+
+
+class BalancerNode(CarryingNode):
+    """Take clients' packets from the fabric and carry them to sidecars."""
+
+    is_balancer = True
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        codec: PacketCodec,
+        source: ViewSource | None,
+    ) -> None:
+        """Prepare; ``start`` opens the sockets."""
+        super().__init__(settings, codec, source)
+        name = settings.plugins.get('flow-placement', 'fastest-estimate')
+        self.carrier = FlowCarrier(
+            self.view,
+            SidecarBook(settings.data_center),
+            codec,
+            find_plugin(FlowPlacement, name)(),
+            CarrierPorts(
+                self.send_peer,
+                self._send_client,
+                self.sidecar_of,
+                self.view_age_s,
+            ),
+            self.rng,
+            self.counters,
+        )
+        self._fabric: PairSocket | None = None
+
+    def open_sockets(self) -> None:
+        """Listen to the fabric."""
+        if self.settings.fabric is None:
+            raise SettingsError(
+                'a balancer needs an address for the fabric',
+                hint='name it in the settings',
+            )
+        self._fabric = PairSocket(self.settings.fabric, self._fabric_packet)
+
+    def leave(self) -> None:
+        """Nothing to do: readiness says it already."""
+
+    async def wait_until_unused(self) -> None:
+        """Serve on for as long as the fabric may send packets."""
+        await asyncio.sleep(self.settings.stop_grace_s - STOP_MARGIN_S)
+
+    def load(self) -> LoadReport | None:
+        """Return nothing: a balancer has no backend server."""
+        return None
+
+    def flow_datagram(
+        self,
+        now: float,
+        message: Open | Carry | Ask | Placement,
+        pair: Pair,
+    ) -> None:
+        """Take a sidecar's verdict."""
+        if isinstance(message, Placement):
+            self.carrier.placement(now, message, pair)
+        else:
+            self.counters.incr('dropped_misdirected')
+
+    def status_heard(self, now: float, status: Status, pair: Pair) -> None:
+        """Learn a sidecar's load."""
+        if status.load is not None:
+            self.carrier.sidecars.heard(now, pair, status.load)
+
+    def view_changed(self, now: float) -> None:
+        """Place flows that waited for this."""
+        self.carrier.sidecars.keep_only(self._sidecar_pairs())
+        self.carrier.opener.view_changed(now)
+
+    def tick(self, now: float) -> None:
+        """Go on with what waits."""
+        self.carrier.tick(now)
+
+    def sweep(self, now: float) -> None:
+        """Drop what is old."""
+        self.carrier.sweep(now)
+
+    def _fabric_packet(self, raw: bytes, _pair: Pair) -> None:
+        self.carrier.client_packet(time.monotonic(), raw)
+
+    def _send_client(self, raw: bytes, key: FlowKey) -> None:
+        if self._fabric is not None:
+            self._fabric.send(raw, self.client_pair(key))
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/balancer/openings.py
@@ -0,0 +1,249 @@
+"""New flows on their way to a sidecar that takes them."""
+
+__all__ = ('FlowOpener', 'OpenerPorts', 'PendingOpening')
+
+import logging
+import random
+from collections.abc import Callable, Collection
+
+from attrs import define, field
+
+from dragonflyshift._internal.carried.balancer.sidecars import SidecarBook
+from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.messages import Open
+from dragonflyshift._internal.carried.packet import FlowKey, Packet, Pair
+from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.routes import Route, TransferKind
+from dragonflyshift._internal.carried.policies.placement import (
+    CrossingCost,
+    FlowPlacement,
+    PlacementOption,
+)
+
+logger = logging.getLogger(__name__)
+
+# A sidecar answers within the round trip and its own turn on the processor.
+REPLY_TIMEOUT_S = 0.06
+MAX_TRIES = 4
+# Clients repeat a first packet for 1.4 s, then give up.
+GIVE_UP_S = 1.3
+# While no sidecar can take the flow, it is offered again this often.
+RETRY_PERIOD_S = 0.1
+MAX_PENDING = 4096
+MS_PER_S = 1000
+# Crossing costs the way, 3 ms, and bytes; large transfers cost far more.
+SMALL_CROSSING = CrossingCost(data_center_ms=20.0, region_ms=200.0)
+LARGE_CROSSING = CrossingCost(data_center_ms=150.0, region_ms=1500.0)
+_LARGE = frozenset((TransferKind.DOWNLOAD, TransferKind.UPLOAD))
+
+
+@define(eq=False)
+class PendingOpening:
+    """A flow's first packet that no sidecar has taken yet."""
+
+    packet: Packet
+    first_at: float
+    tried: list[Pair] = field(factory=list)
+    sent_at: float = field(default=float('-inf'))
+    target: Pair | None = field(default=None)
+    refusals: int = field(default=0)
+    preferred: Pair | None = field(default=None)
+
+
+@define(eq=False)
+class OpenerPorts:
+    """How the opener sends and refuses.
+
+    ``sidecar(record)`` gives the address of the sidecar beside a backend
+    server; ``refuse(key, reason)`` resets a flow that has not run.
+    """
+
+    send: Callable[[bytes, Pair], None]
+    sidecar: Callable[[EndpointRecord], Pair]
+    refuse: Callable[[FlowKey, str], None]
+    is_fresh: Callable[[float], bool]
+
+
+@define(eq=False)
+class FlowOpener:
+    """Offer new flows to sidecars, one after the other, until one accepts."""
+
+    view: FleetView
+    sidecars: SidecarBook
+    placement: FlowPlacement
+    ports: OpenerPorts
+    rng: random.Random
+    pending: dict[FlowKey, PendingOpening] = field(factory=dict)
+
+    def open(
+        self,
+        now: float,
+        packet: Packet,
+        preferred: Pair | None = None,
+    ) -> None:
+        """Place a new flow, with a sidecar that took it before if it can."""
+        pending = self.pending.get(packet.key)
+        if pending is None:
+            if len(self.pending) >= MAX_PENDING:
+                self.ports.refuse(packet.key, 'too-many-pending')
+                return
+            pending = PendingOpening(packet, now, preferred=preferred)
+            self.pending[packet.key] = pending
+        elif now - pending.sent_at < REPLY_TIMEOUT_S:
+            return
+        self._offer(now, pending)
+
+    def reopen(self, now: float, packet: Packet, refused_by: Pair) -> None:
+        """Place a flow whose sidecar could not get it to its server."""
+        pending = self.pending.get(packet.key)
+        if pending is None:
+            pending = PendingOpening(packet, now)
+            self.pending[packet.key] = pending
+        pending.target = refused_by
+        self.refused(now, packet.key, refused_by)
+
+    def accepted(self, key: FlowKey) -> None:
+        """Take note that a sidecar has taken a flow."""
+        self.pending.pop(key, None)
+
+    def refused(self, now: float, key: FlowKey, pair: Pair) -> None:
+        """Offer a refused flow to the next sidecar."""
+        pending = self.pending.get(key)
+        if pending is None or pending.target != pair:
+            return
+        pending.refusals += 1
+        if pair not in pending.tried:
+            pending.tried.append(pair)
+        self._offer(now, pending)
+
+    def tick(self, now: float) -> None:
+        """Go on where a sidecar didn't answer, and give up what is late."""
+        for key, pending in tuple(self.pending.items()):
+            if now - pending.first_at > GIVE_UP_S:
+                self.pending.pop(key)
+                self.ports.refuse(key, 'not-placed-in-time')
+            elif pending.target is not None:
+                if now - pending.sent_at > REPLY_TIMEOUT_S:
+                    self._note_silence(now, pending)
+            elif now - pending.sent_at > RETRY_PERIOD_S:
+                self._offer(now, pending)
+
+    def view_changed(self, now: float) -> None:
+        """Place what waited for a configuration."""
+        for pending in tuple(self.pending.values()):
+            if pending.target is None:
+                self._offer(now, pending)
+
+    def _note_silence(self, now: float, pending: PendingOpening) -> None:
+        if pending.target is not None:
+            self.sidecars.suspect(now, pending.target)
+            if pending.target not in pending.tried:
+                pending.tried.append(pending.target)
+        self._offer(now, pending)
+
+    def _offer(self, now: float, pending: PendingOpening) -> None:
+        pending.sent_at = now
+        pending.target = None
+        key = pending.packet.key
+        route = self.view.routes.find(key)
+        if route is None:
+            self._without_route(now, key)
+            return
+        service = route.service_for(key)
+        options = self._options(now, route, service)
+        if not options:
+            self._without_endpoint(now, key, service)
+            return
+        chosen = self._next_option(options, pending)
+        if chosen is None:
+            self.pending.pop(key)
+            self.ports.refuse(key, 'all-refused')
+            return
+        self._send(now, pending, route, service, chosen, len(options))
+
+    def _options(
+        self,
+        now: float,
+        route: Route,
+        service: str,
+    ) -> list[PlacementOption]:
+        options = [
+            self.sidecars.option(now, record, self.ports.sidecar(record))
+            for record in self.view.endpoints(service)
+        ]
+        large = route.kind in _LARGE
+        cost = LARGE_CROSSING if large else SMALL_CROSSING
+        return self.placement.order(options, cost, self.rng)
+
+    def _next_option(
+        self,
+        options: list[PlacementOption],
+        pending: PendingOpening,
+    ) -> PlacementOption | None:
+        if pending.refusals >= min(MAX_TRIES, len(options)):
+            return None
+        untried = [
+            option
+            for option in options
+            if self.ports.sidecar(option.record) not in pending.tried
+        ]
+        if untried:
+            return self._preferred(untried, pending) or untried[0]
+        if pending.refusals >= len(options):
+            return None
+        pending.tried.clear()
+        return options[0]
+
+    def _preferred(
+        self,
+        options: list[PlacementOption],
+        pending: PendingOpening,
+    ) -> PlacementOption | None:
+        for option in options:
+            if self.ports.sidecar(option.record) == pending.preferred:
+                return None if option.is_suspect else option
+        return None
+
+    def _send(
+        self,
+        now: float,
+        pending: PendingOpening,
+        route: Route,
+        service: str,
+        chosen: PlacementOption,
+        options: int,
+    ) -> None:
+        pair = self.ports.sidecar(chosen.record)
+        pending.target = pair
+        self.sidecars.sent(pair)
+        limit = min(MAX_TRIES, options)
+        datagram = Open(
+            service=service,
+            kind=int(route.kind),
+            target_ms=route.target_ms,
+            timeout_ms=route.timeout_ms,
+            priority=route.priority,
+            slots=chosen.record.slots,
+            version=self.view.routes.version,
+            waited_ms=int((now - pending.first_at) * MS_PER_S),
+            is_last=pending.refusals + 1 >= limit,
+            raw=pending.packet.raw,
+        ).encode()
+        self.ports.send(datagram, pair)
+
+    def _without_route(self, now: float, key: FlowKey) -> None:
+        """Refuse when the view is surely complete, else wait for news."""
+        if self.view.is_usable and self.ports.is_fresh(now):
+            self.pending.pop(key)
+            self.ports.refuse(key, 'no-route')
+
+    def _without_endpoint(
+        self,
+        now: float,
+        key: FlowKey,
+        service: str,
+    ) -> None:
+        listed: Collection[EndpointRecord] = self.view.endpoints(service)
+        if not listed and self.ports.is_fresh(now):
+            self.pending.pop(key)
+            self.ports.refuse(key, 'no-endpoint')
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What the daemons know together: configuration, endpoints, each other."""
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/fleet/exchange.py
@@ -0,0 +1,121 @@
+"""Pulling a newer view from a peer over a short stream."""
+
+__all__ = ('ViewServer', 'pull_view')
+
+import asyncio
+import logging
+
+import msgpack
+from attrs import define
+
+from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
+from dragonflyshift._internal.carried.packet import Pair
+from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.routes import RouteTable
+from dragonflyshift._internal.exceptions import (
+    ConfigurationError,
+    PeerError,
+)
+
+logger = logging.getLogger(__name__)
+
+# A pull crosses regions at most; a slower peer is given up for another.
+PULL_TIMEOUT_S = 0.8
+MAX_VIEW_BYTES = 4 << 20
+_REQUEST_BYTES = 64
+
+
+@define(eq=False)
+class ViewServer:
+    """Answer peers that pull this daemon's view."""
+
+    view: FleetView
+
+    async def handle(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer one pull and close."""
+        try:
+            async with asyncio.timeout(PULL_TIMEOUT_S):
+                await self._answer(reader, writer)
+        except (OSError, ValueError, TimeoutError, EOFError) as exc:
+            logger.info('pull-failed-here', extra={'reason': repr(exc)})
+            writer.transport.abort()
+
+    async def _answer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        request = await reader.read(_REQUEST_BYTES)
+        base, version = msgpack.unpackb(request)
+        writer.write(encode_update(self.view, int(base), int(version)))
+        writer.write_eof()
+        await writer.drain()
+        writer.close()
+
+
+async def pull_view(peer: Pair, base: int, version: int) -> ViewUpdate:
+    """Return what a peer knows beyond a revision and a version.
+
+    Raises PeerError when the peer gives no usable answer in time.
+    """
+    try:
+        async with asyncio.timeout(PULL_TIMEOUT_S):
+            raw = await _request(peer, msgpack.packb((base, version)))
+        return decode_update(raw)
+    except (OSError, TimeoutError, ConfigurationError) as exc:
+        raise PeerError(f'view not pulled: {exc!r}', context=str(peer)) from exc
+
+
+async def _request(peer: Pair, request: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection(*peer)
+    try:
+        writer.write(request)
+        return await _read_all(reader)
+    finally:
+        writer.close()
+
+
+async def _read_all(reader: asyncio.StreamReader) -> bytes:
+    parts = []
+    length = 0
+    while part := await reader.read(MAX_VIEW_BYTES):
+        parts.append(part)
+        length += len(part)
+        if length > MAX_VIEW_BYTES:
+            raise ConfigurationError('view is too large')
+    return b''.join(parts)
+
+
+def encode_update(view: FleetView, base: int, version: int) -> bytes:
+    """Return a view's changes as msgpack."""
+    update = view.since(base)
+    table = view.routes.encode() if view.routes.version > version else None
+    encoded = msgpack.packb(
+        (
+            update.base,
+            update.revision,
+            [record.astuple() for record in update.records],
+            update.removed,
+            table,
+        )
+    )
+    return bytes(encoded)
+
+
+def decode_update(raw: bytes) -> ViewUpdate:
+    """Read a view's changes; raise ConfigurationError when malformed."""
+    try:
+        base, revision, records, removed, table = msgpack.unpackb(raw)
+        return ViewUpdate(
+            base=int(base),
+            revision=int(revision),
+            records=tuple(EndpointRecord.of(row) for row in records),
+            removed=tuple((str(name), int(rev)) for name, rev in removed),
+            routes=None if table is None else RouteTable.decode(table),
+        )
+    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+        raise ConfigurationError(f'view is malformed: {exc}') from exc
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/fleet/gossip.py
@@ -0,0 +1,327 @@
+"""Telling peers what is new, and learning it from them.
+
+Statuses carry the revision that a daemon holds and how long ago the store
+confirmed it. Small changes travel inside a notice; whoever is further behind
+pulls from the peer that is ahead. Readers tell all balancers, a balancer
+tells the sidecars that are assigned to it, and news also travels upwards: a
+reader that the store turns away learns from whoever it doesn't.
+"""
+
+__all__ = ('Gossip', 'GossipPorts')
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Iterable
+
+import xxhash
+from attrs import define, field
+
+from dragonflyshift._internal.carried.fleet.exchange import pull_view
+from dragonflyshift._internal.carried.fleet.peers import Peer, PeerBook
+from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.load import LoadReport
+from dragonflyshift._internal.carried.messages import Notice, Status
+from dragonflyshift._internal.carried.packet import Pair
+from dragonflyshift._internal.exceptions import PeerError
+
+logger = logging.getLogger(__name__)
+
+# Two statuses fit into the silence after which a reader counts as lost.
+STATUS_PERIOD_S = 0.5
+# Peers told each period by daemons that don't read the store.
+FANOUT = 3
+# Balancers that tell a sidecar; the second covers the loss of the first.
+TELLERS = 2
+NAMED_PEERS = 8
+MAX_NOTICE_BYTES = 1100
+MIN_PULL_GAP_S = 0.05
+MIN_DIGEST_PULL_GAP_S = 1.0
+MS_PER_S = 1000
+
+
+@define(eq=False)
+class GossipPorts:
+    """How gossip sends, and what it asks of its daemon.
+
+    ``changed()`` is called after the view changed; ``load()`` gives a
+    sidecar's load, None on a balancer; ``sidecars()`` lists the addresses of
+    all sidecars in the view.
+    """
+
+    send: Callable[[bytes, Pair], None]
+    changed: Callable[[], None]
+    load: Callable[[], LoadReport | None]
+    sidecars: Callable[[], Iterable[Pair]]
+    is_reading: Callable[[], bool]
+
+
+@define(eq=False)
+class Gossip:
+    """Exchange statuses, notices and views with peers."""
+
+    is_balancer: bool
+    data_center: str
+    view: FleetView
+    book: PeerBook
+    ports: GossipPorts
+    confirmed_at: float = field(default=float('-inf'))
+    is_leaving: bool = field(default=False)
+    # A confirmation of a revision that this daemon doesn't hold yet.
+    _pending: tuple[int, float] = field(default=(0, float('-inf')))
+    _told_at: float = field(default=float('-inf'))
+    _pulled_at: float = field(default=float('-inf'))
+    _pulling: asyncio.Task[None] | None = field(default=None)
+
+    def age_s(self, now: float) -> float:
+        """Return the time since the store confirmed this view."""
+        return now - self.confirmed_at
+
+    def confirm(self, now: float) -> None:
+        """Take note that the store confirmed this view."""
+        self.confirmed_at = max(self.confirmed_at, now)
+
+    def tick(self, now: float) -> None:
+        """Tell peers once a period."""
+        if now - self._told_at < STATUS_PERIOD_S:
+            return
+        self._told_at = now
+        self.book.forget_silent(now)
+        self._tell(self._periodic_targets(now), now)
+
+    def publish(self, now: float, removed: tuple[str, ...] = ()) -> None:
+        """Tell the peers in charge of this daemon that the view changed."""
+        if self.is_balancer:
+            for pair in self._audience():
+                self._bring_up_to_date(now, pair, removed)
+
+    def note_pause(self) -> None:
+        """Trust no confirmation from before a pause of this process."""
+        self.confirmed_at = float('-inf')
+        self._pending = (0, float('-inf'))
+
+    def on_status(self, now: float, status: Status, pair: Pair) -> None:
+        """Learn from a peer's status, and answer what it lacks."""
+        peer = self.book.heard(now, pair, status)
+        self._learn_age(now, status.revision, status.age_ms)
+        if status.wants_reply:
+            self._send_status(now, pair, wants_reply=False)
+        if self._is_behind(status.revision, status.version):
+            self._pull(now, pair, MIN_PULL_GAP_S)
+        elif self._is_ahead(status):
+            self._answer_behind(now, peer)
+        elif status.digest != self.view.digest and status.revision:
+            self._pull(now, pair, MIN_DIGEST_PULL_GAP_S, is_full=True)
+
+    def on_notice(self, now: float, notice: Notice, pair: Pair) -> None:
+        """Merge a small change, or pull if something before it is missing."""
+        changed = False
+        for record in notice.records:
+            changed = self.view.merge(record) or changed
+        for name, revision in notice.removed:
+            changed = self.view.remove(name, revision) or changed
+        if notice.base <= self.view.revision < notice.revision:
+            self.view.revision = notice.revision
+        self._learn_age(now, notice.revision, notice.age_ms)
+        if changed:
+            self._view_changed(now, 'notice', pair)
+        if self._is_behind(notice.revision, notice.version):
+            self._pull(now, pair, MIN_PULL_GAP_S)
+
+    def own_status(self, now: float, *, wants_reply: bool) -> Status:
+        """Return this daemon's status."""
+        age_s = min(self.age_s(now), FOREVER_S)
+        return Status(
+            is_balancer=self.is_balancer,
+            is_reader=self.ports.is_reading(),
+            data_center=self.data_center,
+            revision=self.view.revision,
+            version=self.view.routes.version,
+            digest=self.view.digest,
+            age_ms=int(age_s * MS_PER_S),
+            is_leaving=self.is_leaving,
+            wants_reply=wants_reply,
+            peers=self.book.names(NAMED_PEERS),
+            load=self.ports.load(),
+        )
+
+    def greet(self, now: float) -> None:
+        """Ask all balancers known, and the seeds, for their status."""
+        self._told_at = now
+        for pair in self.book.balancer_pairs():
+            self._send_status(now, pair, wants_reply=True)
+
+    def _periodic_targets(self, now: float) -> set[Pair]:
+        balancers = self.book.balancer_pairs()
+        if self.ports.is_reading():
+            return balancers | self._assigned_sidecars()
+        targets = set(self.book.sample(balancers, FANOUT))
+        targets.update(self.book.readers(now)[:TELLERS])
+        targets.discard(self.book.own)
+        if self.is_balancer:
+            targets |= self._assigned_sidecars()
+        return targets
+
+    def _audience(self) -> set[Pair]:
+        sidecars = self._assigned_sidecars()
+        if self.ports.is_reading():
+            return sidecars | self.book.balancer_pairs()
+        return sidecars
+
+    def _assigned_sidecars(self) -> set[Pair]:
+        """Return the sidecars that this balancer keeps up to date."""
+        if not self.is_balancer:
+            return set()
+        own = self.book.own
+        local = [
+            peer.pair
+            for peer in self.book.balancers()
+            if peer.status.data_center == self.data_center
+        ]
+        everyone = [peer.pair for peer in self.book.balancers()]
+        return {
+            pair
+            for pair in self.ports.sidecars()
+            if _is_teller(own, pair, local) or _is_teller(own, pair, everyone)
+        }
+
+    def _tell(self, targets: Iterable[Pair], now: float) -> None:
+        for pair in targets:
+            peer = self.book.peers.get(pair)
+            wants_reply = peer is None or now - peer.heard_at > 2
+            self._send_status(now, pair, wants_reply=wants_reply)
+
+    def _send_status(
+        self,
+        now: float,
+        pair: Pair,
+        *,
+        wants_reply: bool,
+    ) -> None:
+        status = self.own_status(now, wants_reply=wants_reply)
+        self.ports.send(status.encode(), pair)
+
+    def _bring_up_to_date(
+        self,
+        now: float,
+        pair: Pair,
+        removed: tuple[str, ...] = (),
+    ) -> None:
+        """Send a peer what changed since it was last heard or told."""
+        peer = self.book.peers.get(pair)
+        base = 0
+        if peer is not None:
+            base = max(peer.status.revision, peer.told_revision)
+        datagram = self._notice(now, base, removed) if base else None
+        if datagram is None:
+            self._send_status(now, pair, wants_reply=False)
+            return
+        self.ports.send(datagram, pair)
+        if peer is not None:
+            peer.told_revision = self.view.revision
+
+    def _notice(
+        self,
+        now: float,
+        base: int,
+        removed: tuple[str, ...],
+    ) -> bytes | None:
+        update = self.view.since(base)
+        extra = tuple((name, self.view.removed[name]) for name in removed)
+        age_s = min(self.age_s(now), FOREVER_S)
+        notice = Notice(
+            base=base,
+            revision=update.revision,
+            version=self.view.routes.version,
+            age_ms=int(age_s * MS_PER_S),
+            records=update.records,
+            removed=update.removed + extra,
+        )
+        datagram = notice.encode()
+        return datagram if len(datagram) <= MAX_NOTICE_BYTES else None
+
+    def _answer_behind(self, now: float, peer: Peer) -> None:
+        # What was told may have been lost, so the peer's own word counts.
+        peer.told_revision = peer.status.revision
+        self._bring_up_to_date(now, peer.pair)
+
+    def _is_behind(self, revision: int, version: int) -> bool:
+        if version > self.view.routes.version:
+            return True
+        return revision > self.view.revision
+
+    def _is_ahead(self, status: Status) -> bool:
+        if self.view.routes.version > status.version:
+            return True
+        return self.view.revision > status.revision
+
+    def _learn_age(self, now: float, revision: int, age_ms: int) -> None:
+        at = now - age_ms / MS_PER_S
+        if revision > self.view.revision:
+            if at > self._pending[1]:
+                self._pending = (revision, at)
+        elif revision == self.view.revision:
+            self.confirm(at)
+        self._settle_pending()
+
+    def _settle_pending(self) -> None:
+        if self._pending[0] <= self.view.revision:
+            self.confirm(self._pending[1])
+
+    def _pull(
+        self,
+        now: float,
+        pair: Pair,
+        gap_s: float,
+        *,
+        is_full: bool = False,
+    ) -> None:
+        if now - self._pulled_at < gap_s:
+            return
+        if self._pulling is not None and not self._pulling.done():
+            return
+        self._pulled_at = now
+        self._pulling = asyncio.get_running_loop().create_task(
+            self._pull_from(pair, 0 if is_full else self.view.revision),
+        )
+
+    async def _pull_from(self, pair: Pair, base: int) -> None:
+        try:
+            update = await pull_view(pair, base, self.view.routes.version)
+        except PeerError as exc:
+            logger.info('pull-failed', extra={'reason': str(exc)})
+            return
+        changed = self.view.apply(update)
+        self._settle_pending()
+        if changed:
+            self._view_changed(time.monotonic(), 'pull', pair)
+
+    def _view_changed(self, now: float, way: str, pair: Pair) -> None:
+        logger.info(
+            'view-changed',
+            extra={
+                'way': way,
+                'peer': pair[0],
+                'revision': self.view.revision,
+                'version': self.view.routes.version,
+                'age_ms': int(min(self.age_s(now), FOREVER_S) * MS_PER_S),
+            },
+        )
+        self.ports.changed()
+        self.publish(now)
+
+
+# What an age is cut to; nothing distinguishes older views.
+FOREVER_S = 3600.0
+
+
+def _is_teller(own: Pair, sidecar: Pair, balancers: list[Pair]) -> bool:
+    """Tell whether ``own`` ranks among the first for a sidecar."""
+    weight = _weight(own, sidecar)
+    better = sum(_weight(other, sidecar) > weight for other in balancers)
+    return better < TELLERS
+
+
+def _weight(balancer: Pair, sidecar: Pair) -> int:
+    text = f'{balancer[0]}>{sidecar[0]}:{sidecar[1]}'
+    return int(xxhash.xxh3_64_intdigest(text.encode()))
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/fleet/peers.py
@@ -0,0 +1,108 @@
+"""The other daemons, as this one has heard of them."""
+
+__all__ = ('Peer', 'PeerBook')
+
+import random
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from dragonflyshift._internal.carried.messages import Status
+from dragonflyshift._internal.carried.packet import Pair
+
+# A balancer that was not heard of for this long is dropped from the book.
+FORGET_S = 30.0
+# Silence after which a reader counts as lost; readers speak twice a second.
+READER_SILENCE_S = 1.3
+# A view older than this at its reader shows that the store doesn't answer.
+READER_MAX_AGE_MS = 3500
+
+
+@define(eq=False)
+class Peer:
+    """A daemon with the newest status heard from it."""
+
+    pair: Pair
+    status: Status
+    heard_at: float
+    told_revision: int = 0
+    told_version: int = 0
+
+
+@define(eq=False)
+class PeerBook:
+    """Balancers and sidecars by address.
+
+    ``seeds`` are addresses to ask while no balancer is known.
+    """
+
+    own: Pair
+    seeds: tuple[Pair, ...]
+    rng: random.Random
+    peers: dict[Pair, Peer] = field(factory=dict)
+    # Balancers that others named and that have not spoken yet.
+    named: dict[Pair, float] = field(factory=dict)
+
+    def heard(self, now: float, pair: Pair, status: Status) -> Peer:
+        """Keep a peer's status and the balancers that it names."""
+        peer = self.peers.get(pair)
+        if peer is None:
+            peer = Peer(pair, status, now)
+            self.peers[pair] = peer
+        peer.status = status
+        peer.heard_at = now
+        self.named.pop(pair, None)
+        for text in status.peers:
+            host, _colon, port = text.rpartition(':')
+            self._name(now, (host, int(port) if port.isdigit() else 0))
+        return peer
+
+    def forget_silent(self, now: float) -> None:
+        """Drop who has been silent for long."""
+        for pair, peer in tuple(self.peers.items()):
+            if now - peer.heard_at > FORGET_S:
+                self.peers.pop(pair)
+        for pair, since in tuple(self.named.items()):
+            if now - since > FORGET_S:
+                self.named.pop(pair)
+
+    def balancers(self) -> list[Peer]:
+        """Return the balancers that have spoken and are not leaving."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.status.is_balancer and not peer.status.is_leaving
+        ]
+
+    def balancer_pairs(self) -> set[Pair]:
+        """Return the addresses of all balancers known or named, and seeds."""
+        pairs = {peer.pair for peer in self.balancers()}
+        pairs.update(self.named, self.seeds)
+        pairs.discard(self.own)
+        return pairs
+
+    def readers(self, now: float) -> list[Pair]:
+        """Return who reads the store with success, in a common order."""
+        return sorted(
+            peer.pair
+            for peer in self.peers.values()
+            if peer.status.is_reader
+            and now - peer.heard_at < READER_SILENCE_S
+            and peer.status.age_ms < READER_MAX_AGE_MS
+        )
+
+    def sample(self, pairs: Iterable[Pair], count: int) -> list[Pair]:
+        """Return at most ``count`` of the addresses, chosen at random."""
+        known = sorted(pairs)
+        if len(known) <= count:
+            return known
+        return self.rng.sample(known, count)
+
+    def names(self, count: int) -> tuple[str, ...]:
+        """Return some balancers' addresses as text, to pass on."""
+        pairs = self.sample((peer.pair for peer in self.balancers()), count)
+        return tuple(f'{host}:{port}' for host, port in pairs)
+
+    def _name(self, now: float, pair: Pair) -> None:
+        if pair[1] and pair != self.own and pair not in self.peers:
+            self.named.setdefault(pair, now)
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -0,0 +1,193 @@
+"""A daemon's view of configuration and endpoints.
+
+Every change carries the revision that published it, so that news may come
+in any order and from any daemon: an older word never replaces a newer one.
+"""
+
+__all__ = ('FleetView', 'ViewUpdate')
+
+import zlib
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from dragonflyshift._internal.carried.packet import Pair
+from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.routes import RouteTable
+
+# Removed endpoints remembered, so that relays can pass on the removal.
+MAX_REMOVED = 4096
+
+
+@frozen(eq=False)
+class ViewUpdate:
+    """Changes of a view.
+
+    The update holds everything between ``base`` and ``revision``. With
+    ``base`` zero it is a complete picture: what it doesn't list is gone.
+    """
+
+    base: int
+    revision: int
+    records: tuple[EndpointRecord, ...] = ()
+    removed: tuple[tuple[str, int], ...] = ()
+    routes: RouteTable | None = None
+
+
+@define(eq=False)
+class FleetView:
+    """Routes and endpoints, complete up to ``revision``.
+
+    ``records`` holds the endpoints by name. Endpoints that vanished while the
+    publishing store was away are doubted: they stay usable until
+    ``confirm_removals`` is called.
+    """
+
+    revision: int = field(default=0)
+    routes: RouteTable = field(factory=RouteTable)
+    records: dict[str, EndpointRecord] = field(factory=dict)
+    removed: dict[str, int] = field(factory=dict)
+    doubted: dict[str, int] = field(factory=dict)
+    _by_service: dict[str, tuple[EndpointRecord, ...]] = field(factory=dict)
+    _digest: int | None = field(default=None)
+
+    @property
+    def digest(self) -> int:
+        """Return a checksum of the endpoints' names and revisions."""
+        if self._digest is None:
+            digest = 0
+            for record in self.records.values():
+                text = f'{record.name}:{record.revision}'
+                digest ^= zlib.crc32(text.encode())
+            self._digest = digest
+        return self._digest
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a configuration has been learned."""
+        return self.routes.version > 0
+
+    def endpoints(self, service: str) -> tuple[EndpointRecord, ...]:
+        """Return the endpoints of a service, the leaving ones too."""
+        known = self._by_service.get(service)
+        if known is None:
+            known = tuple(
+                record
+                for record in self.records.values()
+                if record.service == service
+            )
+            self._by_service[service] = known
+        return known
+
+    def at(self, pair: Pair) -> EndpointRecord | None:
+        """Return the newest endpoint whose backend server has an address."""
+        return max(
+            (rec for rec in self.records.values() if rec.pair == pair),
+            key=_started,
+            default=None,
+        )
+
+    def apply(self, update: ViewUpdate, *, doubt: bool = False) -> bool:
+        """Merge an update; return whether anything changed.
+
+        With ``doubt`` removals are kept for later confirmation. An update
+        whose base lies ahead of this view is merged, but leaves ``revision``
+        as it is, because something between is missing.
+        """
+        changed = self._merge_routes(update.routes)
+        for record in update.records:
+            changed = self.merge(record) or changed
+        for name, revision in self._removals(update):
+            changed = self.remove(name, revision, doubt=doubt) or changed
+        if update.base <= self.revision < update.revision:
+            self.revision = update.revision
+        return changed
+
+    def confirm_removals(self) -> tuple[str, ...]:
+        """Drop what is still doubted and return the names."""
+        names = tuple(self.doubted)
+        for name, revision in tuple(self.doubted.items()):
+            self._forget(name, revision)
+        self.doubted.clear()
+        self._invalidate()
+        return names
+
+    def since(self, base: int) -> ViewUpdate:
+        """Return what changed after a revision; everything for zero."""
+        removed = () if base == 0 else self._removed_since(base)
+        return ViewUpdate(
+            base=base,
+            revision=self.revision,
+            records=tuple(
+                record
+                for record in self.records.values()
+                if record.revision > base
+            ),
+            removed=removed,
+        )
+
+    def _invalidate(self) -> None:
+        self._by_service.clear()
+        self._digest = None
+
+    def _merge_routes(self, routes: RouteTable | None) -> bool:
+        if routes is None or routes.version <= self.routes.version:
+            return False
+        self.routes = routes
+        return True
+
+    def merge(self, record: EndpointRecord) -> bool:
+        """Take over an endpoint's record unless a newer word is known."""
+        known = self.records.get(record.name)
+        if known is not None and known.revision >= record.revision:
+            return False
+        if self.removed.get(record.name, 0) >= record.revision:
+            return False
+        self.records[record.name] = record
+        self.removed.pop(record.name, None)
+        self.doubted.pop(record.name, None)
+        self._invalidate()
+        return True
+
+    def _removals(self, update: ViewUpdate) -> Iterable[tuple[str, int]]:
+        if update.base:
+            return update.removed
+        listed = {record.name for record in update.records}
+        return [
+            (name, update.revision)
+            for name, record in self.records.items()
+            if name not in listed and record.revision <= update.revision
+        ]
+
+    def remove(self, name: str, revision: int, *, doubt: bool = False) -> bool:
+        """Drop an endpoint unless a newer record is known."""
+        known = self.records.get(name)
+        if known is None:
+            self.removed[name] = max(revision, self.removed.get(name, 0))
+            return False
+        if known.revision > revision:
+            return False
+        if doubt:
+            self.doubted[name] = revision
+            return False
+        self._forget(name, revision)
+        self._invalidate()
+        return True
+
+    def _forget(self, name: str, revision: int) -> None:
+        self.records.pop(name, None)
+        self.doubted.pop(name, None)
+        while len(self.removed) >= MAX_REMOVED:
+            self.removed.pop(next(iter(self.removed)))
+        self.removed[name] = revision
+
+    def _removed_since(self, base: int) -> tuple[tuple[str, int], ...]:
+        return tuple(
+            (name, revision)
+            for name, revision in self.removed.items()
+            if revision > base
+        )
+
+
+def _started(record: EndpointRecord) -> tuple[int, int]:
+    return (record.started_ms, record.revision)
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/http_pages.py
@@ -0,0 +1,72 @@
+"""The small HTTP pages of a daemon: readiness, metrics, status."""
+
+__all__ = ('HttpPages', 'Page')
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from attrs import define, frozen
+
+logger = logging.getLogger(__name__)
+
+REQUEST_TIMEOUT_S = 2.0
+MAX_REQUEST_BYTES = 8192
+_REASONS = {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
+
+
+@frozen
+class Page:
+    """One answer."""
+
+    status: int
+    body: bytes = b''
+    content_type: str = 'text/plain; charset=utf-8'
+
+
+@define(eq=False)
+class HttpPages:
+    """Answer GET requests by path; connections may be kept open."""
+
+    pages: dict[str, Callable[[], Page]]
+
+    async def handle(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer the requests of one connection."""
+        try:
+            while await self._answer(reader, writer):
+                await writer.drain()
+        except (OSError, TimeoutError, EOFError, ValueError) as exc:
+            logger.debug('page-request-failed', extra={'reason': repr(exc)})
+        finally:
+            writer.close()
+
+    async def _answer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            head = await reader.readuntil(b'\r\n\r\n')
+        words = head.split(b'\r\n', 1)[0].split()
+        path = words[1].decode('latin-1') if len(words) > 1 else ''
+        make_page = self.pages.get(path.partition('?')[0])
+        page = Page(404) if make_page is None else make_page()
+        closes = b'connection: close' in head.lower()
+        writer.write(_encode(page, closes=closes))
+        return not closes
+
+
+def _encode(page: Page, *, closes: bool) -> bytes:
+    reason = _REASONS.get(page.status, 'Unknown')
+    lines = (
+        f'HTTP/1.1 {page.status} {reason}',
+        f'Content-Type: {page.content_type}',
+        f'Content-Length: {len(page.body)}',
+        f'Connection: {"close" if closes else "keep-alive"}',
+    )
+    head = '\r\n'.join(lines)
+    return f'{head}\r\n\r\n'.encode('latin-1') + page.body
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/policies/election.py
@@ -0,0 +1,77 @@
+"""Who reads the store, so that a few calls serve all.
+
+The load pattern: calls to the store are dear and limited, changes come in
+bursts, and any daemon may lose the store while others still reach it. Two
+readers tell all others; who hears of no working reader reads for itself.
+"""
+
+__all__ = ('ReaderElection',)
+
+import random
+
+from attrs import define, field
+
+from dragonflyshift._internal.carried.packet import Pair
+
+READERS = 2
+# A random wait before stepping in, so that not all daemons step in at once.
+SPARE_DELAY_S = 2.0
+URGENT_DELAY_S = 0.3
+# Sidecars step in only when no balancer tells them anything.
+SIDECAR_DELAY_S = 1.5
+
+
+@define(eq=False)
+class ReaderElection:
+    """Decide whether this daemon reads the store.
+
+    The first readers in address order go on, the others stop. A daemon that
+    is missing one steps in after a random wait.
+    """
+
+    own: Pair
+    is_balancer: bool
+    rng: random.Random
+    _due_at: float | None = field(default=None)
+    _is_urgent: bool = field(default=False)
+
+    def should_read(
+        self,
+        now: float,
+        readers: list[Pair],
+        age_s: float,
+        *,
+        is_reading: bool,
+    ) -> bool:
+        """Tell whether to read, given the readers heard of lately.
+
+        ``age_s`` is the age of this daemon's own view.
+        """
+        others = [pair for pair in readers if pair != self.own]
+        if self.is_balancer and age_s == float('inf'):
+            # Nothing is known yet: a start must not wait for others.
+            return True
+        if is_reading:
+            before = sum(pair < self.own for pair in others)
+            limit = READERS if self.is_balancer else 1
+            keeps = before < limit and (self.is_balancer or not others)
+            if keeps:
+                return True
+            self._due_at = None
+            return False
+        if len(others) >= (READERS if self.is_balancer else 1):
+            self._due_at = None
+            return False
+        return self._is_due(now, is_urgent=not others, age_s=age_s)
+
+    def _is_due(self, now: float, *, is_urgent: bool, age_s: float) -> bool:
+        if not self.is_balancer and age_s < SIDECAR_DELAY_S:
+            self._due_at = None
+            return False
+        if self._due_at is None or (is_urgent and not self._is_urgent):
+            delay = URGENT_DELAY_S if is_urgent else SPARE_DELAY_S
+            if not self.is_balancer:
+                delay = SIDECAR_DELAY_S
+            self._due_at = now + self.rng.random() * delay
+            self._is_urgent = is_urgent
+        return now >= self._due_at
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/policies/openings.py
@@ -0,0 +1,202 @@
+"""How new carried flows wait for a slot, and when they are refused.
+
+The load pattern: a crowd that returns after many servers were lost, or 1.7
+times the usual load, before servers with three slots. In arrival order every
+request waits until it is late, and a server whose queue is full sheds at
+random. Here the flow's first packet waits instead, so that the order can
+still be chosen: those first that can still meet their latency target, dear
+ones before cheap ones, and a refusal at once for those with no chance.
+"""
+
+__all__ = (
+    'Opening',
+    'OpeningPolicy',
+    'OpeningVerdict',
+    'TargetFirst',
+)
+
+import enum
+from abc import abstractmethod
+
+from attrs import define, field
+
+from dragonflyshift._internal.kernel.registry import Plugin
+
+# Clients repeat a first packet for 1.4 s; an answer needs some of it.
+MAX_WAIT_MS = 1200.0
+# Flows beyond the slots that are let through, so that a server doesn't idle
+# for the round trip between two requests.
+OVERCOMMIT = 1
+
+
+class OpeningVerdict(enum.Enum):
+    """What becomes of a new flow."""
+
+    START = 'start'
+    WAIT = 'wait'
+    REFUSE = 'refuse'
+
+
+@define(eq=False)
+class Opening:
+    """A new flow that asks for a slot.
+
+    ``arrived_at`` is monotonic seconds, ``waited_ms`` the time that it spent
+    at other places before. Priority 0 is the highest.
+    """
+
+    key: bytes
+    raw: bytes
+    arrived_at: float
+    target_ms: float
+    timeout_ms: float
+    priority: int
+    waited_ms: float = 0
+    is_last: bool = False
+    sender: tuple[str, int] = field(default=('', 0))
+
+    def age_ms(self, now: float) -> float:
+        """Return the time since the first packet came in."""
+        return self.waited_ms + (now - self.arrived_at) * 1000
+
+
+class OpeningPolicy(Plugin, kind='opening-policy'):
+    """Admit new flows to the slots of one backend server."""
+
+    @property
+    @abstractmethod
+    def waiting(self) -> int:
+        """Return the flows that wait."""
+
+    @abstractmethod
+    def offer(
+        self,
+        now: float,
+        opening: Opening,
+        busy: int,
+        slots: int,
+        service_ms: float,
+    ) -> OpeningVerdict:
+        """Decide on a new flow; it is kept when the verdict is to wait."""
+
+    @abstractmethod
+    def next_ready(
+        self,
+        now: float,
+        busy: int,
+        slots: int,
+        service_ms: float,
+    ) -> Opening | None:
+        """Remove and return the flow that shall start, if a slot is free."""
+
+    @abstractmethod
+    def expire(self, now: float, service_ms: float) -> list[Opening]:
+        """Remove and return the flows that can no longer be served."""
+
+    @abstractmethod
+    def clear(self) -> list[Opening]:
+        """Remove and return all flows that wait."""
+
+    @abstractmethod
+    def discard(self, key: bytes) -> None:
+        """Remove a flow if it waits."""
+
+    @abstractmethod
+    def holds(self, key: bytes) -> bool:
+        """Tell whether a flow waits."""
+
+
+class TargetFirst(OpeningPolicy, name='target-first'):
+    """Those that can meet their target first, by priority, then by age."""
+
+    def __init__(self) -> None:
+        """Start with nothing waiting."""
+        self._waiting: dict[bytes, Opening] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Return the flows that wait."""
+        return len(self._waiting)
+
+    def offer(
+        self,
+        now: float,
+        opening: Opening,
+        busy: int,
+        slots: int,
+        service_ms: float,
+    ) -> OpeningVerdict:
+        """Decide on a new flow; it is kept when the verdict is to wait."""
+        if not self._waiting and busy < slots + OVERCOMMIT:
+            return OpeningVerdict.START
+        ahead = busy + self._before(opening) + 1 - slots
+        wait_ms = max(0, ahead) * service_ms / max(1, slots)
+        total_ms = opening.age_ms(now) + wait_ms
+        limit_ms = self._limit_ms(opening, service_ms)
+        if not opening.is_last:
+            # Another sidecar may still answer within the latency target.
+            limit_ms = min(limit_ms, opening.target_ms - service_ms)
+        if total_ms > limit_ms:
+            return OpeningVerdict.REFUSE
+        self._waiting[opening.key] = opening
+        return OpeningVerdict.WAIT
+
+    def next_ready(
+        self,
+        now: float,
+        busy: int,
+        slots: int,
+        service_ms: float,
+    ) -> Opening | None:
+        """Remove and return the flow that shall start, if a slot is free."""
+        if not self._waiting or busy >= slots + OVERCOMMIT:
+            return None
+        chosen = min(
+            self._waiting.values(),
+            key=lambda opening: _rank(now, opening, service_ms),
+        )
+        return self._waiting.pop(chosen.key)
+
+    def expire(self, now: float, service_ms: float) -> list[Opening]:
+        """Remove and return the flows that can no longer be served."""
+        late = [
+            opening
+            for opening in self._waiting.values()
+            if opening.age_ms(now) > self._limit_ms(opening, service_ms)
+        ]
+        for opening in late:
+            self.discard(opening.key)
+        return late
+
+    def clear(self) -> list[Opening]:
+        """Remove and return all flows that wait."""
+        openings = list(self._waiting.values())
+        self._waiting.clear()
+        return openings
+
+    def discard(self, key: bytes) -> None:
+        """Remove a flow if it waits."""
+        self._waiting.pop(key, None)
+
+    def holds(self, key: bytes) -> bool:
+        """Tell whether a flow waits."""
+        return key in self._waiting
+
+    def _before(self, opening: Opening) -> int:
+        return sum(
+            other.priority <= opening.priority
+            for other in self._waiting.values()
+        )
+
+    def _limit_ms(self, opening: Opening, service_ms: float) -> float:
+        return min(MAX_WAIT_MS, opening.timeout_ms - service_ms)
+
+
+def _rank(
+    now: float,
+    opening: Opening,
+    service_ms: float,
+) -> tuple[bool, int, float]:
+    age_ms = opening.age_ms(now)
+    is_late = age_ms + service_ms > opening.target_ms
+    return (is_late, opening.priority, -age_ms)
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -0,0 +1,177 @@
+"""The sidecar daemon of carried flows."""
+
+__all__ = ('SidecarNode',)
+
+import asyncio
+import logging
+import time
+
+from dragonflyshift._internal.carried.fleet.source import ViewSource
+from dragonflyshift._internal.carried.load import LoadReport
+from dragonflyshift._internal.carried.messages import (
+    Ask,
+    Carry,
+    Open,
+    Placement,
+    Status,
+)
+from dragonflyshift._internal.carried.node import CarryingNode
+from dragonflyshift._internal.carried.node_settings import NodeSettings
+from dragonflyshift._internal.carried.packet import (
+    FlowKey,
+    PacketCodec,
+    Pair,
+)
+from dragonflyshift._internal.carried.policies.openings import OpeningPolicy
+from dragonflyshift._internal.carried.sidecar.host import FlowHost, HostPorts
+from dragonflyshift._internal.carried.sidecar.watch import (
+    SILENCE_S,
+    BackendWatch,
+)
+from dragonflyshift._internal.exceptions import SettingsError
+from dragonflyshift._internal.kernel.registry import find_plugin
+from dragonflyshift._internal.utils.datagrams import PairSocket
+
+logger = logging.getLogger(__name__)
+
+STOP_MARGIN_S = 0.8
+MIN_DRAIN_S = 0.1
+DRAIN_CHECK_S = 0.02
+
+
+class SidecarNode(CarryingNode):
+    """Own the flows of the backend server beside it."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        codec: PacketCodec,
+        source: ViewSource | None,
+    ) -> None:
+        """Prepare; ``start`` opens the sockets."""
+        super().__init__(settings, codec, source)
+        if settings.backend is None or not settings.service:
+            raise SettingsError(
+                'a sidecar needs a service and a backend server',
+                hint='name both in the settings',
+            )
+        name = settings.plugins.get('opening-policy', 'target-first')
+        self.host = FlowHost(
+            service=settings.service,
+            backend=settings.backend,
+            view=self.view,
+            codec=codec,
+            policy=find_plugin(OpeningPolicy, name)(),
+            ports=HostPorts(
+                self._send_backend,
+                self._send_client,
+                self.send_peer,
+            ),
+            counters=self.counters,
+            knows_all=settings.is_first_start,
+        )
+        self._backend = settings.backend
+        self._outbound: PairSocket | None = None
+        self._started_at = time.monotonic()
+        self._watch = BackendWatch(
+            settings.backend,
+            self._is_doubtful,
+            self._lost,
+            self._found,
+        )
+
+    def open_sockets(self) -> None:
+        """Take the server's packets and watch it."""
+        if self.settings.outbound is None:
+            raise SettingsError(
+                "a sidecar needs an address for its server's packets",
+                hint='name it in the settings',
+            )
+        self._outbound = PairSocket(
+            self.settings.outbound,
+            self._backend_packet,
+        )
+        loop = asyncio.get_running_loop()
+        self._tasks.append(loop.create_task(self._watch.run()))
+
+    def leave(self) -> None:
+        """Take no new flow."""
+        self.host.is_stopping = True
+        self.host.hand_back(time.monotonic())
+
+    async def wait_until_unused(self) -> None:
+        """Serve on until no request is under way."""
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + self.settings.stop_grace_s - STOP_MARGIN_S
+        await asyncio.sleep(MIN_DRAIN_S)
+        while loop.time() < latest:
+            if not self.host.table.busy(time.monotonic()):
+                return
+            await asyncio.sleep(DRAIN_CHECK_S)
+
+    def is_ready(self) -> bool:
+        """A sidecar works before it has learned a configuration."""
+        return True
+
+    def load(self) -> LoadReport | None:
+        """Return the load of the server."""
+        return self.host.load(time.monotonic())
+
+    def flow_datagram(
+        self,
+        now: float,
+        message: Open | Carry | Ask | Placement,
+        pair: Pair,
+    ) -> None:
+        """Take a balancer's message."""
+        if isinstance(message, Carry):
+            self.host.on_carry(now, message, pair)
+        elif isinstance(message, Open):
+            self.host.on_open(now, message, pair)
+        elif isinstance(message, Ask):
+            self.host.on_ask(now, message, pair)
+        else:
+            self.counters.incr('dropped_misdirected')
+
+    def status_heard(self, now: float, status: Status, pair: Pair) -> None:
+        """Nothing beyond what gossip learns."""
+
+    def view_changed(self, now: float) -> None:
+        """Heed what the register says of the server."""
+        self.host.view_changed(now)
+
+    def tick(self, now: float) -> None:
+        """Go on with what waits."""
+        self.host.tick(now)
+
+    def sweep(self, now: float) -> None:
+        """Drop what is old."""
+        self.host.sweep(now)
+        if now - self._started_at > self.settings.flow_lifetime_s:
+            self.host.knows_all = True
+
+    def _backend_packet(self, raw: bytes, _pair: Pair) -> None:
+        self.host.backend_packet(time.monotonic(), raw)
+
+    def _send_backend(self, raw: bytes) -> None:
+        if self._outbound is not None:
+            self._outbound.send(raw, self._backend)
+
+    def _send_client(self, raw: bytes, key: FlowKey) -> None:
+        if self._outbound is not None:
+            self._outbound.send(raw, self.client_pair(key))
+
+    def _is_doubtful(self) -> bool:
+        now = time.monotonic()
+        oldest = min(
+            (flow.request_at or now for flow in self.host.table.running()),
+            default=now,
+        )
+        silent_s = now - self.host.backend_seen_at
+        return now - oldest > SILENCE_S and silent_s > SILENCE_S
+
+    def _lost(self) -> None:
+        self.host.backend_lost(time.monotonic())
+
+    def _found(self) -> None:
+        self.host.backend_found(time.monotonic())
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/sidecar/pace.py
@@ -0,0 +1,36 @@
+"""The measured time from a request to the first byte of its answer."""
+
+__all__ = ('ServicePace',)
+
+from attrs import define, field
+
+DEFAULT_SERVICE_MS = 50.0
+SMOOTHING = 0.1
+MIN_SERVICE_MS = 2.0
+MAX_SERVICE_MS = 2000.0
+MS_PER_S = 1000
+
+
+@define(eq=False)
+class ServicePace:
+    """A smoothed service time in milliseconds.
+
+    Requests that still run count with the time that they have run so far, so
+    that a server which has just turned slow is noticed before it answers.
+    """
+
+    _mean_ms: float = field(default=DEFAULT_SERVICE_MS)
+    _seen: int = field(default=0)
+
+    def note(self, ran_for_s: float) -> None:
+        """Take note of an answer that took ``ran_for_s`` seconds."""
+        seen_ms = min(MAX_SERVICE_MS, max(MIN_SERVICE_MS, ran_for_s * MS_PER_S))
+        self._seen += 1
+        weight = max(SMOOTHING, 1 / (self._seen + 1))
+        self._mean_ms += weight * (seen_ms - self._mean_ms)
+
+    def service_ms(self, oldest_running_s: float = 0) -> float:
+        """Return the estimate, given how long the oldest request runs."""
+        running_ms = oldest_running_s * MS_PER_S
+        # A single request may take several times the mean without meaning.
+        return max(self._mean_ms, running_ms / 4)
--- a/src/dragonflyshift/_internal/membership/probing.py
+++ b/src/dragonflyshift/_internal/membership/probing.py
@@ -22,7 +22,7 @@
 from dragonflyshift._internal.membership.relays import Relays
 from dragonflyshift._internal.membership.table import MemberTable
 from dragonflyshift._internal.models import Address, MemberRecord
-from dragonflyshift._internal.recovery.pause import PauseDetector
+from dragonflyshift._internal.utils.pause import PauseDetector
 from dragonflyshift._internal.wire.datagram import Kind
 
 PUSH_SEQUENCE = 0
--- a/src/dragonflyshift/_internal/recovery/__init__.py
+++ b/src/dragonflyshift/_internal/recovery/__init__.py
@@ -1,7 +1,7 @@
 """Recovery after pauses and losses."""
 
 from dragonflyshift._internal.recovery.balancers import BalancerDirectory
-from dragonflyshift._internal.recovery.pause import (
+from dragonflyshift._internal.utils.pause import (
     PauseDetector,
     suspended_seconds,
     watch_pauses,
--- /dev/null
+++ b/src/dragonflyshift/platform/settings.py
@@ -0,0 +1,84 @@
+"""The platform's settings file."""
+
+__all__ = ('SETTINGS_VARIABLE', 'read_settings')
+
+import json
+from pathlib import Path
+from typing import Any
+
+from dragonflyshift._internal.carried.node_settings import NodeSettings
+from dragonflyshift._internal.carried.packet import Pair
+from dragonflyshift._internal.exceptions import SettingsError
+
+SETTINGS_VARIABLE = 'DRAGONFLYSHIFT_CONFIG'
+# The port of the metrics address in deploy/system.toml.
+METRICS_PORT = 9464
+MAX_PORT = 65535
+
+
+def read_settings(path: str) -> NodeSettings:
+    """Read the file; raise SettingsError when anything needed is off."""
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as exc:
+        raise SettingsError(
+            f'can not read the settings: {exc.strerror}',
+            context=path,
+            hint=f'{SETTINGS_VARIABLE} names the settings file',
+        ) from exc
+    try:
+        return _decode(json.loads(raw))
+    except (ValueError, TypeError, LookupError, AttributeError) as exc:
+        raise SettingsError(
+            f'settings are malformed: {exc!r}',
+            context=path,
+        ) from exc
+
+
+def _decode(body: dict[str, Any]) -> NodeSettings:
+    listen = body['listenAddrs']
+    inner_port = int(body['internalPorts'][0])
+    # On a balancer the address where the fabric's packets come in; its port
+    # is also the one where clients' hosts take packets.
+    packets = _pair(listen['packetAddr'])
+    is_edge = body['machineClass'] == 'edge'
+    bounds = body.get('bounds') or {}
+    platform = body.get('platform') or {}
+    return NodeSettings(
+        name=str(body['node']),
+        data_center=str(body['zone']),
+        regions={str(zone): str(at) for zone, at in body['zones'].items()},
+        peers=(str(body['ip']), inner_port),
+        readiness=_pair(listen['readiness']),
+        client_port=packets[1],
+        seeds=_seeds(body, inner_port),
+        control=_optional_pair(listen.get('controlPlane')),
+        fabric=packets if is_edge else None,
+        service=str(body.get('service') or ''),
+        # The backend server on the same machine.
+        backend=_optional_pair(body.get('app')),
+        outbound=_optional_pair(listen.get('outbound')),
+        metrics_port=METRICS_PORT,
+        store=_optional_pair(platform.get('address')),
+        stop_grace_s=float(bounds.get('graceS', 6)),
+        flow_lifetime_s=float(bounds.get('flowMaxS', 60)),
+        is_first_start=body.get('bootstrap') is True,
+    )
+
+
+def _seeds(body: dict[str, Any], inner_port: int) -> tuple[Pair, ...]:
+    """Return the seeds at the port that daemons use among themselves."""
+    own = str(body['ip'])
+    hosts = [_pair(seed)[0] for seed in body.get('seeds') or ()]
+    return tuple((host, inner_port) for host in hosts if host != own)
+
+
+def _optional_pair(text: Any) -> Pair | None:
+    return _pair(text) if text else None
+
+
+def _pair(text: Any) -> Pair:
+    host, _colon, port = str(text).rpartition(':')
+    if not host or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f'{text!r} is not an address')
+    return (host, int(port))
--- /dev/null
+++ b/src/dragonflyshift/platform/store.py
@@ -0,0 +1,281 @@
+"""The client of the platform's store."""
+
+__all__ = ('PlatformStore',)
+
+import asyncio
+import base64
+import json
+import logging
+import socket
+from typing import Any
+from urllib.parse import urlencode
+
+import h11
+
+from dragonflyshift._internal.carried.fleet.source import (
+    HistoryLostError,
+    ViewSource,
+)
+from dragonflyshift._internal.carried.fleet.view import ViewUpdate
+from dragonflyshift._internal.carried.packet import Pair
+from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.routes import RouteTable
+from dragonflyshift._internal.exceptions import (
+    ConfigurationError,
+    PlatformError,
+)
+from dragonflyshift.platform.documents import (
+    CONFIGURATION_KEY,
+    ENDPOINT_PREFIX,
+    decode_endpoint,
+    decode_routes,
+)
+
+logger = logging.getLogger(__name__)
+
+READ_TIMEOUT_S = 1.5
+# A watch ends without news after this; a silent connection shows by then.
+WATCH_WAIT_MS = 2500
+WATCH_MARGIN_S = 0.7
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 2
+MAX_PAGES = 200
+MS_PER_S = 1000
+_OK = 200
+_GONE = 410
+_NOT_FOUND = 404
+
+
+class PlatformStore(ViewSource):
+    """Read and watch the store over one kept connection."""
+
+    def __init__(self, address: Pair) -> None:
+        """Connect at the first call."""
+        self._address = address
+        self._stream: _Connection | None = None
+        self._foreign: set[str] = set()
+
+    async def read_all(self) -> ViewUpdate:
+        """Return the complete picture, page by page.
+
+        Pages are no snapshot, so the picture counts as of the first page:
+        later changes come with the watch.
+        """
+        revision = 0
+        after = ''
+        items: list[Any] = []
+        for _ in range(MAX_PAGES):
+            query = {'prefix': ''}
+            if after:
+                query['after'] = after
+            body = await self._get('/kv-range', query, READ_TIMEOUT_S)
+            page = _rows(body, 'items')
+            items.extend(page)
+            revision = revision or _revision(body, 'asOf')
+            if not body.get('truncated') or not page:
+                break
+            after = str(page[-1].get('key'))
+        return self._update(0, revision, items)
+
+    async def wait(self, after: int) -> ViewUpdate:
+        """Return the changes after a revision, once there are any."""
+        body = await self._get(
+            '/kv-watch',
+            {'prefix': '', 'after': after, 'waitMs': WATCH_WAIT_MS},
+            WATCH_WAIT_MS / MS_PER_S + WATCH_MARGIN_S,
+        )
+        return self._update(
+            after,
+            max(after, _revision(body, 'asOf')),
+            _rows(body, 'events'),
+        )
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+    def _update(
+        self,
+        base: int,
+        revision: int,
+        items: list[Any],
+    ) -> ViewUpdate:
+        records: dict[str, EndpointRecord] = {}
+        removed: dict[str, int] = {}
+        routes: RouteTable | None = None
+        for entry in items:
+            key = entry.get('key')
+            if key == CONFIGURATION_KEY and 'value' in entry:
+                routes = self._routes(entry) or routes
+            elif isinstance(key, str) and key.startswith(ENDPOINT_PREFIX):
+                name = key.removeprefix(ENDPOINT_PREFIX)
+                record = self._record(name, entry)
+                records.pop(name, None)
+                removed.pop(name, None)
+                if record is None:
+                    removed[name] = _revision(entry, 'revision')
+                else:
+                    records[name] = record
+        return ViewUpdate(
+            base=base,
+            revision=revision,
+            records=tuple(records.values()),
+            removed=tuple(removed.items()),
+            routes=routes,
+        )
+
+    def _routes(self, entry: Any) -> RouteTable | None:
+        try:
+            return decode_routes(_value(entry))
+        except (ConfigurationError, ValueError) as exc:
+            logger.error('configuration-refused', extra={'reason': str(exc)})
+            return None
+
+    def _record(self, name: str, entry: Any) -> EndpointRecord | None:
+        """Read an entry; None when it is gone or names no endpoint."""
+        if 'value' not in entry or entry.get('deleted') is True:
+            return None
+        revision = _revision(entry, 'revision')
+        try:
+            record = decode_endpoint(name, revision, _value(entry))
+        except ValueError:
+            record = None
+        if record is None and name not in self._foreign:
+            self._foreign.add(name)
+            logger.info('entry-ignored', extra={'entry': name})
+        return record
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, Any],
+        timeout_s: float,
+    ) -> dict[str, Any]:
+        target = f'{path}?{urlencode(query)}'
+        try:
+            async with asyncio.timeout(timeout_s):
+                status, body = await self._exchange(target)
+        except (OSError, TimeoutError, EOFError, h11.ProtocolError) as exc:
+            self.close()
+            raise PlatformError(
+                f'no answer from the store: {exc!r}',
+                context=path,
+            ) from exc
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        return _checked(path, status, body)
+
+    async def _exchange(self, target: str) -> tuple[int, bytes]:
+        stream = self._stream
+        if stream is None or stream.is_spent:
+            stream = await _Connection.open(self._address)
+            self._stream = stream
+        return await stream.get(target)
+
+
+class _Connection:
+    """One HTTP connection to the store."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        host: str,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._host = host
+        self._http = h11.Connection(h11.CLIENT)
+        self.is_spent = False
+
+    @classmethod
+    async def open(cls, address: Pair) -> '_Connection':
+        reader, writer = await asyncio.open_connection(*address)
+        _keep_alive(writer.get_extra_info('socket'))
+        return cls(reader, writer, f'{address[0]}:{address[1]}')
+
+    async def get(self, target: str) -> tuple[int, bytes]:
+        self.is_spent = True
+        request = h11.Request(
+            method='GET',
+            target=target,
+            headers=[('Host', self._host)],
+        )
+        self._writer.write(self._http.send(request) or b'')
+        self._writer.write(self._http.send(h11.EndOfMessage()) or b'')
+        await self._writer.drain()
+        status, body = await self._receive()
+        if self._http.our_state is h11.DONE is self._http.their_state:
+            self._http.start_next_cycle()
+            self.is_spent = False
+        return status, body
+
+    def close(self) -> None:
+        self._writer.transport.abort()
+
+    async def _receive(self) -> tuple[int, bytes]:
+        status = 0
+        parts: list[bytes] = []
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await self._reader.read(65536))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return status, b''.join(parts)
+            elif isinstance(event, h11.ConnectionClosed):
+                raise EOFError('connection closed')
+
+
+def _keep_alive(sock: socket.socket) -> None:
+    """Have the kernel find a connection that has gone silent."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, KEEPALIVE_S),
+            (socket.TCP_KEEPINTVL, KEEPALIVE_S),
+            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        ):
+            sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    except OSError as exc:
+        logger.info('keep-alive-not-set', extra={'reason': repr(exc)})
+
+
+def _checked(path: str, status: int, raw: bytes) -> dict[str, Any]:
+    if status == _GONE:
+        raise HistoryLostError('history is gone', context=path)
+    if status == _NOT_FOUND:
+        return {}
+    if status != _OK:
+        raise PlatformError(f'store answered {status}', context=path)
+    try:
+        body = json.loads(raw)
+    except ValueError as exc:
+        raise PlatformError(f'answer is malformed: {exc}') from exc
+    if not isinstance(body, dict):
+        raise PlatformError('answer is no object', context=path)
+    return body
+
+
+def _rows(body: dict[str, Any], name: str) -> list[Any]:
+    rows = body.get(name)
+    if not isinstance(rows, list):
+        raise PlatformError(f'answer lacks {name}')
+    return [row for row in rows if isinstance(row, dict)]
+
+
+def _revision(body: dict[str, Any], name: str) -> int:
+    revision = body.get(name)
+    if not isinstance(revision, int):
+        raise PlatformError(f'answer lacks {name}')
+    return revision
+
+
+def _value(entry: Any) -> bytes:
+    return base64.b64decode(entry['value'], validate=True)
