--- a/src/dragonflyshift/_internal/carried/balancer/carrier.py
+++ b/src/dragonflyshift/_internal/carried/balancer/carrier.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define
 
 from dragonflyshift._internal.carried.balancer.lookups import (
     Lookup,
@@ -31,10 +31,10 @@
     PacketCodec,
     Pair,
 )
-from dragonflyshift._internal.carried.records import EndpointRecord
-from dragonflyshift._internal.exceptions import WireError
 from dragonflyshift._internal.carried.policies.placement import FlowPlacement
+from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.telemetry import Counters
+from dragonflyshift._internal.exceptions import WireError
 
 logger = logging.getLogger(__name__)
 
@@ -108,15 +108,12 @@
             logger.debug('packet-malformed', extra={'reason': exc.message})
             return
         cached = self.cache.get(packet.key)
-        if cached is not None:
-            cached.last_at = now
-            self._counters.incr('carried')
-            self._forward(now, packet, cached)
-        elif packet.is_first:
-            self._counters.incr('openings')
-            self.opener.open(now, packet)
-        else:
-            self._look_up(now, packet)
+        if cached is None:
+            self._without_owner(now, packet)
+            return
+        cached.last_at = now
+        self._counters.incr('carried')
+        self._forward(now, packet, cached)
 
     def placement(self, now: float, verdict: Placement, pair: Pair) -> None:
         """Take a sidecar's verdict on a flow."""
@@ -156,6 +153,13 @@
         datagram = Carry(cached.service, packet.raw).encode()
         self._ports.to_sidecar(datagram, cached.pair)
 
+    def _without_owner(self, now: float, packet: Packet) -> None:
+        if packet.is_first:
+            self._counters.incr('openings')
+            self.opener.open(now, packet)
+            return
+        self._look_up(now, packet)
+
     def _look_up(self, now: float, packet: Packet) -> None:
         route = self.view.routes.find(packet.key)
         if route is None:
--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -14,9 +14,7 @@
 from dragonflyshift._internal.carried.fleet.source import ViewSource
 from dragonflyshift._internal.carried.load import LoadReport
 from dragonflyshift._internal.carried.messages import (
-    Ask,
-    Carry,
-    Open,
+    Datagram,
     Placement,
     Status,
 )
@@ -26,6 +24,7 @@
     FlowKey,
     PacketCodec,
     Pair,
+    client_host,
 )
 from dragonflyshift._internal.carried.policies.placement import FlowPlacement
 from dragonflyshift._internal.exceptions import SettingsError
@@ -51,6 +50,7 @@
     ) -> None:
         """Prepare; ``start`` opens the sockets."""
         super().__init__(settings, codec, source)
+        self._client_port = settings.client_port
         name = settings.plugins.get('flow-placement', 'fastest-estimate')
         self.carrier = FlowCarrier(
             self.view,
@@ -60,8 +60,8 @@
             CarrierPorts(
                 self.send_peer,
                 self._send_client,
-                self.sidecar_of,
-                self.view_age_s,
+                self.member.sidecar_of,
+                self.member.gossip.age_s,
             ),
             self.rng,
             self.counters,
@@ -86,12 +86,11 @@
 
     def load(self) -> LoadReport | None:
         """Return nothing: a balancer has no backend server."""
-        return None
 
     def flow_datagram(
         self,
         now: float,
-        message: Open | Carry | Ask | Placement,
+        message: Datagram,
         pair: Pair,
     ) -> None:
         """Take a sidecar's verdict."""
@@ -107,7 +106,7 @@
 
     def view_changed(self, now: float) -> None:
         """Place flows that waited for this."""
-        self.carrier.sidecars.keep_only(self._sidecar_pairs())
+        self.carrier.sidecars.keep_only(self.member.sidecar_pairs())
         self.carrier.opener.view_changed(now)
 
     def tick(self, now: float) -> None:
@@ -123,4 +122,6 @@
 
     def _send_client(self, raw: bytes, key: FlowKey) -> None:
         if self._fabric is not None:
-            self._fabric.send(raw, self.client_pair(key))
+            self._fabric.send(
+                raw, (client_host(key), self._client_port)
+            )
--- a/src/dragonflyshift/_internal/carried/balancer/openings.py
+++ b/src/dragonflyshift/_internal/carried/balancer/openings.py
@@ -12,13 +12,13 @@
 from dragonflyshift._internal.carried.fleet.view import FleetView
 from dragonflyshift._internal.carried.messages import Open
 from dragonflyshift._internal.carried.packet import FlowKey, Packet, Pair
-from dragonflyshift._internal.carried.records import EndpointRecord
-from dragonflyshift._internal.carried.routes import Route, TransferKind
 from dragonflyshift._internal.carried.policies.placement import (
     CrossingCost,
     FlowPlacement,
     PlacementOption,
 )
+from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.routes import Route, TransferKind
 
 logger = logging.getLogger(__name__)
 
@@ -219,7 +219,6 @@
         limit = min(MAX_TRIES, options)
         datagram = Open(
             service=service,
-            kind=int(route.kind),
             target_ms=route.target_ms,
             timeout_ms=route.timeout_ms,
             priority=route.priority,
--- a/src/dragonflyshift/_internal/carried/balancer/sidecars.py
+++ b/src/dragonflyshift/_internal/carried/balancer/sidecars.py
@@ -8,16 +8,17 @@
 
 from dragonflyshift._internal.carried.load import LoadReport
 from dragonflyshift._internal.carried.packet import Pair
-from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.policies.placement import PlacementOption
+from dragonflyshift._internal.carried.records import EndpointRecord
 
 MS_PER_S = 1000
 # A sidecar that didn't answer is placed last for this long, or until heard.
 SUSPECT_S = 1.0
 # A report this old says nothing on the load of now.
 REPORT_LIFETIME_S = 3.0
-# Shorter doubts of a sidecar's word that its backend server is down.
-STATE_LIFETIME_S = 2.0
+# Datagrams overtake each other by less than this; a report with a lower
+# number that comes later is from a sidecar that has restarted.
+REORDER_S = 0.1
 
 
 @define(eq=False)
@@ -54,7 +55,7 @@
         belief.suspect_until = float('-inf')
         known = belief.load
         is_older = known is not None and load.sequence < known.sequence
-        if is_older and now - belief.heard_at < 0.1:
+        if is_older and now - belief.heard_at < REORDER_S:
             return
         belief.load = load
         belief.heard_at = now
--- a/src/dragonflyshift/_internal/carried/fleet/exchange.py
+++ b/src/dragonflyshift/_internal/carried/fleet/exchange.py
@@ -12,6 +12,7 @@
 from dragonflyshift._internal.carried.packet import Pair
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.routes import RouteTable
+from dragonflyshift._internal.carried.rows import decode_row, encode_row
 from dragonflyshift._internal.exceptions import (
     ConfigurationError,
     PeerError,
@@ -23,6 +24,7 @@
 PULL_TIMEOUT_S = 0.8
 MAX_VIEW_BYTES = 4 << 20
 _REQUEST_BYTES = 64
+_PULL_FAILURES = (OSError, ValueError, TypeError, EOFError)
 
 
 @define(eq=False)
@@ -40,7 +42,7 @@
         try:
             async with asyncio.timeout(PULL_TIMEOUT_S):
                 await self._answer(reader, writer)
-        except (OSError, ValueError, TimeoutError, EOFError) as exc:
+        except _PULL_FAILURES as exc:
             logger.info('pull-failed-here', extra={'reason': repr(exc)})
             writer.transport.abort()
 
@@ -98,7 +100,7 @@
         (
             update.base,
             update.revision,
-            [record.astuple() for record in update.records],
+            [encode_row(record) for record in update.records],
             update.removed,
             table,
         )
@@ -113,7 +115,7 @@
         return ViewUpdate(
             base=int(base),
             revision=int(revision),
-            records=tuple(EndpointRecord.of(row) for row in records),
+            records=tuple(decode_row(EndpointRecord, row) for row in records),
             removed=tuple((str(name), int(rev)) for name, rev in removed),
             routes=None if table is None else RouteTable.decode(table),
         )
--- a/src/dragonflyshift/_internal/carried/fleet/gossip.py
+++ b/src/dragonflyshift/_internal/carried/fleet/gossip.py
@@ -9,35 +9,29 @@
 
 __all__ = ('Gossip', 'GossipPorts')
 
-import asyncio
 import logging
 import time
 from collections.abc import Callable, Iterable
 
-import xxhash
 from attrs import define, field
 
-from dragonflyshift._internal.carried.fleet.exchange import pull_view
-from dragonflyshift._internal.carried.fleet.peers import Peer, PeerBook
+from dragonflyshift._internal.carried.fleet.audience import Audience
+from dragonflyshift._internal.carried.fleet.peers import PeerBook
+from dragonflyshift._internal.carried.fleet.puller import ViewPuller
 from dragonflyshift._internal.carried.fleet.view import FleetView
 from dragonflyshift._internal.carried.load import LoadReport
 from dragonflyshift._internal.carried.messages import Notice, Status
 from dragonflyshift._internal.carried.packet import Pair
-from dragonflyshift._internal.exceptions import PeerError
 
 logger = logging.getLogger(__name__)
 
 # Two statuses fit into the silence after which a reader counts as lost.
 STATUS_PERIOD_S = 0.5
-# Peers told each period by daemons that don't read the store.
-FANOUT = 3
-# Balancers that tell a sidecar; the second covers the loss of the first.
-TELLERS = 2
 NAMED_PEERS = 8
 MAX_NOTICE_BYTES = 1100
-MIN_PULL_GAP_S = 0.05
-MIN_DIGEST_PULL_GAP_S = 1.0
 MS_PER_S = 1000
+# What an age is cut to; nothing distinguishes older views.
+FOREVER_S = 3600.0
 
 
 @define(eq=False)
@@ -45,14 +39,12 @@
     """How gossip sends, and what it asks of its daemon.
 
     ``changed()`` is called after the view changed; ``load()`` gives a
-    sidecar's load, None on a balancer; ``sidecars()`` lists the addresses of
-    all sidecars in the view.
+    sidecar's load, None on a balancer.
     """
 
     send: Callable[[bytes, Pair], None]
     changed: Callable[[], None]
     load: Callable[[], LoadReport | None]
-    sidecars: Callable[[], Iterable[Pair]]
     is_reading: Callable[[], bool]
 
 
@@ -60,18 +52,20 @@
 class Gossip:
     """Exchange statuses, notices and views with peers."""
 
-    is_balancer: bool
-    data_center: str
     view: FleetView
     book: PeerBook
+    audience: Audience
     ports: GossipPorts
     confirmed_at: float = field(default=float('-inf'))
     is_leaving: bool = field(default=False)
     # A confirmation of a revision that this daemon doesn't hold yet.
     _pending: tuple[int, float] = field(default=(0, float('-inf')))
     _told_at: float = field(default=float('-inf'))
-    _pulled_at: float = field(default=float('-inf'))
-    _pulling: asyncio.Task[None] | None = field(default=None)
+    _puller: ViewPuller = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare for pulls."""
+        self._puller = ViewPuller(self.view, self._pulled)
 
     def age_s(self, now: float) -> float:
         """Return the time since the store confirmed this view."""
@@ -87,13 +81,14 @@
             return
         self._told_at = now
         self.book.forget_silent(now)
-        self._tell(self._periodic_targets(now), now)
+        is_reading = self.ports.is_reading()
+        self._tell(self.audience.periodic(now, is_reading=is_reading), now)
 
     def publish(self, now: float, removed: tuple[str, ...] = ()) -> None:
         """Tell the peers in charge of this daemon that the view changed."""
-        if self.is_balancer:
-            for pair in self._audience():
-                self._bring_up_to_date(now, pair, removed)
+        is_reading = self.ports.is_reading()
+        for pair in self.audience.of_news(is_reading=is_reading):
+            self._bring_up_to_date(now, pair, removed)
 
     def note_pause(self) -> None:
         """Trust no confirmation from before a pause of this process."""
@@ -106,12 +101,14 @@
         self._learn_age(now, status.revision, status.age_ms)
         if status.wants_reply:
             self._send_status(now, pair, wants_reply=False)
-        if self._is_behind(status.revision, status.version):
-            self._pull(now, pair, MIN_PULL_GAP_S)
-        elif self._is_ahead(status):
-            self._answer_behind(now, peer)
+        if _is_behind(self.view, status.revision, status.version):
+            self._puller.pull(now, pair)
+        elif _is_ahead(self.view, status):
+            # What was told may have been lost: the peer's own word counts.
+            peer.told_revision = status.revision
+            self._bring_up_to_date(now, pair)
         elif status.digest != self.view.digest and status.revision:
-            self._pull(now, pair, MIN_DIGEST_PULL_GAP_S, is_full=True)
+            self._puller.pull_all(now, pair)
 
     def on_notice(self, now: float, notice: Notice, pair: Pair) -> None:
         """Merge a small change, or pull if something before it is missing."""
@@ -125,16 +122,16 @@
         self._learn_age(now, notice.revision, notice.age_ms)
         if changed:
             self._view_changed(now, 'notice', pair)
-        if self._is_behind(notice.revision, notice.version):
-            self._pull(now, pair, MIN_PULL_GAP_S)
+        if _is_behind(self.view, notice.revision, notice.version):
+            self._puller.pull(now, pair)
 
     def own_status(self, now: float, *, wants_reply: bool) -> Status:
         """Return this daemon's status."""
         age_s = min(self.age_s(now), FOREVER_S)
         return Status(
-            is_balancer=self.is_balancer,
+            is_balancer=self.audience.is_balancer,
             is_reader=self.ports.is_reading(),
-            data_center=self.data_center,
+            data_center=self.audience.data_center,
             revision=self.view.revision,
             version=self.view.routes.version,
             digest=self.view.digest,
@@ -151,40 +148,6 @@
         for pair in self.book.balancer_pairs():
             self._send_status(now, pair, wants_reply=True)
 
-    def _periodic_targets(self, now: float) -> set[Pair]:
-        balancers = self.book.balancer_pairs()
-        if self.ports.is_reading():
-            return balancers | self._assigned_sidecars()
-        targets = set(self.book.sample(balancers, FANOUT))
-        targets.update(self.book.readers(now)[:TELLERS])
-        targets.discard(self.book.own)
-        if self.is_balancer:
-            targets |= self._assigned_sidecars()
-        return targets
-
-    def _audience(self) -> set[Pair]:
-        sidecars = self._assigned_sidecars()
-        if self.ports.is_reading():
-            return sidecars | self.book.balancer_pairs()
-        return sidecars
-
-    def _assigned_sidecars(self) -> set[Pair]:
-        """Return the sidecars that this balancer keeps up to date."""
-        if not self.is_balancer:
-            return set()
-        own = self.book.own
-        local = [
-            peer.pair
-            for peer in self.book.balancers()
-            if peer.status.data_center == self.data_center
-        ]
-        everyone = [peer.pair for peer in self.book.balancers()]
-        return {
-            pair
-            for pair in self.ports.sidecars()
-            if _is_teller(own, pair, local) or _is_teller(own, pair, everyone)
-        }
-
     def _tell(self, targets: Iterable[Pair], now: float) -> None:
         for pair in targets:
             peer = self.book.peers.get(pair)
@@ -240,21 +203,6 @@
         datagram = notice.encode()
         return datagram if len(datagram) <= MAX_NOTICE_BYTES else None
 
-    def _answer_behind(self, now: float, peer: Peer) -> None:
-        # What was told may have been lost, so the peer's own word counts.
-        peer.told_revision = peer.status.revision
-        self._bring_up_to_date(now, peer.pair)
-
-    def _is_behind(self, revision: int, version: int) -> bool:
-        if version > self.view.routes.version:
-            return True
-        return revision > self.view.revision
-
-    def _is_ahead(self, status: Status) -> bool:
-        if self.view.routes.version > status.version:
-            return True
-        return self.view.revision > status.revision
-
     def _learn_age(self, now: float, revision: int, age_ms: int) -> None:
         at = now - age_ms / MS_PER_S
         if revision > self.view.revision:
@@ -268,30 +216,7 @@
         if self._pending[0] <= self.view.revision:
             self.confirm(self._pending[1])
 
-    def _pull(
-        self,
-        now: float,
-        pair: Pair,
-        gap_s: float,
-        *,
-        is_full: bool = False,
-    ) -> None:
-        if now - self._pulled_at < gap_s:
-            return
-        if self._pulling is not None and not self._pulling.done():
-            return
-        self._pulled_at = now
-        self._pulling = asyncio.get_running_loop().create_task(
-            self._pull_from(pair, 0 if is_full else self.view.revision),
-        )
-
-    async def _pull_from(self, pair: Pair, base: int) -> None:
-        try:
-            update = await pull_view(pair, base, self.view.routes.version)
-        except PeerError as exc:
-            logger.info('pull-failed', extra={'reason': str(exc)})
-            return
-        changed = self.view.apply(update)
+    def _pulled(self, changed: bool, pair: Pair) -> None:
         self._settle_pending()
         if changed:
             self._view_changed(time.monotonic(), 'pull', pair)
@@ -311,17 +236,11 @@
         self.publish(now)
 
 
-# What an age is cut to; nothing distinguishes older views.
-FOREVER_S = 3600.0
-
-
-def _is_teller(own: Pair, sidecar: Pair, balancers: list[Pair]) -> bool:
-    """Tell whether ``own`` ranks among the first for a sidecar."""
-    weight = _weight(own, sidecar)
-    better = sum(_weight(other, sidecar) > weight for other in balancers)
-    return better < TELLERS
+def _is_behind(view: FleetView, revision: int, version: int) -> bool:
+    return version > view.routes.version or revision > view.revision
 
 
-def _weight(balancer: Pair, sidecar: Pair) -> int:
-    text = f'{balancer[0]}>{sidecar[0]}:{sidecar[1]}'
-    return int(xxhash.xxh3_64_intdigest(text.encode()))
+def _is_ahead(view: FleetView, status: Status) -> bool:
+    if view.routes.version > status.version:
+        return True
+    return view.revision > status.revision
--- a/src/dragonflyshift/_internal/carried/http_pages.py
+++ b/src/dragonflyshift/_internal/carried/http_pages.py
@@ -12,6 +12,7 @@
 
 REQUEST_TIMEOUT_S = 2.0
 MAX_REQUEST_BYTES = 8192
+_REQUEST_FAILURES = (OSError, EOFError, ValueError)
 _REASONS = {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
 
 
@@ -39,7 +40,7 @@
         try:
             while await self._answer(reader, writer):
                 await writer.drain()
-        except (OSError, TimeoutError, EOFError, ValueError) as exc:
+        except _REQUEST_FAILURES as exc:
             logger.debug('page-request-failed', extra={'reason': repr(exc)})
         finally:
             writer.close()
--- a/src/dragonflyshift/_internal/carried/load.py
+++ b/src/dragonflyshift/_internal/carried/load.py
@@ -3,13 +3,9 @@
 __all__ = ('BackendState', 'LoadReport')
 
 import enum
-from typing import Any
 
 from attrs import frozen
 
-_FIELDS = 8
-MIN_SERVICE_MS = 1.0
-
 
 class BackendState(enum.IntEnum):
     """Whether a sidecar takes new flows for its backend server."""
@@ -45,33 +41,3 @@
         if excess <= 0:
             return 0
         return excess * self.service_ms / max(1, self.slots)
-
-    def astuple(self) -> tuple[object, ...]:
-        """Return the fields in their order, for other processes."""
-        return (
-            int(self.state),
-            self.slots,
-            self.busy,
-            self.waiting,
-            self.open_flows,
-            round(self.service_ms, 1),
-            self.knows_all,
-            self.sequence,
-        )
-
-    @classmethod
-    def of(cls, row: list[Any]) -> 'LoadReport':
-        """Read what ``astuple`` gave; raise ValueError when malformed."""
-        if len(row) != _FIELDS:
-            raise ValueError('load report has a wrong length')
-        state, slots, busy, waiting, flows, service, knows_all, sequence = row
-        return cls(
-            state=BackendState(state),
-            slots=int(slots),
-            busy=int(busy),
-            waiting=int(waiting),
-            open_flows=int(flows),
-            service_ms=float(service),
-            knows_all=bool(knows_all),
-            sequence=int(sequence),
-        )
--- a/src/dragonflyshift/_internal/carried/packet.py
+++ b/src/dragonflyshift/_internal/carried/packet.py
@@ -1,6 +1,13 @@
 """Packets of carried flows, free of their layout on the wire."""
 
-__all__ = ('FLOW_KEY_BYTES', 'FlowKey', 'Packet', 'PacketCodec', 'Pair')
+__all__ = (
+    'FLOW_KEY_BYTES',
+    'FlowKey',
+    'Packet',
+    'PacketCodec',
+    'Pair',
+    'client_host',
+)
 
 from abc import ABC, abstractmethod
 
@@ -13,6 +20,11 @@
 Pair = tuple[str, int]
 
 
+def client_host(key: FlowKey) -> str:
+    """Return the client's address in dotted form."""
+    return '.'.join(str(octet) for octet in key[:4])
+
+
 @define(slots=True, eq=False)
 class Packet:
     """One packet of a flow.
--- a/src/dragonflyshift/_internal/carried/policies/election.py
+++ b/src/dragonflyshift/_internal/carried/policies/election.py
@@ -52,26 +52,32 @@
             # Nothing is known yet: a start must not wait for others.
             return True
         if is_reading:
-            before = sum(pair < self.own for pair in others)
-            limit = READERS if self.is_balancer else 1
-            keeps = before < limit and (self.is_balancer or not others)
-            if keeps:
-                return True
+            return self._keeps_reading(others)
+        if len(others) >= self._readers_wanted:
             self._due_at = None
             return False
-        if len(others) >= (READERS if self.is_balancer else 1):
-            self._due_at = None
-            return False
-        return self._is_due(now, is_urgent=not others, age_s=age_s)
+        return self._is_due(now, age_s, is_urgent=not others)
+
+    @property
+    def _readers_wanted(self) -> int:
+        return READERS if self.is_balancer else 1
 
-    def _is_due(self, now: float, *, is_urgent: bool, age_s: float) -> bool:
+    def _keeps_reading(self, others: list[Pair]) -> bool:
+        self._due_at = None
+        if not self.is_balancer:
+            return not others
+        return sum(pair < self.own for pair in others) < READERS
+
+    def _is_due(self, now: float, age_s: float, *, is_urgent: bool) -> bool:
         if not self.is_balancer and age_s < SIDECAR_DELAY_S:
             self._due_at = None
             return False
         if self._due_at is None or (is_urgent and not self._is_urgent):
-            delay = URGENT_DELAY_S if is_urgent else SPARE_DELAY_S
-            if not self.is_balancer:
-                delay = SIDECAR_DELAY_S
-            self._due_at = now + self.rng.random() * delay
+            self._due_at = now + self.rng.random() * self._delay(is_urgent)
             self._is_urgent = is_urgent
         return now >= self._due_at
+
+    def _delay(self, is_urgent: bool) -> float:
+        if not self.is_balancer:
+            return SIDECAR_DELAY_S
+        return URGENT_DELAY_S if is_urgent else SPARE_DELAY_S
--- a/src/dragonflyshift/_internal/carried/routes.py
+++ b/src/dragonflyshift/_internal/carried/routes.py
@@ -3,12 +3,12 @@
 __all__ = ('Route', 'RouteTable', 'TransferKind', 'WeightedService')
 
 import enum
-from typing import Any
 
 import msgpack
 from attrs import field, frozen
 
 from dragonflyshift._internal.carried.packet import FlowKey
+from dragonflyshift._internal.carried.rows import decode_row, encode_row
 from dragonflyshift._internal.exceptions import ConfigurationError
 
 # The last six bytes of a flow key: the service's address and port.
@@ -79,50 +79,18 @@
 
     def encode(self) -> bytes:
         """Return the table as msgpack, for other processes."""
-        rows = [
-            (
-                route.name,
-                route.address,
-                [(option.name, option.weight) for option in route.services],
-                int(route.kind),
-                route.target_ms,
-                route.timeout_ms,
-                route.priority,
-            )
-            for route in self.routes.values()
-        ]
-        encoded = msgpack.packb((self.version, self.idle_ms, rows))
-        return bytes(encoded)
+        rows = [encode_row(route) for route in self.routes.values()]
+        return bytes(msgpack.packb((self.version, self.idle_ms, rows)))
 
     @classmethod
     def decode(cls, raw: bytes) -> 'RouteTable':
         """Read a table; raise ConfigurationError when malformed."""
         try:
             version, idle_ms, rows = msgpack.unpackb(raw)
-            routes = [_decode_route(row) for row in rows]
+            routes = [decode_row(Route, row) for row in rows]
         except (ValueError, TypeError, msgpack.UnpackException) as exc:
-            raise ConfigurationError(f'route table is malformed: {exc}') from exc
+            raise ConfigurationError(
+                f'route table is malformed: {exc}'
+            ) from exc
         table = {route.address: route for route in routes}
         return cls(int(version), table, int(idle_ms))
-
-
-def _decode_route(row: list[Any]) -> Route:
-    name, address, services, kind, target, timeout, priority = row
-    return Route(
-        name=str(name),
-        address=_address(address),
-        services=tuple(
-            WeightedService(str(option), int(weight))
-            for option, weight in services
-        ),
-        kind=TransferKind(kind),
-        target_ms=int(target),
-        timeout_ms=int(timeout),
-        priority=int(priority),
-    )
-
-
-def _address(raw: object) -> bytes:
-    if not isinstance(raw, bytes):
-        raise TypeError('service address is no byte string')
-    return raw
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/sidecar/condition.py
@@ -0,0 +1,91 @@
+"""What a sidecar knows of its backend server as a whole."""
+
+__all__ = ('BackendCondition',)
+
+from attrs import define, field
+
+from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.load import BackendState, LoadReport
+from dragonflyshift._internal.carried.packet import Pair
+from dragonflyshift._internal.carried.policies.openings import OpeningPolicy
+from dragonflyshift._internal.carried.sidecar.flows import FlowTable
+from dragonflyshift._internal.carried.sidecar.pace import ServicePace
+
+# After a bounced first packet the server is taken as full for this long.
+FULL_S = 0.1
+
+
+@define(eq=False)
+class BackendCondition:
+    """The backend server's state, slots and pace.
+
+    ``knows_all`` is False while the server may hold flows that this process
+    has not seen, after a restart of the process.
+    """
+
+    service: str
+    backend: Pair
+    view: FleetView
+    policy: OpeningPolicy
+    knows_all: bool
+    table: FlowTable = field(factory=FlowTable)
+    pace: ServicePace = field(factory=ServicePace)
+    slots: int = field(default=1)
+    is_stopping: bool = field(default=False)
+    is_down: bool = field(default=False)
+    # When a packet of the server was seen last.
+    seen_at: float = field(default=float('-inf'))
+    _full_until: float = field(default=float('-inf'))
+    _sequence: int = field(default=0)
+    _was_listed: bool = field(default=False)
+
+    def state(self) -> BackendState:
+        """Tell whether new flows are taken."""
+        if self.is_down:
+            return BackendState.DOWN
+        listed = self.view.at(self.backend)
+        if self.is_stopping or (listed is None and self._was_listed):
+            return BackendState.LEAVING
+        if listed is not None and listed.is_leaving:
+            return BackendState.LEAVING
+        return BackendState.SERVING
+
+    def read_register(self) -> None:
+        """Take over what the register lists for the server."""
+        listed = self.view.at(self.backend)
+        if listed is not None and listed.service == self.service:
+            self._was_listed = True
+            self.slots = max(1, listed.slots)
+
+    def note_full(self, now: float) -> None:
+        """Take note that the server bounced a first packet."""
+        self._full_until = now + FULL_S
+
+    def is_full(self, now: float) -> bool:
+        """Whether the server has just bounced a first packet."""
+        return now < self._full_until
+
+    def service_ms(self, now: float) -> float:
+        """Estimate the time that the server takes for a request."""
+        oldest = min(
+            (flow.request_at or now for flow in self.table.running()),
+            default=now,
+        )
+        return self.pace.service_ms(now - oldest)
+
+    def load(self, now: float) -> LoadReport:
+        """Return the report for balancers."""
+        self._sequence += 1
+        busy = self.table.busy(now)
+        if self.is_full(now):
+            busy = max(busy, self.slots * 2)
+        return LoadReport(
+            state=self.state(),
+            slots=self.slots,
+            busy=busy,
+            waiting=self.policy.waiting,
+            open_flows=len(self.table),
+            service_ms=round(self.service_ms(now), 1),
+            knows_all=self.knows_all,
+            sequence=self._sequence,
+        )
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -11,8 +11,8 @@
 from dragonflyshift._internal.carried.messages import (
     Ask,
     Carry,
+    Datagram,
     Open,
-    Placement,
     Status,
 )
 from dragonflyshift._internal.carried.node import CarryingNode
@@ -21,9 +21,14 @@
     FlowKey,
     PacketCodec,
     Pair,
+    client_host,
 )
 from dragonflyshift._internal.carried.policies.openings import OpeningPolicy
-from dragonflyshift._internal.carried.sidecar.host import FlowHost, HostPorts
+from dragonflyshift._internal.carried.sidecar.admission import HostPorts
+from dragonflyshift._internal.carried.sidecar.condition import (
+    BackendCondition,
+)
+from dragonflyshift._internal.carried.sidecar.host import FlowHost
 from dragonflyshift._internal.carried.sidecar.watch import (
     SILENCE_S,
     BackendWatch,
@@ -50,26 +55,26 @@
     ) -> None:
         """Prepare; ``start`` opens the sockets."""
         super().__init__(settings, codec, source)
+        self._client_port = settings.client_port
         if settings.backend is None or not settings.service:
             raise SettingsError(
                 'a sidecar needs a service and a backend server',
                 hint='name both in the settings',
             )
         name = settings.plugins.get('opening-policy', 'target-first')
-        self.host = FlowHost(
+        self.condition = BackendCondition(
             service=settings.service,
             backend=settings.backend,
             view=self.view,
-            codec=codec,
             policy=find_plugin(OpeningPolicy, name)(),
-            ports=HostPorts(
-                self._send_backend,
-                self._send_client,
-                self.send_peer,
-            ),
-            counters=self.counters,
             knows_all=settings.is_first_start,
         )
+        ports = HostPorts(
+            self._send_backend,
+            self._send_client,
+            self.send_peer,
+        )
+        self.host = FlowHost(self.condition, codec, ports, self.counters)
         self._backend = settings.backend
         self._outbound: PairSocket | None = None
         self._started_at = time.monotonic()
@@ -96,8 +101,7 @@
 
     def leave(self) -> None:
         """Take no new flow."""
-        self.host.is_stopping = True
-        self.host.hand_back(time.monotonic())
+        self.host.leave(time.monotonic())
 
     async def wait_until_unused(self) -> None:
         """Serve on until no request is under way."""
@@ -105,22 +109,22 @@
         latest = loop.time() + self.settings.stop_grace_s - STOP_MARGIN_S
         await asyncio.sleep(MIN_DRAIN_S)
         while loop.time() < latest:
-            if not self.host.table.busy(time.monotonic()):
+            if not self.condition.table.busy(time.monotonic()):
                 return
             await asyncio.sleep(DRAIN_CHECK_S)
 
     def is_ready(self) -> bool:
         """A sidecar works before it has learned a configuration."""
-        return True
+        return not self.is_leaving
 
     def load(self) -> LoadReport | None:
         """Return the load of the server."""
-        return self.host.load(time.monotonic())
+        return self.condition.load(time.monotonic())
 
     def flow_datagram(
         self,
         now: float,
-        message: Open | Carry | Ask | Placement,
+        message: Datagram,
         pair: Pair,
     ) -> None:
         """Take a balancer's message."""
@@ -148,7 +152,7 @@
         """Drop what is old."""
         self.host.sweep(now)
         if now - self._started_at > self.settings.flow_lifetime_s:
-            self.host.knows_all = True
+            self.condition.knows_all = True
 
     def _backend_packet(self, raw: bytes, _pair: Pair) -> None:
         self.host.backend_packet(time.monotonic(), raw)
@@ -159,15 +163,17 @@
 
     def _send_client(self, raw: bytes, key: FlowKey) -> None:
         if self._outbound is not None:
-            self._outbound.send(raw, self.client_pair(key))
+            self._outbound.send(
+                raw, (client_host(key), self._client_port)
+            )
 
     def _is_doubtful(self) -> bool:
         now = time.monotonic()
         oldest = min(
-            (flow.request_at or now for flow in self.host.table.running()),
+            (flow.request_at or now for flow in self.condition.table.running()),
             default=now,
         )
-        silent_s = now - self.host.backend_seen_at
+        silent_s = now - self.condition.seen_at
         return now - oldest > SILENCE_S and silent_s > SILENCE_S
 
     def _lost(self) -> None:
--- /dev/null
+++ b/src/dragonflyshift/_internal/carried/sidecar/reports.py
@@ -0,0 +1,54 @@
+"""Telling balancers how busy the backend server is."""
+
+__all__ = ('LoadReporter',)
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from dragonflyshift._internal.carried.load import LoadReport
+from dragonflyshift._internal.carried.messages import Placement, Verdict
+from dragonflyshift._internal.carried.packet import (
+    FLOW_KEY_BYTES,
+    Pair,
+)
+
+# A balancer that sent a new flow within this time hears of load changes.
+INTEREST_S = 2.0
+MIN_REPORT_GAP_S = 0.03
+NO_FLOW = bytes(FLOW_KEY_BYTES)
+
+
+@define(eq=False)
+class LoadReporter:
+    """Report a changed load to the balancers that place flows here."""
+
+    load: Callable[[float], LoadReport]
+    send: Callable[[bytes, Pair], None]
+    _interested: dict[Pair, float] = field(factory=dict)
+    _reported: tuple[int, ...] = field(default=())
+    _reported_at: float = field(default=float('-inf'))
+
+    def note_interest(self, now: float, balancer: Pair) -> None:
+        """Take note that a balancer sent a new flow."""
+        self._interested[balancer] = now
+
+    def report_change(self, now: float) -> None:
+        """Tell of the load if it changed, within a rate."""
+        if now - self._reported_at < MIN_REPORT_GAP_S or not self._interested:
+            return
+        load = self.load(now)
+        level = (int(load.state), load.busy, load.waiting)
+        if level == self._reported:
+            return
+        self._reported = level
+        self._reported_at = now
+        report = Placement(NO_FLOW, Verdict.LOAD, load).encode()
+        for balancer in self._interested:
+            self.send(report, balancer)
+
+    def sweep(self, now: float) -> None:
+        """Forget balancers that place nothing here any more."""
+        for balancer, since in tuple(self._interested.items()):
+            if now - since > INTEREST_S:
+                self._interested.pop(balancer)
--- a/src/dragonflyshift/_internal/carried/telemetry/counters.py
+++ b/src/dragonflyshift/_internal/carried/telemetry/counters.py
@@ -31,8 +31,8 @@
     """Observations by bucket, the last one without a bound."""
 
     def __init__(self) -> None:
-        self.buckets = [0] * (len(BUCKET_BOUNDS_S) + 1)
-        self.total = 0.0
+        self.buckets = [0 for _ in range(len(BUCKET_BOUNDS_S) + 1)]
+        self.total: float = 0
 
     def observe(self, seconds: float) -> None:
         self.buckets[bisect.bisect_left(BUCKET_BOUNDS_S, seconds)] += 1
--- a/src/dragonflyshift/_internal/recovery/__init__.py
+++ b/src/dragonflyshift/_internal/recovery/__init__.py
@@ -1,12 +1,12 @@
 """Recovery after pauses and losses."""
 
 from dragonflyshift._internal.recovery.balancers import BalancerDirectory
+from dragonflyshift._internal.recovery.return_path import ReturnPath
 from dragonflyshift._internal.utils.pause import (
     PauseDetector,
     suspended_seconds,
     watch_pauses,
 )
-from dragonflyshift._internal.recovery.return_path import ReturnPath
 
 __all__ = (
     'BalancerDirectory',
--- a/src/dragonflyshift/_internal/utils/datagrams.py
+++ b/src/dragonflyshift/_internal/utils/datagrams.py
@@ -25,7 +25,9 @@
     doesn't hear of ICMP errors.
     """
 
-    def __init__(self, address: tuple[str, int], receiver: PairReceiver) -> None:
+    def __init__(
+        self, address: tuple[str, int], receiver: PairReceiver
+    ) -> None:
         """Bind; raise SettingsError when the address is taken."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
--- a/src/dragonflyshift/platform/documents.py
+++ b/src/dragonflyshift/platform/documents.py
@@ -28,6 +28,14 @@
 _PORT = struct.Struct('!H')
 MAX_PORT = 65535
 MAX_SLOTS = 100_000
+_MALFORMED = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    OSError,
+    RecursionError,
+)
 _KINDS = {
     'safe': TransferKind.IDEMPOTENT,
     'unsafe': TransferKind.NON_IDEMPOTENT,
@@ -47,7 +55,7 @@
             routes={route.address: route for route in routes},
             idle_ms=_whole(limits.get('idleTimeoutMs', DEFAULT_IDLE_MS)),
         )
-    except (ValueError, TypeError, LookupError, AttributeError, OSError) as exc:
+    except _MALFORMED as exc:
         raise ConfigurationError(
             f'configuration is malformed: {exc!r}',
         ) from exc
@@ -66,7 +74,7 @@
     try:
         body = json.loads(raw)
         return _endpoint(name, revision, body)
-    except (ValueError, TypeError, LookupError, RecursionError):
+    except _MALFORMED:
         return None
 
 
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -14,6 +14,7 @@
 # The port of the metrics address in deploy/system.toml.
 METRICS_PORT = 9464
 MAX_PORT = 65535
+_MALFORMED = (ValueError, TypeError, LookupError, AttributeError)
 
 
 def read_settings(path: str) -> NodeSettings:
@@ -28,7 +29,7 @@
         ) from exc
     try:
         return _decode(json.loads(raw))
-    except (ValueError, TypeError, LookupError, AttributeError) as exc:
+    except _MALFORMED as exc:
         raise SettingsError(
             f'settings are malformed: {exc!r}',
             context=path,
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -40,10 +40,12 @@
 KEEPALIVE_S = 1
 KEEPALIVE_PROBES = 2
 MAX_PAGES = 200
+READ_BYTES = 65536
 MS_PER_S = 1000
 _OK = 200
 _GONE = 410
 _NOT_FOUND = 404
+_NO_ANSWER = (OSError, EOFError, h11.ProtocolError)
 
 
 class PlatformStore(ViewSource):
@@ -102,31 +104,31 @@
         revision: int,
         items: list[Any],
     ) -> ViewUpdate:
-        records: dict[str, EndpointRecord] = {}
-        removed: dict[str, int] = {}
-        routes: RouteTable | None = None
-        for entry in items:
-            key = entry.get('key')
-            if key == CONFIGURATION_KEY and 'value' in entry:
-                routes = self._routes(entry) or routes
-            elif isinstance(key, str) and key.startswith(ENDPOINT_PREFIX):
-                name = key.removeprefix(ENDPOINT_PREFIX)
-                record = self._record(name, entry)
-                records.pop(name, None)
-                removed.pop(name, None)
-                if record is None:
-                    removed[name] = _revision(entry, 'revision')
-                else:
-                    records[name] = record
+        # Of several changes of one key the last one counts.
+        newest = {entry.get('key'): entry for entry in items}
+        configuration = newest.pop(CONFIGURATION_KEY, {})
+        records: list[EndpointRecord] = []
+        removed: list[tuple[str, int]] = []
+        for key, entry in newest.items():
+            if not isinstance(key, str) or not key.startswith(ENDPOINT_PREFIX):
+                continue
+            name = key.removeprefix(ENDPOINT_PREFIX)
+            record = self._record(name, entry)
+            if record is None:
+                removed.append((name, _revision(entry, 'revision')))
+            else:
+                records.append(record)
         return ViewUpdate(
             base=base,
             revision=revision,
-            records=tuple(records.values()),
-            removed=tuple(removed.items()),
-            routes=routes,
+            records=tuple(records),
+            removed=tuple(removed),
+            routes=self._routes(configuration),
         )
 
     def _routes(self, entry: Any) -> RouteTable | None:
+        if 'value' not in entry:
+            return None
         try:
             return decode_routes(_value(entry))
         except (ConfigurationError, ValueError) as exc:
@@ -157,7 +159,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 status, body = await self._exchange(target)
-        except (OSError, TimeoutError, EOFError, h11.ProtocolError) as exc:
+        except _NO_ANSWER as exc:
             self.close()
             raise PlatformError(
                 f'no answer from the store: {exc!r}',
@@ -208,7 +210,8 @@
         self._writer.write(self._http.send(h11.EndOfMessage()) or b'')
         await self._writer.drain()
         status, body = await self._receive()
-        if self._http.our_state is h11.DONE is self._http.their_state:
+        states = {self._http.our_state, self._http.their_state}
+        if states == {h11.DONE}:
             self._http.start_next_cycle()
             self.is_spent = False
         return status, body
@@ -220,17 +223,22 @@
         status = 0
         parts: list[bytes] = []
         while True:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA:
-                self._http.receive_data(await self._reader.read(65536))
-            elif isinstance(event, h11.Response):
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return status, b''.join(parts)
+            if isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return status, b''.join(parts)
-            elif isinstance(event, h11.ConnectionClosed):
-                raise EOFError('connection closed')
+
+    async def _next_event(self) -> Any:
+        event = self._http.next_event()
+        while event is h11.NEED_DATA:
+            self._http.receive_data(await self._reader.read(READ_BYTES))
+            event = self._http.next_event()
+        if isinstance(event, h11.ConnectionClosed):
+            raise EOFError('connection closed')
+        return event
 
 
 def _keep_alive(sock: socket.socket) -> None:
