Rank late flows behind those in time, also when a wait is predicted

Cause: the predicted wait counted all waiting flows of the same priority, late ones too, so a backlog after an outage made a sidecar refuse new flows that would have gone first; and the age of a repeated first packet was unknown. Change: the prediction counts what ranks before; the copy number gives the age.

--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -122,6 +122,4 @@
 
     def _send_client(self, raw: bytes, key: FlowKey) -> None:
         if self._fabric is not None:
-            self._fabric.send(
-                raw, (client_host(key), self._client_port)
-            )
+            self._fabric.send(raw, (client_host(key), self._client_port))
--- a/src/dragonflyshift/_internal/carried/policies/openings.py
+++ b/src/dragonflyshift/_internal/carried/policies/openings.py
@@ -129,7 +129,7 @@
         """Decide on a new flow; it is kept when the verdict is to wait."""
         if not self._waiting and busy < slots + OVERCOMMIT:
             return OpeningVerdict.START
-        ahead = busy + self._before(opening) + 1 - slots
+        ahead = busy + self._before(now, opening, service_ms) + 1 - slots
         wait_ms = max(0, ahead) * service_ms / max(1, slots)
         total_ms = opening.age_ms(now) + wait_ms
         limit_ms = self._limit_ms(opening, service_ms)
@@ -182,9 +182,16 @@
         """Tell whether a flow waits."""
         return key in self._waiting
 
-    def _before(self, opening: Opening) -> int:
+    def _before(
+        self,
+        now: float,
+        opening: Opening,
+        service_ms: float,
+    ) -> int:
+        """Count the waiting flows that would start before this one."""
+        rank = _rank(now, opening, service_ms)
         return sum(
-            other.priority <= opening.priority
+            _rank(now, other, service_ms) <= rank
             for other in self._waiting.values()
         )
 
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -34,6 +34,8 @@
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1000
+# Clients repeat a first packet after these times and number the copies.
+COPY_AGES_MS = (0, 200, 600)
 
 
 @define(eq=False)
@@ -77,7 +79,7 @@
             target_ms=message.target_ms,
             timeout_ms=message.timeout_ms,
             priority=message.priority,
-            waited_ms=message.waited_ms,
+            waited_ms=max(message.waited_ms, _repeated_ms(packet)),
             is_last=message.is_last,
             sender=balancer,
         )
@@ -246,3 +248,9 @@
                 'revision': condition.view.revision,
             },
         )
+
+
+def _repeated_ms(packet: Packet) -> int:
+    """Return the time since the first copy of a first packet."""
+    copies = min(packet.acknowledged, len(COPY_AGES_MS) - 1)
+    return COPY_AGES_MS[copies]
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -163,9 +163,7 @@
 
     def _send_client(self, raw: bytes, key: FlowKey) -> None:
         if self._outbound is not None:
-            self._outbound.send(
-                raw, (client_host(key), self._client_port)
-            )
+            self._outbound.send(raw, (client_host(key), self._client_port))
 
     def _is_doubtful(self) -> bool:
         now = time.monotonic()
--- /dev/null
+++ b/tests/lib/carried.py
@@ -0,0 +1,231 @@
+"""Builders and recorders for carried flows."""
+
+import socket
+from typing import Any
+
+from attrs import define, field
+
+from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.load import BackendState, LoadReport
+from dragonflyshift._internal.carried.messages import (
+    Datagram,
+    Open,
+    decode_datagram,
+)
+from dragonflyshift._internal.carried.packet import FlowKey, Pair
+from dragonflyshift._internal.carried.policies.openings import (
+    Opening,
+    TargetFirst,
+)
+from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.routes import (
+    Route,
+    RouteTable,
+    TransferKind,
+    WeightedService,
+)
+from dragonflyshift._internal.carried.sidecar.admission import HostPorts
+from dragonflyshift._internal.carried.sidecar.condition import (
+    BackendCondition,
+)
+from dragonflyshift._internal.carried.sidecar.host import FlowHost
+from dragonflyshift._internal.carried.telemetry import Counters
+from dragonflyshift.platform.packets import PlatformCodec
+
+SERVICE = 'lists'
+DATA_CENTER = 'klang'
+SERVICE_HOST = '198.18.0.1'
+SERVICE_PORT = 443
+PEER_PORT = 7720
+BACKEND_PORT = 8080
+SYN = 32
+ACK = 16
+FIN = 4
+RST = 8
+BOUNCED = 64
+
+
+def build_key(number: int = 1, port: int = SERVICE_PORT) -> FlowKey:
+    """Return the key of a client's flow; each number has its own port."""
+    return b''.join(
+        (
+            socket.inet_aton('100.64.0.7'),
+            (40_000 + number).to_bytes(2, 'big'),
+            socket.inet_aton(SERVICE_HOST),
+            port.to_bytes(2, 'big'),
+        )
+    )
+
+
+def build_packet(
+    key: FlowKey,
+    flags: int,
+    *,
+    sequence: int = 0,
+    acknowledged: int = 0,
+    payload: bytes = b'',
+    mark: int = 0,
+    from_backend: bool = False,
+) -> bytes:
+    """Return a packet as its sender writes it."""
+    source, destination = key[:6], key[6:]
+    if from_backend:
+        source, destination = destination, source
+    return b''.join(
+        (
+            sequence.to_bytes(4, 'big'),
+            acknowledged.to_bytes(4, 'big'),
+            bytes((flags,)),
+            mark.to_bytes(4, 'big'),
+            source[:4],
+            destination[4:],
+            destination[:4],
+            source[4:],
+            b'\1\2\3\4',
+            len(payload).to_bytes(2, 'big'),
+            payload,
+        )
+    )
+
+
+def build_record(number: int = 1, **changes: Any) -> EndpointRecord:
+    """Return an endpoint's record; each number has its own host."""
+    attributes: dict[str, Any] = {
+        'name': f'instance-{number}',
+        'revision': number,
+        'service': SERVICE,
+        'host': f'10.1.0.{number}',
+        'port': BACKEND_PORT,
+        'data_center': DATA_CENTER,
+        'slots': 3,
+        'is_leaving': False,
+        'warmup_ms': 0,
+        'started_ms': 1000,
+        **changes,
+    }
+    return EndpointRecord(**attributes)
+
+
+def build_route(**changes: Any) -> Route:
+    """Return the route of the service's address."""
+    address = socket.inet_aton(SERVICE_HOST) + SERVICE_PORT.to_bytes(2, 'big')
+    attributes: dict[str, Any] = {
+        'name': 'view',
+        'address': address,
+        'services': (WeightedService(SERVICE, 1),),
+        'kind': TransferKind.IDEMPOTENT,
+        'target_ms': 225,
+        'timeout_ms': 1200,
+        'priority': 2,
+        **changes,
+    }
+    return Route(**attributes)
+
+
+def build_routes(version: int = 1, *routes: Route) -> RouteTable:
+    """Return a table with these routes, or with the usual one."""
+    chosen = routes or (build_route(),)
+    return RouteTable(version, {route.address: route for route in chosen})
+
+
+def build_view(endpoints: int = 3, version: int = 1) -> FleetView:
+    """Return a view with that many endpoints and the usual route."""
+    view = FleetView()
+    view.routes = build_routes(version)
+    for number in range(1, endpoints + 1):
+        view.merge(build_record(number))
+    view.revision = endpoints
+    return view
+
+
+def build_load(**changes: Any) -> LoadReport:
+    """Return the report of an idle server."""
+    attributes: dict[str, Any] = {
+        'state': BackendState.SERVING,
+        'slots': 3,
+        'busy': 0,
+        'waiting': 0,
+        'open_flows': 0,
+        'service_ms': 50.0,
+        'knows_all': True,
+        'sequence': 1,
+        **changes,
+    }
+    return LoadReport(**attributes)
+
+
+def build_open(key: FlowKey, **changes: Any) -> Open:
+    """Return a new flow as a balancer offers it."""
+    attributes: dict[str, Any] = {
+        'service': SERVICE,
+        'target_ms': 225,
+        'timeout_ms': 1200,
+        'priority': 2,
+        'slots': 3,
+        'version': 1,
+        'waited_ms': 0,
+        'is_last': False,
+        'raw': build_packet(key, SYN),
+        **changes,
+    }
+    return Open(**attributes)
+
+
+def build_opening(number: int = 1, now: float = 0, **changes: Any) -> Opening:
+    """Return a new flow at a sidecar."""
+    attributes: dict[str, Any] = {
+        'key': build_key(number),
+        'raw': b'',
+        'arrived_at': now,
+        'target_ms': 225,
+        'timeout_ms': 1200,
+        'priority': 2,
+        **changes,
+    }
+    return Opening(**attributes)
+
+
+@define(eq=False)
+class Outbox:
+    """What a part sent, by kind of receiver."""
+
+    to_backend: list[bytes] = field(factory=list)
+    to_client: list[bytes] = field(factory=list)
+    to_daemon: list[tuple[Datagram, Pair]] = field(factory=list)
+
+    def client(self, raw: bytes, _key: FlowKey) -> None:
+        """Keep a packet for a client."""
+        self.to_client.append(raw)
+
+    def daemon(self, raw: bytes, pair: Pair) -> None:
+        """Keep a datagram for another daemon."""
+        self.to_daemon.append((decode_datagram(raw), pair))
+
+    def clear(self) -> None:
+        """Forget everything."""
+        self.to_backend.clear()
+        self.to_client.clear()
+        self.to_daemon.clear()
+
+
+def build_host(
+    view: FleetView | None = None,
+    *,
+    knows_all: bool = True,
+) -> tuple[FlowHost, Outbox]:
+    """Return the sidecar of the first endpoint, and what it sends."""
+    outbox = Outbox()
+    condition = BackendCondition(
+        service=SERVICE,
+        backend=build_record().pair,
+        view=view or build_view(),
+        policy=TargetFirst(),
+        knows_all=knows_all,
+    )
+    condition.read_register()
+    ports = HostPorts(
+        outbox.to_backend.append,
+        outbox.client,
+        outbox.daemon,
+    )
+    return FlowHost(condition, PlatformCodec(), ports, Counters()), outbox
--- /dev/null
+++ b/tests/unit/carried/test_host.py
@@ -0,0 +1,259 @@
+import unittest
+
+from dragonflyshift._internal.carried.load import BackendState
+from dragonflyshift._internal.carried.messages import (
+    Ask,
+    Carry,
+    Placement,
+    Verdict,
+)
+from dragonflyshift._internal.carried.packet import FlowKey, Pair
+from dragonflyshift.platform.packets import PlatformCodec
+from tests.lib.carried import (
+    ACK,
+    BOUNCED,
+    FIN,
+    RST,
+    SERVICE,
+    SYN,
+    build_host,
+    build_key,
+    build_open,
+    build_packet,
+    build_record,
+    build_routes,
+    build_view,
+)
+
+_BALANCER: Pair = ('10.0.0.1', 7720)
+_OTHER: Pair = ('10.0.0.2', 7720)
+_SERVER_SEQUENCE = 5000
+_CODEC = PlatformCodec()
+
+
+class HostTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.host, self.outbox = build_host()
+        self.key = build_key()
+
+    def test_first_packet_reaches_a_free_server_unchanged(self) -> None:
+        self.host.on_open(0, build_open(self.key), _BALANCER)
+        self.assertEqual(self.outbox.to_backend, [build_packet(self.key, SYN)])
+        self.assertEqual(self._verdicts(), [Verdict.ACCEPTED])
+
+    def test_answer_goes_straight_to_the_client(self) -> None:
+        self._open(self.key)
+        answer = build_packet(self.key, ACK, payload=b'x', from_backend=True)
+        self.host.backend_packet(0.2, answer)
+        self.assertEqual(self.outbox.to_client[-1], answer)
+
+    def test_slot_is_busy_until_the_answer_begins(self) -> None:
+        self._open(self.key)
+        request = build_packet(
+            self.key,
+            ACK,
+            acknowledged=_SERVER_SEQUENCE + 1,
+            payload=b'GET',
+        )
+        self.host.on_carry(0.1, Carry(SERVICE, request), _BALANCER)
+        self.assertEqual(self.host.condition.table.busy(0.9), 1)
+        answer = build_packet(self.key, ACK, payload=b'x', from_backend=True)
+        self.host.backend_packet(1.0, answer)
+        self.assertEqual(self.host.condition.table.busy(1.0), 0)
+
+    def test_reserved_slot_is_free_when_the_client_never_comes(self) -> None:
+        self.host.on_open(0, build_open(self.key), _BALANCER)
+        self.assertEqual(self.host.condition.table.busy(0.1), 1)
+        self.assertEqual(self.host.condition.table.busy(0.5), 0)
+
+    def test_flow_of_another_service_is_refused(self) -> None:
+        message = build_open(self.key, service='other')
+        self.host.on_open(0, message, _BALANCER)
+        self.assertEqual(self._verdicts(), [Verdict.REFUSED])
+        self.assertEqual(self.outbox.to_backend, [])
+
+    def test_dropped_route_is_refused_with_a_newer_configuration(self) -> None:
+        view = build_view()
+        view.routes = build_routes(2)
+        view.routes.routes.clear()
+        host, outbox = build_host(view)
+        host.on_open(0, build_open(self.key, version=1), _BALANCER)
+        self.assertEqual(outbox.to_backend, [])
+
+    def test_leaving_server_takes_no_flow_and_hands_back_waiting(self) -> None:
+        view = build_view()
+        host, outbox = build_host(view)
+        for number in range(6):
+            host.on_open(0, build_open(build_key(number)), _BALANCER)
+        self.assertEqual(host.condition.policy.waiting, 2)
+        outbox.clear()
+        view.merge(build_record(1, revision=9, is_leaving=True))
+        host.view_changed(0.1)
+        returned = [
+            message
+            for message, _pair in outbox.to_daemon
+            if isinstance(message, Placement) and message.raw
+        ]
+        self.assertEqual(len(returned), 2)
+        host.on_open(0.2, build_open(build_key(9)), _BALANCER)
+        self.assertEqual(outbox.to_backend, [])
+
+    def test_bounced_first_packet_goes_back_to_the_balancer(self) -> None:
+        self.host.on_open(0, build_open(self.key), _BALANCER)
+        self.outbox.clear()
+        self.host.backend_packet(0.01, build_packet(self.key, SYN | BOUNCED))
+        message, pair = self.outbox.to_daemon[0]
+        assert isinstance(message, Placement)
+        self.assertIs(message.verdict, Verdict.REFUSED)
+        self.assertEqual(message.raw, build_packet(self.key, SYN))
+        self.assertEqual(pair, _BALANCER)
+
+    def test_client_that_took_another_servers_answer_is_handed_on(self) -> None:
+        """Copies of a first packet reached two servers, both answered."""
+        self.host.on_open(0, build_open(self.key), _BALANCER)
+        self._server_answers()
+        foreign = build_packet(self.key, ACK, acknowledged=900_000)
+        self.host.on_carry(0.1, Carry(SERVICE, foreign), _BALANCER)
+        self.assertEqual(self._verdicts()[-1], Verdict.NOT_OWNED)
+        self.assertEqual(len(self.outbox.to_backend), 1)
+        self.host.on_ask(0.2, Ask(SERVICE, self.key, 900_000), _OTHER)
+        self.assertEqual(self._verdicts()[-1], Verdict.NOT_OWNED)
+        own = Ask(SERVICE, self.key, _SERVER_SEQUENCE + 1)
+        self.host.on_ask(0.2, own, _OTHER)
+        self.assertEqual(self._verdicts()[-1], Verdict.OWNED)
+
+    def test_restarted_sidecar_asks_its_server_and_adopts(self) -> None:
+        host, outbox = build_host(knows_all=False)
+        data = build_packet(self.key, ACK, payload=b'GET')
+        host.on_carry(0, Carry(SERVICE, data), _BALANCER)
+        question = _CODEC.from_client(outbox.to_backend[0])
+        self.assertEqual(question.hop_mark, 1)
+        answer = build_packet(self.key, ACK, from_backend=True)
+        host.backend_packet(0.01, answer)
+        message, _pair = outbox.to_daemon[-1]
+        assert isinstance(message, Placement)
+        self.assertIs(message.verdict, Verdict.OWNED)
+        self.assertEqual(outbox.to_client, [answer])
+
+    def test_restarted_sidecar_disowns_what_its_server_bounces(self) -> None:
+        host, outbox = build_host(knows_all=False)
+        data = build_packet(self.key, ACK, payload=b'GET')
+        host.on_carry(0, Carry(SERVICE, data), _BALANCER)
+        bounced = build_packet(
+            self.key,
+            ACK | BOUNCED,
+            payload=b'GET',
+            mark=1,
+        )
+        host.backend_packet(0.01, bounced)
+        message, _pair = outbox.to_daemon[-1]
+        assert isinstance(message, Placement)
+        self.assertIs(message.verdict, Verdict.NOT_OWNED)
+        self.assertEqual(outbox.to_client, [])
+
+    def test_lost_server_resets_its_flows_and_refuses_new_ones(self) -> None:
+        self._open(self.key)
+        self.outbox.clear()
+        self.host.backend_lost(1)
+        reset = _CODEC.from_backend(self.outbox.to_client[0])
+        self.assertTrue(reset.is_reset)
+        self.assertEqual(reset.sequence, _SERVER_SEQUENCE + 1)
+        self.assertIs(self.host.condition.state(), BackendState.DOWN)
+        self.host.backend_found(2)
+        self.assertIs(self.host.condition.state(), BackendState.SERVING)
+
+    def test_flow_that_the_server_forgot_is_reset(self) -> None:
+        self._open(self.key)
+        self.outbox.clear()
+        bounced = build_packet(self.key, ACK | BOUNCED, payload=b'GET')
+        self.host.backend_packet(1, bounced)
+        self.assertTrue(_CODEC.from_backend(self.outbox.to_client[0]).is_reset)
+
+    def test_ended_flow_is_never_reset(self) -> None:
+        self._open(self.key)
+        closing = build_packet(
+            self.key,
+            ACK | FIN,
+            acknowledged=_SERVER_SEQUENCE + 1,
+        )
+        self.host.on_carry(0.2, Carry(SERVICE, closing), _BALANCER)
+        answer = build_packet(self.key, ACK | FIN, from_backend=True)
+        self.host.backend_packet(0.3, answer)
+        self.outbox.clear()
+        late = build_packet(self.key, ACK | BOUNCED)
+        self.host.backend_packet(0.4, late)
+        self.assertEqual(self.outbox.to_client, [])
+
+    def test_servers_own_reset_is_delivered(self) -> None:
+        self._open(self.key)
+        reset = build_packet(self.key, RST, from_backend=True)
+        self.host.backend_packet(0.3, reset)
+        self.assertEqual(self.outbox.to_client[-1], reset)
+
+    def test_later_copy_of_a_first_packet_tells_its_age(self) -> None:
+        for number in range(4):
+            self.host.on_open(0, build_open(build_key(number)), _BALANCER)
+        copy = build_packet(build_key(7), SYN, acknowledged=2)
+        message = build_open(build_key(7), raw=copy, is_last=True)
+        self.host.on_open(0, message, _BALANCER)
+        self.host.on_open(0, build_open(build_key(8)), _BALANCER)
+        self.outbox.clear()
+        answer = build_packet(
+            build_key(0),
+            ACK,
+            payload=b'x',
+            from_backend=True,
+        )
+        self.host.backend_packet(0.05, answer)
+        started = [_CODEC.from_client(raw) for raw in self.outbox.to_backend]
+        self.assertEqual(started[0].key, build_key(8))
+
+    def test_hopeless_flow_is_refused_before_the_client_gives_up(self) -> None:
+        for number in range(5):
+            self.host.on_open(0, build_open(build_key(number)), _BALANCER)
+        self.outbox.clear()
+        for tick in range(6):
+            self._keep_busy(tick * 0.25)
+        self.host.tick(1.25)
+        resets = [
+            packet
+            for packet in map(_CODEC.from_backend, self.outbox.to_client)
+            if packet.is_reset
+        ]
+        self.assertEqual(len(resets), 1)
+
+    def _keep_busy(self, now: float) -> None:
+        for number in range(4):
+            request = build_packet(
+                build_key(number),
+                ACK,
+                acknowledged=1,
+                payload=b'GET',
+            )
+            flow = self.host.condition.table.get(build_key(number))
+            assert flow is not None
+            flow.first_sequence = 0
+            self.host.on_carry(now, Carry(SERVICE, request), _BALANCER)
+
+    def _open(self, key: FlowKey) -> None:
+        self.host.on_open(0, build_open(key), _BALANCER)
+        self._server_answers()
+        opened = build_packet(key, ACK, acknowledged=_SERVER_SEQUENCE + 1)
+        self.host.on_carry(0.05, Carry(SERVICE, opened), _BALANCER)
+
+    def _server_answers(self) -> None:
+        answer = build_packet(
+            self.key,
+            SYN | ACK,
+            sequence=_SERVER_SEQUENCE,
+            from_backend=True,
+        )
+        self.host.backend_packet(0.01, answer)
+
+    def _verdicts(self) -> list[Verdict]:
+        return [
+            message.verdict
+            for message, _pair in self.outbox.to_daemon
+            if isinstance(message, Placement)
+            and message.verdict is not Verdict.LOAD
+        ]
--- /dev/null
+++ b/tests/unit/carried/test_placement.py
@@ -0,0 +1,93 @@
+"""Replays of the loads that placement answers."""
+
+import random
+import unittest
+from collections import Counter
+from typing import Any
+
+from dragonflyshift._internal.carried.load import BackendState
+from dragonflyshift._internal.carried.policies.placement import (
+    CrossingCost,
+    FastestEstimate,
+    PlacementOption,
+)
+from tests.lib.carried import build_load, build_record
+
+_COST = CrossingCost(data_center_ms=20, region_ms=200)
+
+
+def _option(number: int, **changes: Any) -> PlacementOption:
+    attributes: dict[str, Any] = {
+        'record': build_record(number),
+        'load': build_load(),
+        'age_ms': 0,
+        'sent_since': 0,
+        'is_local': True,
+        'is_suspect': False,
+        'is_cold': False,
+        **changes,
+    }
+    return PlacementOption(**attributes)
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.rng = random.Random(1)
+
+    def test_free_server_comes_before_a_busy_one(self) -> None:
+        busy = _option(1, load=build_load(busy=4))
+        free = _option(2)
+        self.assertEqual(self._order(busy, free), [free, busy])
+
+    def test_leaving_and_lost_servers_are_left_out(self) -> None:
+        leaving = _option(1, record=build_record(1, is_leaving=True))
+        lost = _option(2, load=build_load(state=BackendState.DOWN))
+        stopping = _option(3, load=build_load(state=BackendState.LEAVING))
+        fine = _option(4)
+        ordered = self._order(leaving, lost, stopping, fine)
+        self.assertEqual(ordered, [fine])
+
+    def test_slow_server_gets_less(self) -> None:
+        slow = _option(1, load=build_load(service_ms=250.0))
+        fine = _option(2, load=build_load(busy=4))
+        self.assertEqual(self._order(slow, fine), [fine, slow])
+
+    def test_cold_server_comes_after_a_warm_one(self) -> None:
+        cold = _option(1, is_cold=True)
+        warm = _option(2)
+        self.assertEqual(self._order(cold, warm), [warm, cold])
+
+    def test_silent_sidecar_is_the_last_resort(self) -> None:
+        silent = _option(1, is_suspect=True)
+        busy = _option(2, load=build_load(busy=12))
+        self.assertEqual(self._order(silent, busy), [busy, silent])
+        self.assertEqual(self._order(silent), [silent])
+
+    def test_other_data_centre_only_when_it_is_much_faster(self) -> None:
+        far = _option(1, is_local=False)
+        near = _option(2, load=build_load(busy=3))
+        full = _option(3, load=build_load(busy=8))
+        self.assertEqual(self._order(far, near)[0], near)
+        self.assertEqual(self._order(far, full)[0], far)
+
+    def test_old_report_of_a_busy_server_fades(self) -> None:
+        old = _option(1, load=build_load(busy=6), age_ms=400)
+        new = _option(2, load=build_load(busy=5))
+        self.assertEqual(self._order(old, new)[0], old)
+
+    def test_burst_between_two_reports_spreads(self) -> None:
+        options = [_option(number) for number in range(1, 8)]
+        counts: Counter[str] = Counter()
+        for _ in range(42):
+            chosen = self._order(*options)[0]
+            chosen.sent_since += 1
+            counts[chosen.record.name] += 1
+        self.assertEqual(set(counts.values()), {6})
+
+    def test_new_long_flows_go_where_fewer_are_open(self) -> None:
+        crowded = _option(1, load=build_load(open_flows=60))
+        empty = _option(2)
+        self.assertEqual(self._order(crowded, empty)[0], empty)
+
+    def _order(self, *options: PlacementOption) -> list[PlacementOption]:
+        return FastestEstimate().order(options, _COST, self.rng)
--- /dev/null
+++ b/tests/unit/carried/test_view.py
@@ -0,0 +1,100 @@
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dragonflyshift._internal.carried.fleet.exchange import (
+    decode_update,
+    encode_update,
+)
+from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
+from dragonflyshift._internal.exceptions import ConfigurationError
+from tests.lib.carried import (
+    SERVICE,
+    build_record,
+    build_routes,
+    build_view,
+)
+
+
+def _full(revision: int, *numbers: int) -> ViewUpdate:
+    records = tuple(build_record(number) for number in numbers)
+    return ViewUpdate(0, revision, records)
+
+
+class ViewTest(unittest.TestCase):
+    def test_version_never_goes_back(self) -> None:
+        view = build_view(version=5)
+        older = ViewUpdate(3, 4, routes=build_routes(4))
+        self.assertFalse(view.apply(older))
+        self.assertEqual(view.routes.version, 5)
+
+    def test_older_word_on_an_endpoint_is_ignored(self) -> None:
+        view = build_view()
+        view.merge(build_record(1, revision=9, is_leaving=True))
+        self.assertFalse(view.merge(build_record(1, revision=8)))
+        self.assertTrue(view.records['instance-1'].is_leaving)
+
+    def test_removed_endpoint_does_not_return_with_an_old_record(self) -> None:
+        view = build_view()
+        view.remove('instance-1', 9)
+        self.assertFalse(view.merge(build_record(1, revision=8)))
+        self.assertTrue(view.merge(build_record(1, revision=10)))
+
+    def test_complete_picture_drops_what_it_does_not_list(self) -> None:
+        view = build_view(endpoints=3)
+        view.apply(_full(8, 1, 3))
+        self.assertEqual(set(view.records), {'instance-1', 'instance-3'})
+        self.assertEqual(view.revision, 8)
+
+    def test_older_picture_drops_nothing_newer(self) -> None:
+        view = build_view(endpoints=3)
+        view.merge(build_record(7, revision=20))
+        view.apply(_full(8, 1, 2, 3))
+        self.assertIn('instance-7', view.records)
+
+    def test_gap_before_an_update_keeps_the_revision(self) -> None:
+        view = build_view(endpoints=3)
+        view.apply(ViewUpdate(10, 12, (build_record(4, revision=12),)))
+        self.assertIn('instance-4', view.records)
+        self.assertEqual(view.revision, 3)
+
+    def test_lapsed_entry_stays_until_confirmed(self) -> None:
+        view = build_view(endpoints=2)
+        view.apply(ViewUpdate(2, 5, removed=(('instance-1', 5),)), doubt=True)
+        self.assertEqual(len(view.endpoints(SERVICE)), 2)
+        view.merge(build_record(1, revision=6))
+        self.assertEqual(view.confirm_removals(), ())
+        view.apply(ViewUpdate(5, 7, removed=(('instance-2', 7),)), doubt=True)
+        self.assertEqual(view.confirm_removals(), ('instance-2',))
+        self.assertEqual(len(view.endpoints(SERVICE)), 1)
+
+    def test_news_reaches_a_peer_of_any_revision(self) -> None:
+        view = build_view(endpoints=3, version=4)
+        view.remove('instance-2', 9)
+        view.revision = 9
+        for base in (0, 3):
+            peer = build_view(endpoints=3, version=1)
+            update = decode_update(encode_update(view, base, 1))
+            peer.apply(update)
+            with self.subTest(base=base):
+                self.assertEqual(peer.records, view.records)
+                self.assertEqual(peer.digest, view.digest)
+                self.assertEqual(peer.routes.version, 4)
+                self.assertEqual(peer.revision, 9)
+
+    def test_newest_start_at_an_address_counts(self) -> None:
+        view = FleetView()
+        view.merge(build_record(1, name='old', started_ms=1))
+        view.merge(build_record(1, name='new', started_ms=2, service='other'))
+        found = view.at(build_record(1).pair)
+        assert found is not None
+        self.assertEqual(found.name, 'new')
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.binary(max_size=60))
+    def test_malformed_update_is_refused(self, raw: bytes) -> None:
+        try:
+            decode_update(raw)
+        except ConfigurationError as exc:
+            self.assertIn('malformed', str(exc))
