--- a/src/dragonflyshift/_internal/carried/telemetry/lines.py
+++ b/src/dragonflyshift/_internal/carried/telemetry/lines.py
@@ -33,13 +33,13 @@
         self._static = static
         self._tokens = float(BURST_LINES)
         self._filled_at = time.monotonic()
-        self._left_out = 0
+        self.left_out = 0
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record, or count it as left out."""
         if not self._takes(record.levelno):
-            self._left_out += 1
+            self.left_out += 1
             return
         row = {
             'time': round(record.created, 3),
@@ -54,8 +54,8 @@
             row['error'] = logging.Formatter().formatException(
                 record.exc_info,
             )
-        if self._left_out:
-            row['left_out'] = self._left_out
+        if self.left_out:
+            row['left_out'] = self.left_out
         self._write(json.dumps(row, default=str))
 
     def _write(self, line: str) -> None:
@@ -63,9 +63,9 @@
             os.write(self._descriptor, f'{line}\n'.encode())
         except OSError:
             # The reader is behind or gone: counted, and said later.
-            self._left_out += 1
+            self.left_out += 1
         else:
-            self._left_out = 0
+            self.left_out = 0
 
     def _takes(self, level: int) -> bool:
         now = time.monotonic()
--- a/tests/lib/carried.py
+++ b/tests/lib/carried.py
@@ -122,7 +122,10 @@
     return Route(**attributes)
 
 
-def build_routes(version: int = 1, *routes: Route) -> RouteTable:
+def build_routes(
+    version: int = 1,
+    routes: tuple[Route, ...] = (),
+) -> RouteTable:
     """Return a table with these routes, or with the usual one."""
     chosen = routes or (build_route(),)
     return RouteTable(version, {route.address: route for route in chosen})
--- /dev/null
+++ b/tests/unit/carried/test_carrier.py
@@ -0,0 +1,254 @@
+import random
+import unittest
+
+from dragonflyshift._internal.carried.balancer.carrier import (
+    CarrierPorts,
+    FlowCarrier,
+)
+from dragonflyshift._internal.carried.balancer.sidecars import SidecarBook
+from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.load import BackendState
+from dragonflyshift._internal.carried.messages import (
+    Ask,
+    Carry,
+    Open,
+    Placement,
+    Verdict,
+)
+from dragonflyshift._internal.carried.packet import FlowKey, Pair
+from dragonflyshift._internal.carried.policies.placement import (
+    FastestEstimate,
+)
+from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.telemetry import Counters
+from dragonflyshift.platform.packets import PlatformCodec
+from tests.lib.carried import (
+    ACK,
+    PEER_PORT,
+    SYN,
+    Outbox,
+    build_key,
+    build_load,
+    build_packet,
+    build_record,
+    build_routes,
+    build_view,
+)
+
+_CODEC = PlatformCodec()
+
+
+def _sidecar(record: EndpointRecord) -> Pair:
+    return (record.host, PEER_PORT)
+
+
+class CarrierTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.outbox = Outbox()
+        self.age_s: float = 0
+        self.view = build_view(endpoints=3)
+        self.carrier = self._carrier(self.view)
+        self.key = build_key()
+
+    def test_new_flow_is_offered_to_one_sidecar(self) -> None:
+        self._send(0, SYN)
+        message, pair = self.outbox.to_daemon[0]
+        assert isinstance(message, Open)
+        self.assertEqual(message.raw, build_packet(self.key, SYN))
+        self.assertIn(pair, self._pairs())
+        self.assertEqual(len(self.outbox.to_daemon), 1)
+
+    def test_later_packets_follow_the_flow(self) -> None:
+        pair = self._accepted()
+        self._send(0.1, ACK)
+        message, target = self.outbox.to_daemon[-1]
+        self.assertIsInstance(message, Carry)
+        self.assertEqual(target, pair)
+
+    def test_refused_flow_is_offered_to_the_others_then_reset(self) -> None:
+        self._send(0, SYN)
+        asked = []
+        for _ in range(3):
+            _message, pair = self.outbox.to_daemon[-1]
+            asked.append(pair)
+            self._verdict(0.01, pair, Verdict.REFUSED)
+        self.assertEqual(set(asked), self._pairs())
+        self.assertTrue(_CODEC.from_backend(self.outbox.to_client[0]).is_reset)
+        self.assertEqual(self.carrier.opener.pending, {})
+
+    def test_last_offer_says_so(self) -> None:
+        self._send(0, SYN)
+        for _ in range(2):
+            _message, pair = self.outbox.to_daemon[-1]
+            self._verdict(0.01, pair, Verdict.REFUSED)
+        offers = [
+            message.is_last
+            for message, _pair in self.outbox.to_daemon
+            if isinstance(message, Open)
+        ]
+        self.assertEqual(offers, [False, False, True])
+
+    def test_silent_sidecar_is_passed_over(self) -> None:
+        self._send(0, SYN)
+        _message, silent = self.outbox.to_daemon[-1]
+        self.carrier.tick(0.1)
+        _message, second = self.outbox.to_daemon[-1]
+        self.assertNotEqual(second, silent)
+        self.assertEqual(self.outbox.to_client, [])
+
+    def test_flow_waits_for_the_first_configuration(self) -> None:
+        """A balancer that has just started gets packets before its view."""
+        view = FleetView()
+        self.carrier = self._carrier(view)
+        self.age_s = float('inf')
+        self._send(0, SYN)
+        self.assertEqual(self.outbox.to_daemon, [])
+        view.routes = build_routes(1)
+        view.merge(build_record(1))
+        self.carrier.opener.view_changed(0.2)
+        self.assertEqual(len(self.outbox.to_daemon), 1)
+        self.assertEqual(self.outbox.to_client, [])
+
+    def test_flow_without_a_route_is_refused_at_once(self) -> None:
+        self.key = build_key(port=9)
+        self._send(0, SYN)
+        self.assertEqual(len(self.outbox.to_client), 1)
+
+    def test_flow_without_a_route_is_not_refused_by_an_old_view(self) -> None:
+        """The route may be in a configuration that has not come here."""
+        self.age_s = 60
+        self.key = build_key(port=9)
+        self._send(0, SYN)
+        self.assertEqual(self.outbox.to_client, [])
+
+    def test_service_without_endpoints_is_refused_at_once(self) -> None:
+        for number in range(1, 4):
+            self.view.remove(f'instance-{number}', 50)
+        self._send(0, SYN)
+        self.assertEqual(len(self.outbox.to_client), 1)
+
+    def test_leaving_endpoints_get_no_flow(self) -> None:
+        for number in (1, 2):
+            leaving = build_record(number, revision=50, is_leaving=True)
+            self.view.merge(leaving)
+        for number in range(20):
+            self.key = build_key(number)
+            self._send(0, SYN)
+        targets = {pair for _message, pair in self.outbox.to_daemon}
+        self.assertEqual(targets, {_sidecar(build_record(3))})
+
+    def test_unknown_flow_is_found_at_its_owner(self) -> None:
+        self._send(0, ACK)
+        asked = {
+            pair
+            for message, pair in self.outbox.to_daemon
+            if isinstance(message, Ask)
+        }
+        self.assertEqual(asked, self._pairs())
+        owner = _sidecar(build_record(2))
+        self.outbox.clear()
+        self._verdict(0.01, owner, Verdict.OWNED)
+        message, pair = self.outbox.to_daemon[0]
+        self.assertIsInstance(message, Carry)
+        self.assertEqual(pair, owner)
+        self._send(0.02, ACK)
+        self.assertEqual(self.outbox.to_daemon[-1][1], owner)
+
+    def test_unsure_sidecar_gets_the_packet_when_nobody_owns_it(self) -> None:
+        self._send(0, ACK)
+        unsure = _sidecar(build_record(3))
+        self.outbox.clear()
+        self._verdict(0.01, _sidecar(build_record(1)), Verdict.NOT_OWNED)
+        self._verdict(0.01, unsure, Verdict.UNSURE)
+        self.assertEqual(self.outbox.to_daemon, [])
+        self._verdict(0.01, _sidecar(build_record(2)), Verdict.NOT_OWNED)
+        self.assertEqual(
+            [pair for _message, pair in self.outbox.to_daemon],
+            [unsure],
+        )
+
+    def test_flow_that_nobody_holds_is_left_alone(self) -> None:
+        """Its server may live beyond this view; only silence is safe."""
+        self._send(0, ACK)
+        for pair in self._pairs():
+            self._verdict(0.01, pair, Verdict.NOT_OWNED)
+        self.assertEqual(self.outbox.to_client, [])
+        self.assertEqual(self.carrier.lookups.lookups, {})
+
+    def test_disowned_flow_is_looked_up_with_its_packet(self) -> None:
+        pair = self._accepted()
+        self.outbox.clear()
+        raw = build_packet(self.key, ACK, payload=b'GET')
+        self._verdict(0.2, pair, Verdict.NOT_OWNED, raw)
+        asked = [
+            message
+            for message, _pair in self.outbox.to_daemon
+            if isinstance(message, Ask)
+        ]
+        self.assertEqual(len(asked), 3)
+        self.assertNotIn(self.key, self.carrier.cache)
+
+    def test_bounced_flow_is_placed_elsewhere(self) -> None:
+        pair = self._accepted()
+        self.outbox.clear()
+        raw = build_packet(self.key, SYN)
+        self._verdict(0.05, pair, Verdict.REFUSED, raw)
+        message, second = self.outbox.to_daemon[0]
+        self.assertIsInstance(message, Open)
+        self.assertNotEqual(second, pair)
+
+    def test_malformed_packets_are_counted(self) -> None:
+        self.carrier.client_packet(0, b'short')
+        self.assertEqual(self.outbox.to_daemon, [])
+
+    def test_lost_servers_sidecar_is_not_asked(self) -> None:
+        lost = _sidecar(build_record(1))
+        down = build_load(state=BackendState.DOWN)
+        self.carrier.sidecars.heard(0, lost, down)
+        for number in range(20):
+            self.key = build_key(number)
+            self._send(0, SYN)
+        targets = {pair for _message, pair in self.outbox.to_daemon}
+        self.assertNotIn(lost, targets)
+
+    def _carrier(self, view: FleetView) -> FlowCarrier:
+        ports = CarrierPorts(
+            self.outbox.daemon,
+            self.outbox.client,
+            _sidecar,
+            lambda _now: self.age_s,
+        )
+        return FlowCarrier(
+            view,
+            SidecarBook('klang'),
+            _CODEC,
+            FastestEstimate(),
+            ports,
+            random.Random(1),
+            Counters(),
+        )
+
+    def _pairs(self) -> set[Pair]:
+        return {_sidecar(build_record(number)) for number in range(1, 4)}
+
+    def _send(self, now: float, flags: int) -> None:
+        self.carrier.client_packet(now, build_packet(self.key, flags))
+
+    def _accepted(self) -> Pair:
+        self._send(0, SYN)
+        _message, pair = self.outbox.to_daemon[-1]
+        self._verdict(0.01, pair, Verdict.ACCEPTED)
+        return pair
+
+    def _verdict(
+        self,
+        now: float,
+        pair: Pair,
+        verdict: Verdict,
+        raw: bytes = b'',
+    ) -> None:
+        answer = Placement(self._key(), verdict, build_load(), raw)
+        self.carrier.placement(now, answer, pair)
+
+    def _key(self) -> FlowKey:
+        return self.key
--- a/tests/unit/carried/test_host.py
+++ b/tests/unit/carried/test_host.py
@@ -33,7 +33,9 @@
 
 class HostTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.host, self.outbox = build_host()
+        host, outbox = build_host()
+        self.host = host
+        self.outbox = outbox
         self.key = build_key()
 
     def test_first_packet_reaches_a_free_server_unchanged(self) -> None:
--- a/tests/unit/platform/test_documents.py
+++ b/tests/unit/platform/test_documents.py
@@ -53,6 +53,12 @@
     'services': [],
     'limits': {'idleTimeoutMs': 9000},
 }
+
+
+def _encode(body: Any) -> bytes:
+    return json.dumps(body).encode()
+
+
 _JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: (
@@ -120,14 +126,15 @@
         table = decode_routes(json.dumps(_CONFIG).encode())
         route = table.find(build_key(1))
         assert route is not None
-        chosen = [route.service_for(build_key(n)) for n in range(5000)]
+        keys = [build_key(number) for number in range(5000)]
+        chosen = [route.service_for(key) for key in keys]
         share = chosen.count('new') / len(chosen)
         self.assertAlmostEqual(share, 0.1, delta=0.03)
-        again = [route.service_for(build_key(n)) for n in range(5000)]
+        again = [route.service_for(key) for key in keys]
         self.assertEqual(chosen, again)
 
     @settings(derandomize=True, max_examples=300)
-    @given(st.binary(max_size=60) | _JSON.map(lambda v: json.dumps(v).encode()))
+    @given(st.binary(max_size=60) | _JSON.map(_encode))
     def test_any_bytes_are_taken_or_refused(self, raw: bytes) -> None:
         decode_endpoint('i-1', 5, raw)
         try:
