Bind sockets before loading, and reset flows of servers that have ended

Cause: after a loss of power a balancer on a quarter of a core loads for half a second, and first packets that come meanwhile are lost; afterwards clients of long flows send to flows that no server holds and wait for their budget. Change: the UDP sockets are bound before anything else is imported; when all sidecars deny a flow and the view is confirmed, the flow is reset. The store's client and its HTTP library are loaded when first used.

--- a/src/dragonflyshift/_internal/carried/balancer/carrier.py
+++ b/src/dragonflyshift/_internal/carried/balancer/carrier.py
@@ -33,6 +33,7 @@
 )
 from dragonflyshift._internal.carried.policies.placement import FlowPlacement
 from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.routes import Route
 from dragonflyshift._internal.carried.telemetry import Counters
 from dragonflyshift._internal.exceptions import WireError
 
@@ -44,17 +45,21 @@
 MS_PER_S = 1000
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class CarrierPorts:
-    """How the carrier sends, and what it asks of its daemon."""
+    """How the carrier sends, and what it asks of its daemon.
+
+    ``confirm_view()`` has the readers of the store tell what they hold.
+    """
 
     to_sidecar: Callable[[bytes, Pair], None]
     to_client: Callable[[bytes, FlowKey], None]
     sidecar: Callable[[EndpointRecord], Pair]
     view_age_s: Callable[[float], float]
+    confirm_view: Callable[[], None]
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class CachedFlow:
     """Where a flow lives, as this balancer last heard."""
 
@@ -96,7 +101,12 @@
             rng,
         )
         self.lookups = OwnerLookups(
-            LookupPorts(ports.to_sidecar, self._owner_unknown),
+            LookupPorts(
+                ports.to_sidecar,
+                ports.confirm_view,
+                self._all_denied,
+                self._unanswered,
+            ),
         )
 
     def client_packet(self, now: float, raw: bytes) -> None:
@@ -166,14 +176,15 @@
             self._counters.incr('dropped_no_route')
             return
         self._counters.incr('lookups')
-        names = [option.name for option in route.services]
-        pairs = {
+        service = route.service_for(packet.key)
+        self.lookups.start(now, packet, service, self._sidecars_of(route))
+
+    def _sidecars_of(self, route: Route) -> set[Pair]:
+        return {
             self._ports.sidecar(record)
-            for name in names
-            for record in self.view.endpoints(name)
+            for option in route.services
+            for record in self.view.endpoints(option.name)
         }
-        service = route.service_for(packet.key)
-        self.lookups.start(now, packet, service, pairs)
 
     def _note_owner(
         self,
@@ -189,7 +200,16 @@
             self.opener.accepted(key)
         else:
             self.lookups.owned(key, pair)
-            self._log('flow-found', now, key, pair)
+            age_s = now - self.sidecars.belief(pair).heard_at
+            logger.info(
+                'flow-found',
+                extra={
+                    'flow': flow_name(key),
+                    'sidecar': pair[0],
+                    'report_age_ms': int(age_s * MS_PER_S),
+                    'revision': self.view.revision,
+                },
+            )
 
     def _service_of(self, key: FlowKey, pair: Pair) -> str:
         route = self.view.routes.find(key)
@@ -230,12 +250,34 @@
             if not packet.is_first:
                 self._look_up(now, packet)
 
-    def _owner_unknown(self, packet: Packet, lookup: Lookup) -> None:
+    def _unanswered(self, lookup: Lookup) -> None:
+        """Leave a flow alone whose owner may just be silent."""
         self._counters.incr('owner_unknown')
+        self._log_lookup('owner-unknown', lookup)
+
+    def _all_denied(self, now: float, lookup: Lookup) -> None:
+        """Reset a flow whose server has ended, so that its client returns.
+
+        That is certain only if the view is: then no server that lives is
+        missing among those that denied the flow.
+        """
+        packet = lookup.packets[-1]
+        route = self.view.routes.find(packet.key)
+        if route is None or not self._is_fresh(now):
+            self._unanswered(lookup)
+        elif not self._sidecars_of(route) <= lookup.asked:
+            self._look_up(now, packet)
+        elif any(held.payload_bytes for held in lookup.packets):
+            self._counters.incr('resets')
+            self._log_lookup('flow-reset', lookup)
+            reset = self._codec.reset(packet.key, packet.acknowledged)
+            self._ports.to_client(reset, packet.key)
+
+    def _log_lookup(self, event: str, lookup: Lookup) -> None:
         logger.info(
-            'owner-unknown',
+            event,
             extra={
-                'flow': flow_name(packet.key),
+                'flow': flow_name(lookup.packets[0].key),
                 'asked': len(lookup.asked),
                 'answered': len(lookup.answered),
                 'unsure': len(lookup.unsure),
@@ -260,17 +302,5 @@
     def _is_fresh(self, now: float) -> bool:
         return self._ports.view_age_s(now) < FRESH_VIEW_S
 
-    def _log(self, event: str, now: float, key: FlowKey, pair: Pair) -> None:
-        belief = self.sidecars.belief(pair)
-        logger.info(
-            event,
-            extra={
-                'flow': flow_name(key),
-                'sidecar': pair[0],
-                'report_age_ms': int((now - belief.heard_at) * MS_PER_S),
-                'revision': self.view.revision,
-            },
-        )
-
 
 _TAKEN = frozenset((Verdict.ACCEPTED, Verdict.OWNED))
--- a/src/dragonflyshift/_internal/carried/balancer/lookups.py
+++ b/src/dragonflyshift/_internal/carried/balancer/lookups.py
@@ -3,7 +3,8 @@
 The packets wait while all sidecars of the service are asked. The owner
 answers; a sidecar that has just restarted may not know its server's flows
 and says so: it gets the packets as a question to its server, unless another
-sidecar claims the flow.
+sidecar claims the flow. When all deny it, the view is confirmed once more: if
+it lists nobody else, the flow's server has ended.
 """
 
 __all__ = ('Lookup', 'LookupPorts', 'OwnerLookups')
@@ -22,11 +23,13 @@
 ANSWER_TIMEOUT_S = 0.03
 # Without an owner the look-up ends; the sender repeats the packet.
 LOOKUP_LIFETIME_S = 0.3
+# Time for a reader of the store to tell of an endpoint that is missing here.
+CONFIRM_S = 0.05
 MAX_LOOKUPS = 2048
 MAX_HELD_PACKETS = 16
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Lookup:
     """Packets that wait for their flow's owner."""
 
@@ -37,17 +40,25 @@
     unsure: set[Pair] = field(factory=set)
     answered: set[Pair] = field(factory=set)
     is_questioned: bool = field(default=False)
+    denied_at: float | None = field(default=None)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class LookupPorts:
-    """How look-ups send; ``owner_unknown`` hears of flows nobody holds."""
+    """How look-ups send, and who hears of flows without an owner.
+
+    ``confirm_view()`` has the readers tell what they hold; ``denied(lookup)``
+    is called when all sidecars have denied the flow and the view had time to
+    be confirmed, ``unanswered(lookup)`` when some did not answer.
+    """
 
     send: Callable[[bytes, Pair], None]
-    owner_unknown: Callable[[Packet, Lookup], None]
+    confirm_view: Callable[[], None]
+    denied: Callable[[float, Lookup], None]
+    unanswered: Callable[[Lookup], None]
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class OwnerLookups:
     """The look-ups under way, by flow."""
 
@@ -94,7 +105,7 @@
         if lookup is not None:
             lookup.unsure.discard(pair)
             lookup.answered.add(pair)
-            self._check(now, key, lookup)
+            self._check(now, lookup)
 
     def unsure(self, now: float, key: FlowKey, pair: Pair) -> None:
         """Take note that a sidecar may hold the flow."""
@@ -102,23 +113,29 @@
         if lookup is not None:
             lookup.unsure.add(pair)
             lookup.answered.add(pair)
-            self._check(now, key, lookup)
+            self._check(now, lookup)
 
     def tick(self, now: float) -> None:
         """Go on where not all answered, and end what is old."""
         for key, lookup in tuple(self.lookups.items()):
-            if now - lookup.started_at > LOOKUP_LIFETIME_S:
-                self._end(key, lookup)
+            if lookup.denied_at is not None:
+                if now - lookup.denied_at > CONFIRM_S:
+                    self.lookups.pop(key)
+                    self.ports.denied(now, lookup)
+            elif now - lookup.started_at > LOOKUP_LIFETIME_S:
+                self.lookups.pop(key)
+                self.ports.unanswered(lookup)
             elif now - lookup.started_at > ANSWER_TIMEOUT_S:
                 self._question(lookup)
 
-    def _check(self, now: float, key: FlowKey, lookup: Lookup) -> None:
+    def _check(self, now: float, lookup: Lookup) -> None:
         if not lookup.answered >= lookup.asked:
             return
         if lookup.unsure:
             self._question(lookup)
-        else:
-            self._end(key, lookup)
+        elif lookup.denied_at is None:
+            lookup.denied_at = now
+            self.ports.confirm_view()
 
     def _question(self, lookup: Lookup) -> None:
         """Have those who are unsure ask their servers, once."""
@@ -139,8 +156,3 @@
             datagram = Carry(lookup.service, packet.raw).encode()
             for pair in lookup.unsure:
                 self.ports.send(datagram, pair)
-
-    def _end(self, key: FlowKey, lookup: Lookup) -> None:
-        self.lookups.pop(key, None)
-        for packet in lookup.packets:
-            self.ports.owner_unknown(packet, lookup)
--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -30,6 +30,7 @@
 from dragonflyshift._internal.exceptions import SettingsError
 from dragonflyshift._internal.kernel.registry import find_plugin
 from dragonflyshift._internal.utils.datagrams import PairSocket
+from dragonflyshift._internal.utils.early_binding import BoundSockets
 
 logger = logging.getLogger(__name__)
 
@@ -47,9 +48,10 @@
         settings: NodeSettings,
         codec: PacketCodec,
         source: ViewSource | None,
+        sockets: BoundSockets,
     ) -> None:
-        """Prepare; ``start`` opens the sockets."""
-        super().__init__(settings, codec, source)
+        """Prepare; ``start`` opens what ``sockets`` doesn't hold."""
+        super().__init__(settings, codec, source, sockets)
         self._client_port = settings.client_port
         name = settings.plugins.get('flow-placement', 'fastest-estimate')
         self.carrier = FlowCarrier(
@@ -62,6 +64,7 @@
                 self._send_client,
                 self.member.sidecar_of,
                 self.member.gossip.age_s,
+                self.member.ask_readers,
             ),
             self.rng,
             self.counters,
@@ -75,7 +78,10 @@
                 'a balancer needs an address for the fabric',
                 hint='name it in the settings',
             )
-        self._fabric = PairSocket(self.settings.fabric, self._fabric_packet)
+        self._fabric = PairSocket(
+            self.sockets.take(self.settings.fabric),
+            self._fabric_packet,
+        )
 
     def leave(self) -> None:
         """Nothing to do: readiness says it already."""
--- a/src/dragonflyshift/_internal/carried/balancer/openings.py
+++ b/src/dragonflyshift/_internal/carried/balancer/openings.py
@@ -37,7 +37,7 @@
 _LARGE = frozenset((TransferKind.DOWNLOAD, TransferKind.UPLOAD))
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PendingOpening:
     """A flow's first packet that no sidecar has taken yet."""
 
@@ -50,7 +50,7 @@
     preferred: Pair | None = field(default=None)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class OpenerPorts:
     """How the opener sends and refuses.
 
@@ -64,7 +64,7 @@
     is_fresh: Callable[[float], bool]
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class FlowOpener:
     """Offer new flows to sidecars, one after the other, until one accepts."""
 
--- a/src/dragonflyshift/_internal/carried/balancer/sidecars.py
+++ b/src/dragonflyshift/_internal/carried/balancer/sidecars.py
@@ -21,7 +21,7 @@
 REORDER_S = 0.1
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class SidecarBelief:
     """The newest report of a sidecar, and what was sent there since."""
 
@@ -32,7 +32,7 @@
     knows_all: bool = True
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class SidecarBook:
     """Beliefs by the sidecar's address."""
 
--- a/src/dragonflyshift/_internal/carried/fleet/audience.py
+++ b/src/dragonflyshift/_internal/carried/fleet/audience.py
@@ -20,7 +20,7 @@
 TELLERS = 2
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Audience:
     """Choose the addresses for statuses and news.
 
--- a/src/dragonflyshift/_internal/carried/fleet/exchange.py
+++ b/src/dragonflyshift/_internal/carried/fleet/exchange.py
@@ -27,7 +27,7 @@
 _PULL_FAILURES = (OSError, ValueError, TypeError, EOFError)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ViewServer:
     """Answer peers that pull this daemon's view."""
 
--- a/src/dragonflyshift/_internal/carried/fleet/gossip.py
+++ b/src/dragonflyshift/_internal/carried/fleet/gossip.py
@@ -34,7 +34,7 @@
 FOREVER_S = 3600.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class GossipPorts:
     """How gossip sends, and what it asks of its daemon.
 
@@ -48,7 +48,7 @@
     is_reading: Callable[[], bool]
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Gossip:
     """Exchange statuses, notices and views with peers."""
 
@@ -142,11 +142,12 @@
             load=self.ports.load(),
         )
 
-    def greet(self, now: float) -> None:
-        """Ask all balancers known, and the seeds, for their status."""
-        self._told_at = now
-        for pair in self.book.balancer_pairs():
-            self._send_status(now, pair, wants_reply=True)
+    def ask(self, now: float, pairs: Iterable[Pair] | None = None) -> None:
+        """Ask daemons, or all balancers known, for their status."""
+        asked = self.book.balancer_pairs() if pairs is None else pairs
+        for pair in asked:
+            if pair != self.book.own:
+                self._send_status(now, pair, wants_reply=True)
 
     def _tell(self, targets: Iterable[Pair], now: float) -> None:
         for pair in targets:
--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -24,7 +24,7 @@
 logger = logging.getLogger(__name__)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class MemberPorts:
     """How a member sends, and whom it tells of changes.
 
@@ -100,19 +100,24 @@
             self._view_changed()
             self.gossip.publish(now, names)
 
+    def ask_readers(self) -> None:
+        """Have the readers of the store tell what they hold."""
+        now = time.monotonic()
+        self.gossip.ask(now, self.book.readers(now))
+
     def paused(self, now: float, length: float) -> None:
         """Trust nothing from before a pause of this process."""
         logger.warning('paused', extra={'seconds': round(length, 3)})
         self.gossip.note_pause()
         if self.reader is not None:
             self.reader.note_pause(now)
-        self.gossip.greet(now)
+        self.gossip.ask(now)
 
     def reseed(self, seeds: tuple[Pair, ...]) -> None:
         """Look for peers at other addresses."""
         logger.info('reseeded', extra={'seeds': [host for host, _ in seeds]})
         self.book.seeds = seeds
-        self.gossip.greet(time.monotonic())
+        self.gossip.ask(time.monotonic())
 
     def _is_reading(self) -> bool:
         return self.reader is not None and self.reader.is_reading
--- a/src/dragonflyshift/_internal/carried/fleet/peers.py
+++ b/src/dragonflyshift/_internal/carried/fleet/peers.py
@@ -18,7 +18,7 @@
 READER_MAX_AGE_MS = 3500
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Peer:
     """A daemon with the newest status heard from it."""
 
@@ -29,7 +29,7 @@
     told_version: int = 0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PeerBook:
     """Balancers and sidecars by address.
 
--- a/src/dragonflyshift/_internal/carried/fleet/puller.py
+++ b/src/dragonflyshift/_internal/carried/fleet/puller.py
@@ -20,7 +20,7 @@
 MIN_FULL_GAP_S = 1.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ViewPuller:
     """Bring the view up to date from peers that are ahead.
 
--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -31,7 +31,7 @@
 PAUSE_BETWEEN_READS_S = 0.05
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class StoreReader:
     """Read everything once, then wait for changes.
 
--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -34,7 +34,7 @@
     routes: RouteTable | None = None
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class FleetView:
     """Routes and endpoints, complete up to ``revision``.
 
--- a/src/dragonflyshift/_internal/carried/http_pages.py
+++ b/src/dragonflyshift/_internal/carried/http_pages.py
@@ -25,7 +25,7 @@
     content_type: str = 'text/plain; charset=utf-8'
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class HttpPages:
     """Answer GET requests by path; connections may be kept open."""
 
--- a/src/dragonflyshift/_internal/carried/listeners.py
+++ b/src/dragonflyshift/_internal/carried/listeners.py
@@ -23,7 +23,7 @@
 ]
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class DaemonPages:
     """Whether the fabric may send flows here, and the counters."""
 
@@ -46,7 +46,7 @@
         return Page(200, self.counters.exposition())
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Listeners:
     """The open listeners."""
 
--- a/src/dragonflyshift/_internal/carried/node.py
+++ b/src/dragonflyshift/_internal/carried/node.py
@@ -33,6 +33,7 @@
 from dragonflyshift._internal.carried.telemetry import Counters
 from dragonflyshift._internal.exceptions import WireError
 from dragonflyshift._internal.utils.datagrams import PairSocket
+from dragonflyshift._internal.utils.early_binding import BoundSockets
 from dragonflyshift._internal.utils.pause import PauseDetector
 
 logger = logging.getLogger(__name__)
@@ -54,10 +55,12 @@
         settings: NodeSettings,
         codec: PacketCodec,
         source: ViewSource | None,
+        sockets: BoundSockets,
     ) -> None:
-        """Prepare; ``start`` opens the sockets."""
+        """Prepare; ``start`` opens what ``sockets`` doesn't hold."""
         self.settings = settings
         self.codec = codec
+        self.sockets = sockets
         self.rng = random.Random(settings.name + str(time.time_ns()))
         self.counters = Counters()
         self.is_leaving = False
@@ -77,7 +80,10 @@
 
     async def start(self) -> None:
         """Open the sockets and begin to work."""
-        self._peers = PairSocket(self.settings.peers, self._peer_datagram)
+        self._peers = PairSocket(
+            self.sockets.take(self.settings.peers),
+            self._peer_datagram,
+        )
         self.open_sockets()
         loop = asyncio.get_running_loop()
         if self.member.reader is not None:
@@ -88,7 +94,7 @@
             DaemonPages(self.is_ready, self.counters),
             ViewServer(self.view),
         )
-        self.member.gossip.greet(time.monotonic())
+        self.member.gossip.ask(time.monotonic())
         logger.info(
             'started',
             extra={
@@ -103,7 +109,7 @@
         self.member.gossip.is_leaving = True
         logger.info('draining')
         self.leave()
-        self.member.gossip.greet(time.monotonic())
+        self.member.gossip.ask(time.monotonic())
         await self.wait_until_unused()
         self.close()
         logger.info('stopped')
--- a/src/dragonflyshift/_internal/carried/packet.py
+++ b/src/dragonflyshift/_internal/carried/packet.py
@@ -25,7 +25,7 @@
     return '.'.join(str(octet) for octet in key[:4])
 
 
-@define(slots=True, eq=False)
+@define(eq=False, repr=False)
 class Packet:
     """One packet of a flow.
 
--- a/src/dragonflyshift/_internal/carried/policies/election.py
+++ b/src/dragonflyshift/_internal/carried/policies/election.py
@@ -21,7 +21,7 @@
 SIDECAR_DELAY_S = 1.5
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ReaderElection:
     """Decide whether this daemon reads the store.
 
--- a/src/dragonflyshift/_internal/carried/policies/openings.py
+++ b/src/dragonflyshift/_internal/carried/policies/openings.py
@@ -37,7 +37,7 @@
     REFUSE = 'refuse'
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Opening:
     """A new flow that asks for a slot.
 
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -38,7 +38,7 @@
 COPY_AGES_MS = (0, 200, 600)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class HostPorts:
     """How a sidecar sends to its server, to clients and to balancers."""
 
@@ -47,7 +47,7 @@
     to_balancer: Callable[[bytes, Pair], None]
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class FlowAdmission:
     """Decide on first packets, and deliver them when a slot is free."""
 
--- a/src/dragonflyshift/_internal/carried/sidecar/condition.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/condition.py
@@ -15,7 +15,7 @@
 FULL_S = 0.1
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class BackendCondition:
     """The backend server's state, slots and pace.
 
--- a/src/dragonflyshift/_internal/carried/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flows.py
@@ -27,7 +27,7 @@
     ENDED = 2
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class HostedFlow:
     """A flow that the backend server holds, or is about to.
 
@@ -67,7 +67,7 @@
         return ahead <= ACK_WINDOW
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class FlowTable:
     """All flows of one backend server, with the slots that they take."""
 
--- a/src/dragonflyshift/_internal/carried/sidecar/host.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/host.py
@@ -45,7 +45,7 @@
 _NO_BALANCER: Pair = ('', 0)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class FlowHost:
     """Own the flows of one backend server."""
 
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -36,6 +36,7 @@
 from dragonflyshift._internal.exceptions import SettingsError
 from dragonflyshift._internal.kernel.registry import find_plugin
 from dragonflyshift._internal.utils.datagrams import PairSocket
+from dragonflyshift._internal.utils.early_binding import BoundSockets
 
 logger = logging.getLogger(__name__)
 
@@ -52,9 +53,10 @@
         settings: NodeSettings,
         codec: PacketCodec,
         source: ViewSource | None,
+        sockets: BoundSockets,
     ) -> None:
-        """Prepare; ``start`` opens the sockets."""
-        super().__init__(settings, codec, source)
+        """Prepare; ``start`` opens what ``sockets`` doesn't hold."""
+        super().__init__(settings, codec, source, sockets)
         self._client_port = settings.client_port
         if settings.backend is None or not settings.service:
             raise SettingsError(
@@ -93,7 +95,7 @@
                 hint='name it in the settings',
             )
         self._outbound = PairSocket(
-            self.settings.outbound,
+            self.sockets.take(self.settings.outbound),
             self._backend_packet,
         )
         loop = asyncio.get_running_loop()
--- a/src/dragonflyshift/_internal/carried/sidecar/pace.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/pace.py
@@ -11,7 +11,7 @@
 MS_PER_S = 1000
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ServicePace:
     """A smoothed service time in milliseconds.
 
--- a/src/dragonflyshift/_internal/carried/sidecar/reports.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/reports.py
@@ -19,7 +19,7 @@
 NO_FLOW = bytes(FLOW_KEY_BYTES)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class LoadReporter:
     """Report a changed load to the balancers that place flows here."""
 
--- a/src/dragonflyshift/_internal/carried/sidecar/strangers.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/strangers.py
@@ -18,7 +18,7 @@
 QUESTION_LIFETIME_S = 1.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Question:
     """A flow that the server was asked about, and for whom."""
 
@@ -26,7 +26,7 @@
     asked_at: float
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Questions:
     """The questions to the server that have no answer yet."""
 
--- a/src/dragonflyshift/_internal/carried/sidecar/watch.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/watch.py
@@ -31,7 +31,7 @@
     SILENT = 'silent'
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class BackendWatch:
     """Try the server's port while there is a doubt.
 
--- a/src/dragonflyshift/_internal/utils/datagrams.py
+++ b/src/dragonflyshift/_internal/utils/datagrams.py
@@ -7,13 +7,10 @@
 import socket
 from collections.abc import Callable
 
-from dragonflyshift._internal.exceptions import SettingsError
-
 logger = logging.getLogger(__name__)
 
 MAX_DATAGRAM_BYTES = 65535
 READ_BATCH = 64
-RECEIVE_BUFFER_BYTES = 4 << 20
 
 PairReceiver = Callable[[bytes, tuple[str, int]], None]
 
@@ -25,25 +22,8 @@
     doesn't hear of ICMP errors.
     """
 
-    def __init__(
-        self, address: tuple[str, int], receiver: PairReceiver
-    ) -> None:
-        """Bind; raise SettingsError when the address is taken."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        sock.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_RCVBUF,
-            RECEIVE_BUFFER_BYTES,
-        )
-        try:
-            sock.bind(address)
-        except OSError as exc:
-            sock.close()
-            raise SettingsError(
-                f'can not bind {address}: {exc.strerror}',
-                hint='check the address and that no other process has it',
-            ) from exc
+    def __init__(self, sock: socket.socket, receiver: PairReceiver) -> None:
+        """Start reading a bound socket on the running loop."""
         self._sock = sock
         self._receiver = receiver
         self._loop = asyncio.get_running_loop()
--- a/src/dragonflyshift/platform/__main__.py
+++ b/src/dragonflyshift/platform/__main__.py
@@ -1,11 +1,21 @@
 """Entry point: ``python3 -m dragonflyshift.platform ROLE``."""
 
+import os
 import sys
 
-# Nothing here speaks TLS, and loading it would cost each start 30 ms.
+from dragonflyshift.platform.binding import SETTINGS_VARIABLE, bind_early
+
+# Nothing here speaks TLS, and loading it would prolong each start.
 sys.modules.setdefault('ssl', None)  # type: ignore[arg-type]
 
-from dragonflyshift.platform.running import main  # noqa: E402
+
+def _run() -> int:
+    sockets = bind_early(os.environ.get(SETTINGS_VARIABLE, ''))
+    # Most of a start is the loading of this: packets wait meanwhile.
+    from dragonflyshift.platform.running import main
+
+    return main(sys.argv[1:], sockets)
+
 
 if __name__ == '__main__':
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(_run())
--- /dev/null
+++ b/src/dragonflyshift/platform/http_client.py
@@ -0,0 +1,105 @@
+"""An HTTP connection to the platform's store."""
+
+__all__ = ('HttpConnection', 'open_connection')
+
+import asyncio
+import logging
+import socket
+from typing import Any
+
+import h11
+
+from dragonflyshift._internal.carried.packet import Pair
+
+logger = logging.getLogger(__name__)
+
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 2
+READ_BYTES = 65536
+
+
+class HttpConnection:
+    """One HTTP connection to the store."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        host: str,
+    ) -> None:
+        """Take over a connection."""
+        self._reader = reader
+        self._writer = writer
+        self._host = host
+        self._http = h11.Connection(h11.CLIENT)
+        self.is_spent = False
+
+    async def get(self, target: str) -> tuple[int, bytes]:
+        """Return the status and body; raise EOFError when it breaks."""
+        try:
+            return await self._exchange(target)
+        except h11.ProtocolError as exc:
+            raise EOFError(f'answer is no HTTP: {exc}') from exc
+
+    async def _exchange(self, target: str) -> tuple[int, bytes]:
+        self.is_spent = True
+        request = h11.Request(
+            method='GET',
+            target=target,
+            headers=[('Host', self._host)],
+        )
+        self._writer.write(self._http.send(request) or b'')
+        self._writer.write(self._http.send(h11.EndOfMessage()) or b'')
+        await self._writer.drain()
+        status, body = await self._receive()
+        states = {self._http.our_state, self._http.their_state}
+        if states == {h11.DONE}:
+            self._http.start_next_cycle()
+            self.is_spent = False
+        return status, body
+
+    def close(self) -> None:
+        """Close at once."""
+        self._writer.transport.abort()
+
+    async def _receive(self) -> tuple[int, bytes]:
+        status = 0
+        parts: list[bytes] = []
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return status, b''.join(parts)
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+
+    async def _next_event(self) -> Any:
+        event = self._http.next_event()
+        while event is h11.NEED_DATA:
+            self._http.receive_data(await self._reader.read(READ_BYTES))
+            event = self._http.next_event()
+        if isinstance(event, h11.ConnectionClosed):
+            raise EOFError('connection closed')
+        return event
+
+
+async def open_connection(address: Pair) -> HttpConnection:
+    """Connect to the store."""
+    reader, writer = await asyncio.open_connection(*address)
+    _keep_alive(writer.get_extra_info('socket'))
+    return HttpConnection(reader, writer, f'{address[0]}:{address[1]}')
+
+
+def _keep_alive(sock: socket.socket) -> None:
+    """Have the kernel find a connection that has gone silent."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, KEEPALIVE_S),
+            (socket.TCP_KEEPINTVL, KEEPALIVE_S),
+            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        ):
+            sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    except OSError as exc:
+        logger.info('keep-alive-not-set', extra={'reason': repr(exc)})
--- a/src/dragonflyshift/platform/running.py
+++ b/src/dragonflyshift/platform/running.py
@@ -16,8 +16,10 @@
     DragonflyshiftError,
     SettingsError,
 )
+from dragonflyshift._internal.utils.early_binding import BoundSockets
+from dragonflyshift.platform.binding import SETTINGS_VARIABLE
 from dragonflyshift.platform.packets import PlatformCodec
-from dragonflyshift.platform.settings import SETTINGS_VARIABLE, read_settings
+from dragonflyshift.platform.settings import read_settings
 from dragonflyshift.platform.store import PlatformStore
 
 logger = logging.getLogger(__name__)
@@ -30,7 +32,7 @@
 SETTINGS_CHECK_S = 2.0
 
 
-def main(arguments: Sequence[str]) -> int:
+def main(arguments: Sequence[str], sockets: BoundSockets) -> int:
     """Run a role; return the process's exit status."""
     try:
         role = _role(arguments)
@@ -41,7 +43,8 @@
             node=settings.name,
             role=role,
         )
-        asyncio.run(_serve(role, settings, path))
+        node = _create_node(role, settings, sockets)
+        asyncio.run(_serve(node, path))
     except SettingsError as exc:
         sys.stderr.write(f'error: {exc}\n')
         return USAGE_STATUS
@@ -70,7 +73,11 @@
     return path
 
 
-def _create_node(role: str, settings: NodeSettings) -> CarryingNode:
+def _create_node(
+    role: str,
+    settings: NodeSettings,
+    sockets: BoundSockets,
+) -> CarryingNode:
     source = PlatformStore(settings.store) if settings.store else None
     # Each role imports only what it uses; imports are most of a start.
     if role == BALANCER:
@@ -78,20 +85,19 @@
             BalancerNode,
         )
 
-        return BalancerNode(settings, PlatformCodec(), source)
+        return BalancerNode(settings, PlatformCodec(), source, sockets)
     from dragonflyshift._internal.carried.sidecar.node import SidecarNode
 
-    return SidecarNode(settings, PlatformCodec(), source)
+    return SidecarNode(settings, PlatformCodec(), source, sockets)
 
 
-async def _serve(role: str, settings: NodeSettings, path: str) -> None:
+async def _serve(node: CarryingNode, path: str) -> None:
     stop = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    node = _create_node(role, settings)
     await node.start()
     reloads = asyncio.create_task(_watch_settings(node, path, reload))
     await stop.wait()
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -1,6 +1,6 @@
 """The platform's settings file."""
 
-__all__ = ('SETTINGS_VARIABLE', 'read_settings')
+__all__ = ('read_settings',)
 
 import json
 from pathlib import Path
@@ -9,8 +9,8 @@
 from dragonflyshift._internal.carried.node_settings import NodeSettings
 from dragonflyshift._internal.carried.packet import Pair
 from dragonflyshift._internal.exceptions import SettingsError
+from dragonflyshift.platform.binding import SETTINGS_VARIABLE
 
-SETTINGS_VARIABLE = 'DRAGONFLYSHIFT_CONFIG'
 # The port of the metrics address in deploy/system.toml.
 METRICS_PORT = 9464
 MAX_PORT = 65535
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -6,12 +6,9 @@
 import base64
 import json
 import logging
-import socket
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
-import h11
-
 from dragonflyshift._internal.carried.fleet.source import (
     HistoryLostError,
     ViewSource,
@@ -31,21 +28,21 @@
     decode_routes,
 )
 
+if TYPE_CHECKING:
+    from dragonflyshift.platform.http_client import HttpConnection
+
 logger = logging.getLogger(__name__)
 
 READ_TIMEOUT_S = 1.5
 # A watch ends without news after this; a silent connection shows by then.
 WATCH_WAIT_MS = 2500
 WATCH_MARGIN_S = 0.7
-KEEPALIVE_S = 1
-KEEPALIVE_PROBES = 2
 MAX_PAGES = 200
-READ_BYTES = 65536
 MS_PER_S = 1000
 _OK = 200
 _GONE = 410
 _NOT_FOUND = 404
-_NO_ANSWER = (OSError, EOFError, h11.ProtocolError)
+_NO_ANSWER = (OSError, EOFError)
 
 
 class PlatformStore(ViewSource):
@@ -54,7 +51,7 @@
     def __init__(self, address: Pair) -> None:
         """Connect at the first call."""
         self._address = address
-        self._stream: _Connection | None = None
+        self._stream: HttpConnection | None = None
         self._foreign: set[str] = set()
 
     async def read_all(self) -> ViewUpdate:
@@ -173,88 +170,14 @@
     async def _exchange(self, target: str) -> tuple[int, bytes]:
         stream = self._stream
         if stream is None or stream.is_spent:
-            stream = await _Connection.open(self._address)
+            # Loaded when first used: most sidecars never read the store.
+            from dragonflyshift.platform.http_client import open_connection
+
+            stream = await open_connection(self._address)
             self._stream = stream
         return await stream.get(target)
 
 
-class _Connection:
-    """One HTTP connection to the store."""
-
-    def __init__(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        host: str,
-    ) -> None:
-        self._reader = reader
-        self._writer = writer
-        self._host = host
-        self._http = h11.Connection(h11.CLIENT)
-        self.is_spent = False
-
-    @classmethod
-    async def open(cls, address: Pair) -> '_Connection':
-        reader, writer = await asyncio.open_connection(*address)
-        _keep_alive(writer.get_extra_info('socket'))
-        return cls(reader, writer, f'{address[0]}:{address[1]}')
-
-    async def get(self, target: str) -> tuple[int, bytes]:
-        self.is_spent = True
-        request = h11.Request(
-            method='GET',
-            target=target,
-            headers=[('Host', self._host)],
-        )
-        self._writer.write(self._http.send(request) or b'')
-        self._writer.write(self._http.send(h11.EndOfMessage()) or b'')
-        await self._writer.drain()
-        status, body = await self._receive()
-        states = {self._http.our_state, self._http.their_state}
-        if states == {h11.DONE}:
-            self._http.start_next_cycle()
-            self.is_spent = False
-        return status, body
-
-    def close(self) -> None:
-        self._writer.transport.abort()
-
-    async def _receive(self) -> tuple[int, bytes]:
-        status = 0
-        parts: list[bytes] = []
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return status, b''.join(parts)
-            if isinstance(event, h11.Response):
-                status = event.status_code
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-
-    async def _next_event(self) -> Any:
-        event = self._http.next_event()
-        while event is h11.NEED_DATA:
-            self._http.receive_data(await self._reader.read(READ_BYTES))
-            event = self._http.next_event()
-        if isinstance(event, h11.ConnectionClosed):
-            raise EOFError('connection closed')
-        return event
-
-
-def _keep_alive(sock: socket.socket) -> None:
-    """Have the kernel find a connection that has gone silent."""
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        for option, value in (
-            (socket.TCP_KEEPIDLE, KEEPALIVE_S),
-            (socket.TCP_KEEPINTVL, KEEPALIVE_S),
-            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        ):
-            sock.setsockopt(socket.IPPROTO_TCP, option, value)
-    except OSError as exc:
-        logger.info('keep-alive-not-set', extra={'reason': repr(exc)})
-
-
 def _checked(path: str, status: int, raw: bytes) -> dict[str, Any]:
     if status == _GONE:
         raise HistoryLostError('history is gone', context=path)
