Serve the youngest first among flows with a slight chance

Cause: after the loss of power service times double, so that nearly all waiting flows fell behind the margin before the target and were taken oldest first, at a median age of 1.1 s, with no chance left. Change: three groups (good chance, slight, none); within the slight one the youngest goes first.

--- a/src/dragonflyshift/_internal/carried/policies/openings.py
+++ b/src/dragonflyshift/_internal/carried/policies/openings.py
@@ -27,6 +27,8 @@
 # Mean service times that must be left before a latency target for a flow to
 # count as in time; service times vary by about half of their mean.
 TARGET_MARGIN = 2.0
+# With less than this share of a mean service time left there is no chance.
+CHANCE_MARGIN = 0.5
 # Flows beyond the slots that are let through, so that a server doesn't idle
 # for the round trip between two requests.
 OVERCOMMIT = 1
@@ -40,6 +42,14 @@
     REFUSE = 'refuse'
 
 
+class _Chance(enum.IntEnum):
+    """The chance of a flow to meet its latency target."""
+
+    GOOD = 0
+    SLIGHT = 1
+    NONE = 2
+
+
 @define(eq=False, repr=False)
 class Opening:
     """A new flow that asks for a slot.
@@ -110,7 +120,7 @@
 
 
 class TargetFirst(OpeningPolicy, name='target-first'):
-    """Those that can meet their target first, by priority, then by age."""
+    """Those that can meet their target first, those with no chance last."""
 
     def __init__(self) -> None:
         """Start with nothing waiting."""
@@ -207,7 +217,16 @@
     now: float,
     opening: Opening,
     service_ms: float,
-) -> tuple[bool, int, float]:
+) -> tuple[_Chance, int, float]:
+    """Order flows by their chance, then by priority, then by age.
+
+    Among those that may just make it the youngest has the best chance. The
+    others of one kind go in order of arrival.
+    """
     age_ms = opening.age_ms(now)
-    is_late = age_ms + TARGET_MARGIN * service_ms > opening.target_ms
-    return (is_late, opening.priority, -age_ms)
+    left_ms = opening.target_ms - age_ms
+    if left_ms >= TARGET_MARGIN * service_ms:
+        return (_Chance.GOOD, opening.priority, -age_ms)
+    if left_ms >= CHANCE_MARGIN * service_ms:
+        return (_Chance.SLIGHT, opening.priority, age_ms)
+    return (_Chance.NONE, opening.priority, -age_ms)
