Make the last save of the naive queue test arrive last

Streams that open together may reach the sidecar in any order, so it was third in line. Change: it opens half a service time after the others; bounds unchanged.

--- a/bench/naive_carried/__main__.py
+++ b/bench/naive_carried/__main__.py
@@ -4,7 +4,8 @@
 endpoint that its flow's hash falls on; sidecars hand packets through. No
 look-up of owners, no peers, no limits.
 
-Run from a scratch checkout whose deploy file is ``bench/naive_carried/system.toml``:
+Run from a scratch checkout with ``bench/naive_carried/system.toml`` as its
+deploy file:
 ``python3 -m bench.naive_carried balancer``.
 """
 
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -50,6 +50,7 @@
 
     def __init__(self, address: Pair) -> None:
         """Connect at the first call."""
+        self.read_timeout_s = READ_TIMEOUT_S
         self._address = address
         self._stream: HttpConnection | None = None
         self._foreign: set[str] = set()
@@ -67,7 +68,7 @@
             query = {'prefix': ''}
             if after:
                 query['after'] = after
-            body = await self._get('/kv-range', query, READ_TIMEOUT_S)
+            body = await self._get('/kv-range', query, self.read_timeout_s)
             page = _rows(body, 'items')
             items.extend(page)
             revision = revision or _revision(body, 'asOf')
--- a/tests/functional/test_naive_queue.py
+++ b/tests/functional/test_naive_queue.py
@@ -45,6 +45,9 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         burst = [conn.open('POST', SAVE, body=b'1') for _ in range(BURST)]
+        # Streams that open together may arrive in any order; this one has to
+        # be the last.
+        await asyncio.sleep(SERVICE_SECONDS / 2)
         limit = ('x-request-timeout-ms', '300')
         last = conn.open('POST', SAVE, (limit,), b'1')
         expired = await last.answer(10)
--- /dev/null
+++ b/tests/unit/platform/test_settings.py
@@ -0,0 +1,100 @@
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from dragonflyshift._internal.exceptions import SettingsError
+from dragonflyshift.platform.binding import bind_early
+from dragonflyshift.platform.settings import read_settings
+
+_EDGE: dict[str, Any] = {
+    'node': 'edge-1',
+    'machineClass': 'edge',
+    'ip': '127.0.0.1',
+    'zone': 'kl-a',
+    'zones': {'kl-a': 'kl'},
+    'listenAddrs': {
+        'packetAddr': '127.0.0.1:8172',
+        'readiness': '127.0.0.1:8167',
+        'controlPlane': '127.0.0.1:8166',
+    },
+    'internalPorts': [7720, 7735],
+    'seeds': ['127.0.0.1:8166', '10.2.0.40:8166'],
+    'bootstrap': True,
+    'bounds': {'graceS': 6, 'flowMaxS': 60},
+    'platform': {'address': '10.200.1.7:8169'},
+    'aFieldThatMayCome': [1],
+}
+_SIDE: dict[str, Any] = {
+    **_EDGE,
+    'machineClass': 'side',
+    'listenAddrs': {
+        'packetAddr': '127.0.0.1:8172',
+        'outbound': '127.0.0.1:8162',
+        'readiness': '127.0.0.1:8167',
+    },
+    'service': 'lists',
+    'app': '127.0.0.1:8165',
+    'bootstrap': False,
+}
+
+
+class SettingsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / 'node.json'
+
+    def test_balancers_settings(self) -> None:
+        settings = self._read(_EDGE)
+        self.assertEqual(settings.fabric, ('127.0.0.1', 8172))
+        self.assertEqual(settings.peers, ('127.0.0.1', 7720))
+        # Its own address is no seed, the others speak on the peers' port.
+        self.assertEqual(settings.seeds, (('10.2.0.40', 7720),))
+        self.assertTrue(settings.is_first_start)
+        self.assertIsNone(settings.backend)
+
+    def test_sidecars_settings(self) -> None:
+        settings = self._read(_SIDE)
+        self.assertIsNone(settings.fabric)
+        self.assertEqual(settings.backend, ('127.0.0.1', 8165))
+        self.assertEqual(settings.outbound, ('127.0.0.1', 8162))
+        self.assertEqual(settings.client_port, 8172)
+
+    def test_each_missing_field_is_a_clear_error(self) -> None:
+        for name in ('node', 'ip', 'zone', 'listenAddrs', 'internalPorts'):
+            lacking = {key: _EDGE[key] for key in _EDGE if key != name}
+            with self.subTest(missing=name):
+                with self.assertRaises(SettingsError) as caught:
+                    self._read(lacking)
+                self.assertIn(name, str(caught.exception))
+
+    def test_bad_files_are_clear_errors(self) -> None:
+        for text in ('', '{', '[]', '{"node": 1}'):
+            self.path.write_text(text)
+            with self.subTest(text=text), self.assertRaises(SettingsError):
+                read_settings(str(self.path))
+        with self.assertRaises(SettingsError):
+            read_settings('/nowhere/node.json')
+
+    def test_packets_wait_from_the_first_moment(self) -> None:
+        edge = {**_EDGE, 'internalPorts': [0, 0]}
+        edge['listenAddrs'] = {
+            **_EDGE['listenAddrs'],
+            'packetAddr': '127.0.0.1:0',
+        }
+        self.path.write_text(json.dumps(edge))
+        sockets = bind_early(str(self.path))
+        bound = sockets.take(('127.0.0.1', 0))
+        self.addCleanup(bound.close)
+        self.assertNotEqual(bound.getsockname()[1], 0)
+
+    def test_unreadable_settings_bind_nothing(self) -> None:
+        self.path.write_text('{')
+        bind_early(str(self.path))
+        bind_early('')
+
+    def _read(self, body: dict[str, Any]) -> Any:
+        self.path.write_text(json.dumps(body))
+        return read_settings(str(self.path))
