Tick seldom while nothing waits

Cause: idle daemons woke up 50 times a second, and a sidecar's state was read from the register on each answer.

--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -119,12 +119,19 @@
         """Go on with what waits."""
         self.carrier.tick(now)
 
+    def has_waiting(self) -> bool:
+        """Tell whether an opening or a look-up lacks an answer."""
+        carrier = self.carrier
+        return bool(carrier.opener.pending or carrier.lookups.lookups)
+
     def sweep(self, now: float) -> None:
         """Drop what is old."""
         self.carrier.sweep(now)
 
     def _fabric_packet(self, raw: bytes, _pair: Pair) -> None:
         self.carrier.client_packet(time.monotonic(), raw)
+        if self.has_waiting():
+            self.ticker.hurry()
 
     def _send_client(self, raw: bytes, key: FlowKey) -> None:
         if self._fabric is not None:
--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -19,7 +19,7 @@
 
 logger = logging.getLogger(__name__)
 
-IDLE_CHECK_S = 0.1
+IDLE_CHECK_S = 0.2
 # First and longest wait after a failure; the store limits calls.
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
--- a/src/dragonflyshift/_internal/carried/node.py
+++ b/src/dragonflyshift/_internal/carried/node.py
@@ -31,6 +31,7 @@
     Pair,
 )
 from dragonflyshift._internal.carried.telemetry import Counters
+from dragonflyshift._internal.carried.ticker import Ticker
 from dragonflyshift._internal.exceptions import WireError
 from dragonflyshift._internal.utils.datagrams import PairSocket
 from dragonflyshift._internal.utils.early_binding import BoundSockets
@@ -38,10 +39,9 @@
 
 logger = logging.getLogger(__name__)
 
-# The timeouts of openings and look-ups are multiples of it.
-TICK_S = 0.02
 MS_PER_S = 1000
-SWEEP_EVERY_TICKS = 50
+MS_PER_S = 1000
+SWEEP_PERIOD_S = 1.0
 # Beyond it timers have not fired in time: the process stood still.
 PAUSE_LIMIT_S = 0.7
 
@@ -77,7 +77,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners = Listeners()
         self._peers: PairSocket | None = None
-        self._ticks = 0
+        self._swept_at: float = 0
+        self.ticker = Ticker(self._tick_once)
 
     async def start(self) -> None:
         """Open the sockets and begin to work."""
@@ -89,7 +90,7 @@
         loop = asyncio.get_running_loop()
         if self.member.reader is not None:
             self._tasks.append(loop.create_task(self.member.reader.run()))
-        self._tasks.append(loop.create_task(self._run_ticks()))
+        self.ticker.start()
         await self._listeners.open(
             self.settings,
             DaemonPages(self.is_ready, self.counters),
@@ -100,7 +101,7 @@
             'started',
             extra={
                 'first_start': self.settings.is_first_start,
-                'cpu_ms': int(time.process_time() * MS_PER_S),
+                'loading_ms': int(self.sockets.age_s() * MS_PER_S),
                 'seeds': [host for host, _port in self.settings.seeds],
             },
         )
@@ -118,6 +119,7 @@
 
     def close(self) -> None:
         """Close everything at once."""
+        self.ticker.stop()
         for task in self._tasks:
             task.cancel()
         self._listeners.close()
@@ -164,6 +166,10 @@
     def tick(self, now: float) -> None:
         """Go on with what waits."""
 
+    @abstractmethod
+    def has_waiting(self) -> bool:
+        """Tell whether something waits for the next tick."""
+
     @abstractmethod
     def sweep(self, now: float) -> None:
         """Drop what is old."""
@@ -183,26 +189,25 @@
             self.member.gossip.on_notice(now, message, pair)
         else:
             self.flow_datagram(now, message, pair)
+            if self.has_waiting():
+                self.ticker.hurry()
 
-    async def _run_ticks(self) -> None:
-        while True:
-            now = time.monotonic()
-            paused = self._pauses.observe(now)
+    def _tick_once(self) -> bool:
+        """Do the periodic work; return whether something waits."""
+        now = time.monotonic()
+        paused = self._pauses.observe(now)
+        try:
             if paused:
                 self.member.paused(now, paused)
-            self._tick_once(now)
-            await asyncio.sleep(TICK_S)
-
-    def _tick_once(self, now: float) -> None:
-        self._ticks += 1
-        try:
             self.member.tick(now)
             self.tick(now)
-            if not self._ticks % SWEEP_EVERY_TICKS:
+            if now - self._swept_at > SWEEP_PERIOD_S:
+                self._swept_at = now
                 self.sweep(now)
         except Exception:
             # The next tick goes on; a daemon that stops serves nobody.
             logger.exception('tick-failed')
+        return self.has_waiting()
 
     def is_ready(self) -> bool:
         """Tell whether the fabric may send flows here."""
--- a/src/dragonflyshift/_internal/carried/sidecar/condition.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/condition.py
@@ -38,22 +38,25 @@
     _full_until: float = field(default=float('-inf'))
     _sequence: int = field(default=0)
     _was_listed: bool = field(default=False)
+    _is_listed_leaving: bool = field(default=False)
 
     def state(self) -> BackendState:
         """Tell whether new flows are taken."""
         if self.is_down:
             return BackendState.DOWN
-        listed = self.view.at(self.backend)
-        if self.is_stopping or (listed is None and self._was_listed):
-            return BackendState.LEAVING
-        if listed is not None and listed.is_leaving:
+        if self.is_stopping or self._is_listed_leaving:
             return BackendState.LEAVING
         return BackendState.SERVING
 
     def read_register(self) -> None:
         """Take over what the register lists for the server."""
         listed = self.view.at(self.backend)
-        if listed is not None and listed.service == self.service:
+        if listed is None:
+            # A server that isn't listed yet serves; one that was has left.
+            self._is_listed_leaving = self._was_listed
+            return
+        self._is_listed_leaving = listed.is_leaving
+        if listed.service == self.service:
             self._was_listed = True
             self.slots = max(1, listed.slots)
 
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -150,6 +150,10 @@
         """Go on with what waits."""
         self.host.tick(now)
 
+    def has_waiting(self) -> bool:
+        """Tell whether a new flow waits for a slot."""
+        return self.condition.policy.waiting > 0
+
     def sweep(self, now: float) -> None:
         """Drop what is old."""
         self.host.sweep(now)
--- a/src/dragonflyshift/_internal/carried/sidecar/watch.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/watch.py
@@ -49,7 +49,7 @@
     async def run(self) -> None:
         """Watch for as long as the task lives."""
         while True:
-            await asyncio.sleep(RETRY_S / 3)
+            await asyncio.sleep(RETRY_S / 2)
             if self.is_lost or self.is_doubtful():
                 await self._check()
                 await asyncio.sleep(RETRY_S)
--- a/src/dragonflyshift/_internal/utils/early_binding.py
+++ b/src/dragonflyshift/_internal/utils/early_binding.py
@@ -7,6 +7,7 @@
 __all__ = ('BoundSockets',)
 
 import socket
+import time
 from collections.abc import Iterable
 
 from dragonflyshift._internal.exceptions import SettingsError
@@ -21,8 +22,13 @@
 
     def __init__(self, addresses: Iterable[_Pair] = ()) -> None:
         """Bind at all addresses; raise SettingsError if one is taken."""
+        self._bound_at = time.monotonic()
         self._sockets = {address: _bind(address) for address in addresses}
 
+    def age_s(self) -> float:
+        """Return the time since the sockets were bound."""
+        return time.monotonic() - self._bound_at
+
     def take(self, address: _Pair) -> socket.socket:
         """Return the socket at an address, bound now if it wasn't before."""
         return self._sockets.pop(address, None) or _bind(address)
