Bound load reports and keep assignments, end a stop when it is quiet

Each sidecar reported each change of its load to all balancers, 24 times 33 a second, and each balancer ranked all balancers for all sidecars at each change of the view. Change: reports go to balancers of the same data centre, 100 a second in all; assignments are kept until balancers or sidecars change. A stopping balancer ends once no packet came for 0.8 s.

--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -36,6 +36,11 @@
 
 # Left of the grace time for closing down.
 STOP_MARGIN_S = 0.8
+# The fabric notices within two probes, a second apart at most.
+MIN_STOP_S = 1.2
+# Without a packet for so long the fabric has turned away; clients repeat
+# theirs sooner.
+QUIET_S = 0.8
 
 
 class BalancerNode(CarryingNode):
@@ -70,6 +75,7 @@
             self.counters,
         )
         self._fabric: PairSocket | None = None
+        self._packet_at = float('-inf')
 
     def open_sockets(self) -> None:
         """Listen to the fabric."""
@@ -87,8 +93,14 @@
         """Nothing to do: readiness says it already."""
 
     async def wait_until_unused(self) -> None:
-        """Serve on for as long as the fabric may send packets."""
-        await asyncio.sleep(self.settings.stop_grace_s - STOP_MARGIN_S)
+        """Serve on for as long as the fabric sends packets."""
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + self.settings.stop_grace_s - STOP_MARGIN_S
+        await asyncio.sleep(MIN_STOP_S)
+        while loop.time() < latest:
+            if time.monotonic() - self._packet_at > QUIET_S:
+                return
+            await asyncio.sleep(QUIET_S / 4)
 
     def load(self) -> LoadReport | None:
         """Return nothing: a balancer has no backend server."""
@@ -129,7 +141,8 @@
         self.carrier.sweep(now)
 
     def _fabric_packet(self, raw: bytes, _pair: Pair) -> None:
-        self.carrier.client_packet(time.monotonic(), raw)
+        self._packet_at = time.monotonic()
+        self.carrier.client_packet(self._packet_at, raw)
         if self.has_waiting():
             self.ticker.hurry()
 
--- a/src/dragonflyshift/_internal/carried/balancer/openings.py
+++ b/src/dragonflyshift/_internal/carried/balancer/openings.py
@@ -226,6 +226,7 @@
             version=self.view.routes.version,
             waited_ms=int((now - pending.first_at) * MS_PER_S),
             is_last=pending.refusals + 1 >= limit,
+            is_local=chosen.is_local,
             raw=pending.packet.raw,
         ).encode()
         self.ports.send(datagram, pair)
--- a/src/dragonflyshift/_internal/carried/fleet/audience.py
+++ b/src/dragonflyshift/_internal/carried/fleet/audience.py
@@ -6,10 +6,10 @@
 
 __all__ = ('Audience',)
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import xxhash
-from attrs import define
+from attrs import define, field
 
 from dragonflyshift._internal.carried.fleet.peers import PeerBook
 from dragonflyshift._internal.carried.packet import Pair
@@ -24,13 +24,18 @@
 class Audience:
     """Choose the addresses for statuses and news.
 
-    ``sidecars()`` lists the addresses of all sidecars in the view.
+    ``sidecars()`` maps the addresses of all sidecars in the view to their
+    data centres.
     """
 
     is_balancer: bool
     data_center: str
     book: PeerBook
-    sidecars: Callable[[], Iterable[Pair]]
+    sidecars: Callable[[], dict[Pair, str]]
+    # The last assignment, with the balancers and sidecars that it is for.
+    _known: tuple[object, frozenset[Pair]] = field(
+        default=(None, frozenset()),
+    )
 
     def periodic(self, now: float, *, is_reading: bool) -> set[Pair]:
         """Return whom to send a status each period."""
@@ -47,30 +52,46 @@
         if not self.is_balancer:
             return set()
         if is_reading:
-            return self._assigned() | self.book.balancer_pairs()
-        return self._assigned()
+            return self.book.balancer_pairs() | self._assigned()
+        return set(self._assigned())
 
-    def _assigned(self) -> set[Pair]:
+    def _assigned(self) -> frozenset[Pair]:
         """Return the sidecars that this balancer keeps up to date."""
         if not self.is_balancer:
-            return set()
-        balancers = self.book.balancers()
-        everyone = [peer.pair for peer in balancers]
-        local = [
-            peer.pair
-            for peer in balancers
-            if peer.status.data_center == self.data_center
-        ]
+            return frozenset()
+        places = {
+            peer.pair: peer.status.data_center for peer in self.book.balancers()
+        }
+        sidecars = self.sidecars()
+        if self._known[0] != (places, sidecars):
+            assigned = self._assign(places, sidecars)
+            self._known = ((places, sidecars), assigned)
+        return self._known[1]
+
+    def _assign(
+        self,
+        places: dict[Pair, str],
+        sidecars: dict[Pair, str],
+    ) -> frozenset[Pair]:
+        """Rank the balancers of a sidecar's data centre, or else all."""
         own = self.book.own
-        return {
+        places[own] = self.data_center
+        near: dict[str, list[Pair]] = {}
+        for balancer, data_center in places.items():
+            near.setdefault(data_center, []).append(balancer)
+        everyone = list(places)
+        places.pop(own)
+        return frozenset(
             pair
-            for pair in self.sidecars()
-            if _is_teller(own, pair, local) or _is_teller(own, pair, everyone)
-        }
+            for pair, place in sidecars.items()
+            if _is_teller(own, pair, near.get(place, everyone))
+        )
 
 
 def _is_teller(own: Pair, sidecar: Pair, balancers: list[Pair]) -> bool:
     """Tell whether ``own`` ranks among the first for a sidecar."""
+    if own not in balancers:
+        return False
     weight = _weight(own, sidecar)
     better = sum(_weight(other, sidecar) > weight for other in balancers)
     return better < TELLERS
--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from attrs import define
 
@@ -54,6 +54,8 @@
         self._ports = ports
         self._sidecar_port = settings.peers[1]
         self._version = 0
+        self._sidecars: dict[Pair, str] = {}
+        self._sidecars_of_digest = 0
         audience = Audience(
             is_balancer,
             settings.data_center,
@@ -86,9 +88,15 @@
         """Return the address of the sidecar beside a backend server."""
         return (record.host, self._sidecar_port)
 
-    def sidecar_pairs(self) -> Iterable[Pair]:
-        """Return the addresses of all sidecars in the view."""
-        return {self.sidecar_of(rec) for rec in self.view.records.values()}
+    def sidecar_pairs(self) -> dict[Pair, str]:
+        """Return the data centres of all sidecars in the view."""
+        if self._sidecars_of_digest != self.view.digest:
+            self._sidecars_of_digest = self.view.digest
+            self._sidecars = {
+                self.sidecar_of(record): record.data_center
+                for record in self.view.records.values()
+            }
+        return self._sidecars
 
     def tick(self, now: float) -> None:
         """Tell peers, and drop the endpoints that did not return."""
--- a/src/dragonflyshift/_internal/carried/messages.py
+++ b/src/dragonflyshift/_internal/carried/messages.py
@@ -60,7 +60,8 @@
 
     ``slots`` is what the register lists for the backend server, ``version``
     the configuration that the balancer placed the flow by. ``is_last`` says
-    that no other sidecar will be asked.
+    that no other sidecar will be asked, ``is_local`` that the balancer stands
+    in the sidecar's data centre.
     """
 
     service: str
@@ -71,6 +72,7 @@
     version: int
     waited_ms: int
     is_last: bool
+    is_local: bool
     raw: bytes
 
 
--- a/src/dragonflyshift/_internal/carried/sidecar/host.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/host.py
@@ -75,7 +75,8 @@
         packet = self._decode_client(message.raw)
         if packet is None:
             return
-        self.reporter.note_interest(now, balancer)
+        if message.is_local:
+            self.reporter.note_interest(now, balancer)
         self.condition.slots = max(1, message.slots)
         self.admission.decide(now, message, packet, balancer)
 
--- a/src/dragonflyshift/_internal/carried/sidecar/reports.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/reports.py
@@ -1,4 +1,9 @@
-"""Telling balancers how busy the backend server is."""
+"""Telling balancers how busy the backend server is.
+
+Answers to new flows carry the load as well. Between them only the balancers
+of the sidecar's own data centre are told: they place flows here first, and
+bytes between data centres are dear.
+"""
 
 __all__ = ('LoadReporter',)
 
@@ -16,6 +21,8 @@
 # A balancer that sent a new flow within this time hears of load changes.
 INTEREST_S = 2.0
 MIN_REPORT_GAP_S = 0.03
+# Reports to all balancers together; with many each is told less often.
+MAX_REPORTS_PER_S = 100
 NO_FLOW = bytes(FLOW_KEY_BYTES)
 
 
@@ -35,7 +42,11 @@
 
     def report_change(self, now: float) -> None:
         """Tell of the load if it changed, within a rate."""
-        if now - self._reported_at < MIN_REPORT_GAP_S or not self._interested:
+        gap_s = max(
+            MIN_REPORT_GAP_S,
+            len(self._interested) / MAX_REPORTS_PER_S,
+        )
+        if now - self._reported_at < gap_s or not self._interested:
             return
         load = self.load(now)
         level = (int(load.state), load.busy, load.waiting)
--- a/tests/lib/carried.py
+++ b/tests/lib/carried.py
@@ -168,6 +168,7 @@
         'version': 1,
         'waited_ms': 0,
         'is_last': False,
+        'is_local': True,
         'raw': build_packet(key, SYN),
         **changes,
     }
