Pass new flows on while another server is believed to be idle

Change: up to three servers believed to be idle are asked first and take the flow only with a free slot; then the best estimate lets it wait.

--- a/src/dragonflyshift/_internal/carried/balancer/openings.py
+++ b/src/dragonflyshift/_internal/carried/balancer/openings.py
@@ -24,7 +24,10 @@
 
 # A sidecar answers within the round trip and its own turn on the processor.
 REPLY_TIMEOUT_S = 0.06
-MAX_TRIES = 4
+# Servers believed to be idle that are asked before the flow has to wait.
+MAX_TRIES = 3
+# Servers that are asked to let it wait.
+MAX_FINALS = 2
 # Clients repeat a first packet for 1.4 s, then give up.
 GIVE_UP_S = 1.3
 # While no sidecar can take the flow, it is offered again this often.
@@ -46,7 +49,7 @@
     tried: list[Pair] = field(factory=list)
     sent_at: float = field(default=float('-inf'))
     target: Pair | None = field(default=None)
-    refusals: int = field(default=0)
+    finals: int = field(default=0)
     preferred: Pair | None = field(default=None)
 
 
@@ -111,7 +114,6 @@
         pending = self.pending.get(key)
         if pending is None or pending.target != pair:
             return
-        pending.refusals += 1
         if pair not in pending.tried:
             pending.tried.append(pair)
         self._offer(now, pending)
@@ -137,6 +139,7 @@
     def _note_silence(self, now: float, pending: PendingOpening) -> None:
         if pending.target is not None:
             self.sidecars.suspect(now, pending.target)
+            pending.finals = 0
             if pending.target not in pending.tried:
                 pending.tried.append(pending.target)
         self._offer(now, pending)
@@ -154,12 +157,14 @@
         if not options:
             self._without_endpoint(now, key, service)
             return
-        chosen = self._next_option(options, pending)
-        if chosen is None:
+        choice = self._next_option(options, pending)
+        if choice is None:
             self.pending.pop(key)
             self.ports.refuse(key, 'all-refused')
             return
-        self._send(now, pending, route, service, chosen, len(options))
+        chosen, is_last = choice
+        pending.finals += is_last
+        self._send(now, pending, route, service, chosen, is_last=is_last)
 
     def _options(
         self,
@@ -179,20 +184,29 @@
         self,
         options: list[PlacementOption],
         pending: PendingOpening,
-    ) -> PlacementOption | None:
-        if pending.refusals >= min(MAX_TRIES, len(options)):
+    ) -> tuple[PlacementOption, bool] | None:
+        """Choose whom to ask next, and whether it is to keep the flow.
+
+        Servers believed to be idle are asked first, each once. Their answers
+        bring the exact load, so the best estimate after them is asked to
+        let the flow wait, and if it refuses one more.
+        """
+        if pending.finals >= MAX_FINALS:
             return None
         untried = [
             option
             for option in options
             if self.ports.sidecar(option.record) not in pending.tried
         ]
-        if untried:
-            return self._preferred(untried, pending) or untried[0]
-        if pending.refusals >= len(options):
-            return None
-        pending.tried.clear()
-        return options[0]
+        preferred = self._preferred(untried, pending)
+        if preferred is not None:
+            return preferred, True
+        idle = [option for option in untried if option.is_believed_idle]
+        if idle and len(pending.tried) < MAX_TRIES:
+            return idle[0], False
+        if not pending.finals:
+            return options[0], True
+        return (untried or options)[0], True
 
     def _preferred(
         self,
@@ -211,12 +225,12 @@
         route: Route,
         service: str,
         chosen: PlacementOption,
-        options: int,
+        *,
+        is_last: bool,
     ) -> None:
         pair = self.ports.sidecar(chosen.record)
         pending.target = pair
         self.sidecars.sent(pair)
-        limit = min(MAX_TRIES, options)
         datagram = Open(
             service=service,
             target_ms=route.target_ms,
@@ -225,7 +239,7 @@
             slots=chosen.record.slots,
             version=self.view.routes.version,
             waited_ms=int((now - pending.first_at) * MS_PER_S),
-            is_last=pending.refusals + 1 >= limit,
+            is_last=is_last,
             is_local=chosen.is_local,
             raw=pending.packet.raw,
         ).encode()
--- a/src/dragonflyshift/_internal/carried/policies/openings.py
+++ b/src/dragonflyshift/_internal/carried/policies/openings.py
@@ -5,7 +5,9 @@
 request waits until it is late, and a server whose queue is full sheds at
 random. Here the flow's first packet waits instead, so that the order can
 still be chosen: those first that can still meet their latency target, dear
-ones before cheap ones, and a refusal at once for those with no chance.
+ones before cheap ones, and a refusal at once for those with no chance. And it
+waits only where it was sent for good: a busy server passes it on while the
+balancer believes that another one is idle.
 """
 
 __all__ = (
@@ -140,17 +142,18 @@
         service_ms: float,
     ) -> OpeningVerdict:
         """Decide on a new flow; it is kept when the verdict is to wait."""
+        is_idle = not self._waiting and busy < slots
+        if is_idle:
+            return OpeningVerdict.START
+        if not opening.is_last:
+            # Another server may be idle, and asking it takes a round trip.
+            return OpeningVerdict.REFUSE
         if not self._waiting and busy < slots + OVERCOMMIT:
             return OpeningVerdict.START
         ahead = busy + self._before(now, opening, service_ms) + 1 - slots
         wait_ms = max(0, ahead) * service_ms / max(1, slots)
         total_ms = opening.age_ms(now) + wait_ms
-        limit_ms = self._limit_ms(opening, service_ms)
-        if not opening.is_last:
-            # Another sidecar may still answer within the latency target.
-            latest_ms = opening.target_ms - TARGET_MARGIN * service_ms
-            limit_ms = min(limit_ms, max(0, latest_ms))
-        if total_ms > limit_ms:
+        if total_ms > self._limit_ms(opening, service_ms):
             return OpeningVerdict.REFUSE
         self._waiting[opening.key] = opening
         return OpeningVerdict.WAIT
--- a/src/dragonflyshift/_internal/carried/policies/placement.py
+++ b/src/dragonflyshift/_internal/carried/policies/placement.py
@@ -64,6 +64,11 @@
     is_suspect: bool
     is_cold: bool
 
+    @property
+    def is_believed_idle(self) -> bool:
+        """Whether a new flow should find a free slot."""
+        return not self.is_suspect and _excess(self) <= 0
+
 
 class FlowPlacement(Plugin, kind='flow-placement'):
     """Order the endpoints that may take a new flow."""
@@ -115,21 +120,26 @@
     return load is None or load.state is BackendState.SERVING
 
 
-def _time_to_answer(option: PlacementOption) -> float:
+def _excess(option: PlacementOption) -> float:
+    """Estimate how many requests one more would wait for."""
     load = option.load
     slots = max(1, option.record.slots)
     if load is None:
-        service_ms = UNKNOWN_SERVICE_MS
-        excess = float(option.sent_since + 1 - slots)
-        flows = option.sent_since
-    else:
-        service_ms = load.service_ms
-        # Requests that were under way may have ended since the report.
-        ended = option.age_ms * slots / service_ms
-        left = max(0, load.busy + load.waiting - ended)
-        excess = left + option.sent_since + 1 - slots
-        flows = load.open_flows + option.sent_since
+        return option.sent_since + 1 - slots
+    # Requests that were under way may have ended since the report.
+    ended = option.age_ms * slots / load.service_ms
+    left = max(0, load.busy + load.waiting - ended)
+    return left + option.sent_since + 1 - slots
+
+
+def _time_to_answer(option: PlacementOption) -> float:
+    load = option.load
+    slots = max(1, option.record.slots)
+    service_ms = UNKNOWN_SERVICE_MS if load is None else load.service_ms
     if option.is_cold:
         service_ms *= COLD_FACTOR
-    wait_ms = max(0, excess) * service_ms / slots
+    flows = option.sent_since
+    if load is not None:
+        flows += load.open_flows
+    wait_ms = max(0, _excess(option)) * service_ms / slots
     return wait_ms + service_ms * (1 + OPEN_FLOW_WEIGHT * flows / slots)
