Leave out servers that bounce first packets, longer each time

Change: a server that bounced is FULL and not offered flows, for 0.1 s doubled up to 2 s until it accepts again.

--- a/src/dragonflyshift/_internal/carried/balancer/sidecars.py
+++ b/src/dragonflyshift/_internal/carried/balancer/sidecars.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from dragonflyshift._internal.carried.load import LoadReport
+from dragonflyshift._internal.carried.load import BackendState, LoadReport
 from dragonflyshift._internal.carried.packet import Pair
 from dragonflyshift._internal.carried.policies.placement import PlacementOption
 from dragonflyshift._internal.carried.records import EndpointRecord
@@ -16,6 +16,8 @@
 SUSPECT_S = 1.0
 # A report this old says nothing on the load of now.
 REPORT_LIFETIME_S = 3.0
+# Servers are full for moments; one that bounces all says so again.
+FULL_LIFETIME_S = 0.3
 # Datagrams overtake each other by less than this; a report with a lower
 # number that comes later is from a sidecar that has restarted.
 REORDER_S = 0.1
@@ -85,7 +87,10 @@
         """Describe an endpoint for the placement policy."""
         belief = self.belief(pair)
         age_s = now - belief.heard_at
-        load = belief.load if age_s < REPORT_LIFETIME_S else None
+        load = belief.load
+        is_full = load is not None and load.state is BackendState.FULL
+        if age_s > (FULL_LIFETIME_S if is_full else REPORT_LIFETIME_S):
+            load = None
         start = (record.name, record.started_ms)
         seen_at = self._seen_at.setdefault(start, now)
         return PlacementOption(
--- a/src/dragonflyshift/_internal/carried/load.py
+++ b/src/dragonflyshift/_internal/carried/load.py
@@ -13,6 +13,8 @@
     SERVING = 0
     LEAVING = 1
     DOWN = 2
+    # It bounced a first packet a moment ago.
+    FULL = 3
 
 
 @frozen
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -163,10 +163,8 @@
             names = () if route is None else route.services
             if not any(option.name == condition.service for option in names):
                 return 'route-changed'
-        state = condition.state()
-        if state is not BackendState.SERVING:
-            return state.name.lower()
-        return 'server-full' if condition.is_full(now) else ''
+        state = condition.state(now)
+        return '' if state is BackendState.SERVING else state.name.lower()
 
     def _admit(self, now: float, opening: Opening, packet: Packet) -> None:
         condition = self.condition
--- a/src/dragonflyshift/_internal/carried/sidecar/condition.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/condition.py
@@ -11,8 +11,10 @@
 from dragonflyshift._internal.carried.sidecar.flows import FlowTable
 from dragonflyshift._internal.carried.sidecar.pace import ServicePace
 
-# After a bounced first packet the server is taken as full for this long.
+# After a bounced first packet the server is taken as full for this long, twice
+# as long after each further one; a server that is ending bounces all.
 FULL_S = 0.1
+MAX_FULL_S = 2.0
 
 
 @define(eq=False, repr=False)
@@ -36,16 +38,19 @@
     # When a packet of the server was seen last.
     seen_at: float = field(default=float('-inf'))
     _full_until: float = field(default=float('-inf'))
+    _full_s: float = field(default=0)
     _sequence: int = field(default=0)
     _was_listed: bool = field(default=False)
     _is_listed_leaving: bool = field(default=False)
 
-    def state(self) -> BackendState:
+    def state(self, now: float) -> BackendState:
         """Tell whether new flows are taken."""
         if self.is_down:
             return BackendState.DOWN
         if self.is_stopping or self._is_listed_leaving:
             return BackendState.LEAVING
+        if now < self._full_until:
+            return BackendState.FULL
         return BackendState.SERVING
 
     def read_register(self) -> None:
@@ -62,11 +67,12 @@
 
     def note_full(self, now: float) -> None:
         """Take note that the server bounced a first packet."""
-        self._full_until = now + FULL_S
+        self._full_s = min(MAX_FULL_S, max(FULL_S, self._full_s * 2))
+        self._full_until = now + self._full_s
 
-    def is_full(self, now: float) -> bool:
-        """Whether the server has just bounced a first packet."""
-        return now < self._full_until
+    def note_opened(self) -> None:
+        """Take note that the server accepted a flow."""
+        self._full_s = 0
 
     def service_ms(self, now: float) -> float:
         """Estimate the time that the server takes for a request."""
@@ -79,13 +85,10 @@
     def load(self, now: float) -> LoadReport:
         """Return the report for balancers."""
         self._sequence += 1
-        busy = self.table.busy(now)
-        if self.is_full(now):
-            busy = max(busy, self.slots * 2)
         return LoadReport(
-            state=self.state(),
+            state=self.state(now),
             slots=self.slots,
-            busy=busy,
+            busy=self.table.busy(now),
             waiting=self.policy.waiting,
             open_flows=len(self.table),
             service_ms=round(self.service_ms(now), 1),
--- a/src/dragonflyshift/_internal/carried/sidecar/host.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/host.py
@@ -120,6 +120,8 @@
         self.ports.to_client(raw, packet.key)
         table = self.condition.table
         flow = table.get(packet.key) or self._adopt(now, packet)
+        if packet.is_opening:
+            self.condition.note_opened()
         ran_for = table.server_sent(now, flow, packet)
         if ran_for is not None:
             self.condition.pace.note(ran_for)
@@ -143,7 +145,7 @@
     def view_changed(self, now: float) -> None:
         """Act on what the view says of this backend server."""
         self.condition.read_register()
-        if self.condition.state() is not BackendState.SERVING:
+        if self.condition.state(now) is not BackendState.SERVING:
             self.admission.hand_back(now)
         self.reporter.report_change(now)
 
--- a/tests/unit/carried/test_host.py
+++ b/tests/unit/carried/test_host.py
@@ -110,6 +110,21 @@
         self.assertEqual(message.raw, build_packet(self.key, SYN))
         self.assertEqual(pair, _BALANCER)
 
+    def test_server_that_bounces_all_takes_ever_fewer_flows(self) -> None:
+        """A server that ends is idle, so that it would attract every flow."""
+        delivered = 0
+        for step in range(300):
+            now = step * 0.01
+            self.outbox.clear()
+            self.host.on_open(now, build_open(build_key(step)), _BALANCER)
+            delivered += len(self.outbox.to_backend)
+            for raw in tuple(self.outbox.to_backend):
+                key = _CODEC.from_client(raw).key
+                bounced = build_packet(key, SYN | BOUNCED)
+                self.host.backend_packet(now + 0.001, bounced)
+        self.assertLess(delivered, 8)
+        self.assertIs(self.host.condition.state(3), BackendState.FULL)
+
     def test_client_that_took_another_servers_answer_is_handed_on(self) -> None:
         """Copies of a first packet reached two servers, both answered."""
         self.host.on_open(0, build_open(self.key), _BALANCER)
@@ -160,9 +175,9 @@
         reset = _CODEC.from_backend(self.outbox.to_client[0])
         self.assertTrue(reset.is_reset)
         self.assertEqual(reset.sequence, _SERVER_SEQUENCE + 1)
-        self.assertIs(self.host.condition.state(), BackendState.DOWN)
+        self.assertIs(self.host.condition.state(1), BackendState.DOWN)
         self.host.backend_found(2)
-        self.assertIs(self.host.condition.state(), BackendState.SERVING)
+        self.assertIs(self.host.condition.state(2), BackendState.SERVING)
 
     def test_flow_that_the_server_forgot_is_reset(self) -> None:
         self._open(self.key)
