--- a/src/dragonflyshift/_internal/carried/balancer/sidecars.py
+++ b/src/dragonflyshift/_internal/carried/balancer/sidecars.py
@@ -88,8 +88,7 @@
         belief = self.belief(pair)
         age_s = now - belief.heard_at
         load = belief.load
-        is_full = load is not None and load.state is BackendState.FULL
-        if age_s > (FULL_LIFETIME_S if is_full else REPORT_LIFETIME_S):
+        if age_s > _lifetime_s(load):
             load = None
         start = (record.name, record.started_ms)
         seen_at = self._seen_at.setdefault(start, now)
@@ -102,3 +101,9 @@
             is_suspect=now < belief.suspect_until,
             is_cold=(now - seen_at) * MS_PER_S < record.warmup_ms,
         )
+
+
+def _lifetime_s(load: LoadReport | None) -> float:
+    if load is not None and load.state is BackendState.FULL:
+        return FULL_LIFETIME_S
+    return REPORT_LIFETIME_S
