--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -36,6 +36,8 @@
 
 # Left of the grace time for closing down.
 STOP_MARGIN_S = 0.8
+# Readers tell all balancers of themselves twice a second.
+ISOLATION_S = 1.2
 # The fabric notices within two probes, a second apart at most.
 MIN_STOP_S = 1.2
 # Without a packet for so long the fabric has turned away; clients repeat
@@ -102,6 +104,15 @@
                 return
             await asyncio.sleep(QUIET_S / 4)
 
+    def is_ready(self) -> bool:
+        """Tell whether the fabric may send flows here.
+
+        A balancer that hears of no other daemon reaches no sidecar either;
+        the fabric should turn to others.
+        """
+        silent_s = time.monotonic() - self.heard_at
+        return super().is_ready() and silent_s < ISOLATION_S
+
     def load(self) -> LoadReport | None:
         """Return nothing: a balancer has no backend server."""
 
--- a/src/dragonflyshift/_internal/carried/node.py
+++ b/src/dragonflyshift/_internal/carried/node.py
@@ -78,6 +78,8 @@
         self._listeners = Listeners()
         self._peers: PairSocket | None = None
         self._swept_at: float = 0
+        # When a datagram of another daemon came in last.
+        self.heard_at = time.monotonic()
         self.ticker = Ticker(self._tick_once)
 
     async def start(self) -> None:
@@ -176,6 +178,7 @@
 
     def _peer_datagram(self, raw: bytes, pair: Pair) -> None:
         now = time.monotonic()
+        self.heard_at = now
         try:
             message = decode_datagram(raw)
         except WireError as exc:
--- /dev/null
+++ b/tests/unit/carried/test_balancer_node.py
@@ -0,0 +1,47 @@
+import time
+import unittest
+from typing import Any
+
+from dragonflyshift._internal.carried.balancer.node import (
+    ISOLATION_S,
+    BalancerNode,
+)
+from dragonflyshift._internal.carried.node_settings import NodeSettings
+from dragonflyshift._internal.utils.early_binding import BoundSockets
+from dragonflyshift.platform.packets import PlatformCodec
+from tests.lib.carried import build_routes
+
+
+def _node(**changes: Any) -> BalancerNode:
+    attributes: dict[str, Any] = {
+        'name': 'edge-1',
+        'data_center': 'klang',
+        'regions': {'klang': 'selangor'},
+        'peers': ('127.0.0.1', 7720),
+        'readiness': ('127.0.0.1', 8167),
+        'client_port': 8172,
+        **changes,
+    }
+    settings = NodeSettings(**attributes)
+    return BalancerNode(settings, PlatformCodec(), None, BoundSockets())
+
+
+class BalancerNodeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.node = _node()
+        self.node.view.routes = build_routes(3)
+
+    def test_ready_once_a_configuration_is_known(self) -> None:
+        self.assertFalse(_node().is_ready())
+        self.assertTrue(self.node.is_ready())
+
+    def test_not_ready_while_leaving(self) -> None:
+        self.node.is_leaving = True
+        self.assertFalse(self.node.is_ready())
+
+    def test_not_ready_while_cut_off_from_all_daemons(self) -> None:
+        """Clients of a data centre with one balancer would wait for it."""
+        self.node.heard_at = time.monotonic() - ISOLATION_S - 1
+        self.assertFalse(self.node.is_ready())
+        self.node.heard_at = time.monotonic()
+        self.assertTrue(self.node.is_ready())
