--- a/src/dragonflyshift/_internal/carried/balancer/openings.py
+++ b/src/dragonflyshift/_internal/carried/balancer/openings.py
@@ -4,7 +4,7 @@
 
 import logging
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from attrs import define, field
 
@@ -32,6 +32,9 @@
 GIVE_UP_S = 1.3
 # While no sidecar can take the flow, it is offered again this often.
 RETRY_PERIOD_S = 0.1
+# A service without endpoints for so long is taken as wound down; entries
+# lapse and return within three heartbeats.
+EMPTY_GRACE_S = 4.0
 MAX_PENDING = 4096
 MS_PER_S = 1000
 # Crossing costs the way, 3 ms, and bytes; large transfers cost far more.
@@ -77,6 +80,8 @@
     ports: OpenerPorts
     rng: random.Random
     pending: dict[FlowKey, PendingOpening] = field(factory=dict)
+    # Since when a service has had no endpoint at all.
+    _empty_since: dict[str, float] = field(factory=dict)
 
     def open(
         self,
@@ -157,6 +162,7 @@
         if not options:
             self._without_endpoint(now, key, service)
             return
+        self._empty_since.pop(service, None)
         choice = self._next_option(options, pending)
         if choice is None:
             self.pending.pop(key)
@@ -257,7 +263,14 @@
         key: FlowKey,
         service: str,
     ) -> None:
-        listed: Collection[EndpointRecord] = self.view.endpoints(service)
-        if not listed and self.ports.is_fresh(now):
+        """Refuse once a service has been empty for long, else wait.
+
+        After the loss of everything the servers register again only a moment
+        after the balancers have started.
+        """
+        if self.view.endpoints(service):
+            return
+        empty_since = self._empty_since.setdefault(service, now)
+        if now - empty_since > EMPTY_GRACE_S and self.ports.is_fresh(now):
             self.pending.pop(key)
             self.ports.refuse(key, 'no-endpoint')
