--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -38,11 +38,6 @@
 STOP_MARGIN_S = 0.8
 # Readers tell all balancers of themselves twice a second.
 ISOLATION_S = 1.2
-# The fabric notices within two probes, a second apart at most.
-MIN_STOP_S = 1.2
-# Without a packet for so long the fabric has turned away; clients repeat
-# theirs sooner.
-QUIET_S = 0.8
 
 
 class BalancerNode(CarryingNode):
@@ -77,7 +72,6 @@
             self.counters,
         )
         self._fabric: PairSocket | None = None
-        self._packet_at = float('-inf')
 
     def open_sockets(self) -> None:
         """Listen to the fabric."""
@@ -95,14 +89,11 @@
         """Nothing to do: readiness says it already."""
 
     async def wait_until_unused(self) -> None:
-        """Serve on for as long as the fabric sends packets."""
-        loop = asyncio.get_running_loop()
-        latest = loop.time() + self.settings.stop_grace_s - STOP_MARGIN_S
-        await asyncio.sleep(MIN_STOP_S)
-        while loop.time() < latest:
-            if time.monotonic() - self._packet_at > QUIET_S:
-                return
-            await asyncio.sleep(QUIET_S / 4)
+        """Serve on for as long as the fabric may send packets.
+
+        It goes on sending to a data centre of which most balancers stop.
+        """
+        await asyncio.sleep(self.settings.stop_grace_s - STOP_MARGIN_S)
 
     def is_ready(self) -> bool:
         """Tell whether the fabric may send flows here.
@@ -152,8 +143,7 @@
         self.carrier.sweep(now)
 
     def _fabric_packet(self, raw: bytes, _pair: Pair) -> None:
-        self._packet_at = time.monotonic()
-        self.carrier.client_packet(self._packet_at, raw)
+        self.carrier.client_packet(time.monotonic(), raw)
         if self.has_waiting():
             self.ticker.hurry()
 
