--- /dev/null
+++ b/bench/micro_carried.py
@@ -0,0 +1,200 @@
+"""Processor time of the carried path at 1, 1,000 and 100,000 flows.
+
+    python -m bench.micro_carried
+
+For balancer and sidecar it prints the microseconds that one packet of a known
+flow costs, beside a bare socket pair that receives and sends the same bytes
+in the same run, and what a placement among 50 endpoints costs.
+"""
+
+import logging
+import random
+import socket
+import time
+from collections.abc import Callable
+
+from dragonflyshift._internal.carried.balancer.carrier import (
+    CachedFlow,
+    CarrierPorts,
+    FlowCarrier,
+)
+from dragonflyshift._internal.carried.balancer.openings import SMALL_CROSSING
+from dragonflyshift._internal.carried.balancer.sidecars import SidecarBook
+from dragonflyshift._internal.carried.messages import (
+    Carry,
+    decode_datagram,
+)
+from dragonflyshift._internal.carried.packet import FlowKey, Pair
+from dragonflyshift._internal.carried.policies.placement import (
+    FastestEstimate,
+)
+from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.telemetry import Counters
+from dragonflyshift.platform.packets import PlatformCodec
+from tests.lib.carried import (
+    ACK,
+    SERVICE,
+    SYN,
+    build_host,
+    build_packet,
+    build_view,
+)
+
+FLOW_COUNTS = (1, 1000, 100_000)
+ROUNDS = 20_000
+PLACEMENTS = 2000
+MAX_BYTES = 2048
+PAYLOAD = b'x' * 600
+_BALANCER: Pair = ('10.0.0.1', 7720)
+_US_PER_S = 1_000_000
+# Ports of the client and the service, and the service's address.
+_REST_OF_KEY = b'\x9c\x41\xc6\x12\x00\x01\x01\xbb'
+
+
+def _key(number: int) -> FlowKey:
+    client = (100 << 24) + number
+    return b''.join((client.to_bytes(4, 'big'), _REST_OF_KEY))
+
+
+def _per_call_us(call: Callable[[int], None], rounds: int = ROUNDS) -> float:
+    began = time.process_time()
+    for number in range(rounds):
+        call(number)
+    return (time.process_time() - began) / rounds * _US_PER_S
+
+
+def _drop(_raw: bytes, _target: object) -> None:
+    """Stand for a socket that sends."""
+
+
+def _pair_of(record: EndpointRecord) -> Pair:
+    return (record.host, 7720)
+
+
+def _age(_now: float) -> float:
+    return 0
+
+
+def _confirm() -> None:
+    """Stand for a question to the readers."""
+
+
+def _carrier(endpoints: int) -> FlowCarrier:
+    return FlowCarrier(
+        build_view(endpoints),
+        SidecarBook('klang'),
+        PlatformCodec(),
+        FastestEstimate(),
+        CarrierPorts(_drop, _drop, _pair_of, _age, _confirm),
+        random.Random(1),
+        Counters(),
+    )
+
+
+class BareSocket:
+    """Send and receive a datagram."""
+
+    def __init__(self) -> None:
+        """Connect two sockets."""
+        one, other = socket.socketpair(socket.AF_UNIX, socket.SOCK_DGRAM)
+        self._one = one
+        self._other = other
+        self._raw = build_packet(_key(1), ACK, payload=PAYLOAD)
+
+    def run(self, _number: int) -> None:
+        """Do it once."""
+        self._one.send(self._raw)
+        self._other.recv(MAX_BYTES)
+
+
+class BalancerPackets:
+    """Packets of known flows at a balancer."""
+
+    def __init__(self, flows: int) -> None:
+        """Open the flows."""
+        self._carrier = _carrier(7)
+        keys = [_key(number) for number in range(flows)]
+        for key in keys:
+            cached = CachedFlow(('10.1.0.1', 7720), SERVICE, 0)
+            self._carrier.cache[key] = cached
+        self._packets = [
+            build_packet(each, ACK, payload=PAYLOAD) for each in keys
+        ]
+
+    def run(self, number: int) -> None:
+        """Carry one packet."""
+        raw = self._packets[number % len(self._packets)]
+        self._carrier.client_packet(1, raw)
+
+
+class SidecarPackets:
+    """Packets of known flows at a sidecar."""
+
+    def __init__(self, flows: int) -> None:
+        """Open the flows."""
+        host, outbox = build_host()
+        self._host = host
+        self._outbox = outbox
+        keys = [_key(number) for number in range(flows)]
+        for key in keys:
+            host.condition.table.adopt(0, key, _BALANCER)
+        self._datagrams = [
+            Carry(SERVICE, build_packet(each, ACK, payload=PAYLOAD)).encode()
+            for each in keys
+        ]
+
+    def run(self, number: int) -> None:
+        """Deliver one packet."""
+        raw = self._datagrams[number % len(self._datagrams)]
+        message = decode_datagram(raw)
+        if isinstance(message, Carry):
+            self._host.on_carry(1, message, _BALANCER)
+        self._outbox.to_backend.clear()
+
+
+class Placements:
+    """New flows at a balancer that knows a number of endpoints."""
+
+    def __init__(self, endpoints: int) -> None:
+        """Fill the view."""
+        self._carrier = _carrier(endpoints)
+        self._policy = FastestEstimate()
+        self._rng = random.Random(1)
+
+    def decide(self, _number: int) -> None:
+        """Describe and order the endpoints, as each placement does."""
+        carrier = self._carrier
+        options = [
+            carrier.sidecars.option(1, record, _pair_of(record))
+            for record in carrier.view.endpoints(SERVICE)
+        ]
+        self._policy.order(options, SMALL_CROSSING, self._rng)
+
+    def run(self, number: int) -> None:
+        """Place one flow."""
+        self._carrier.client_packet(1, build_packet(_key(number), SYN))
+        self._carrier.opener.pending.clear()
+
+
+def main() -> None:
+    """Print the table."""
+    logging.disable(logging.CRITICAL)
+    print(f'bare socket pair: {_per_call_us(BareSocket().run):.1f} us a packet')
+    print('| flows | balancer us | sidecar us |')
+    print('|---|---|---|')
+    for flows in FLOW_COUNTS:
+        balancer = _per_call_us(BalancerPackets(flows).run)
+        sidecar = _per_call_us(SidecarPackets(flows).run)
+        print(f'| {flows} | {balancer:.1f} | {sidecar:.1f} |')
+    for endpoints in (7, 50):
+        placements = Placements(endpoints)
+        decision = _per_call_us(placements.decide, rounds=PLACEMENTS)
+        whole = _per_call_us(placements.run, rounds=PLACEMENTS)
+        print(
+            f'placement among {endpoints} endpoints: {decision:.0f} us,'
+            f' with packet and datagram {whole:.0f} us',
+        )
+
+
+if __name__ == '__main__':
+    main()
