Close a stopping sidecar's flows only when their answers have arrived

Cause: a request counted as done once its answer was written. Up to 256 KiB of an answer wait in the connection, so an export of 200,000 bytes to a slow client was still on its way when the flow was closed with H3_NO_ERROR, 0.8 s after its request. Change: a flow has open requests until its streams are acknowledged to the end. The unit test with a slow client failed first.

--- a/src/dragonflyshift/_internal/sidecar/flow.py
+++ b/src/dragonflyshift/_internal/sidecar/flow.py
@@ -78,8 +78,12 @@
 
     @property
     def open_requests(self) -> int:
-        """Requests whose answer isn't complete."""
-        return len(self._tasks)
+        """Requests whose answer the client doesn't have to its end.
+
+        An answer that was written whole may still wait for a slow client;
+        closing the flow would cut it.
+        """
+        return max(len(self._tasks), self.quic.undelivered())
 
     def quic_event_received(self, event: QuicEvent) -> None:
         """React to an event of the connection."""
--- a/src/dragonflyshift/_internal/sidecar/quic.py
+++ b/src/dragonflyshift/_internal/sidecar/quic.py
@@ -124,6 +124,14 @@
         sender = stream.sender
         return int(sender._buffer_stop - sender._buffer_start)
 
+    def undelivered(self) -> int:
+        """Return the streams written whole and not acknowledged to the end."""
+        senders = [stream.sender for stream in self._streams.values()]
+        return sum(
+            sender._buffer_fin is not None and not sender.is_finished
+            for sender in senders
+        )
+
     def can_send(self, stream_id: int) -> bool:
         """Tell whether the sending part of a stream is still open."""
         stream = self._streams.get(stream_id)
--- a/tests/unit/sidecar/test_quic.py
+++ b/tests/unit/sidecar/test_quic.py
@@ -96,6 +96,25 @@
             event = self.server.next_event()
 
 
+class SlowClientTest(unittest.TestCase):
+    def test_answer_is_undelivered_until_it_is_acknowledged(self):
+        """A sidecar that stops must not close the flow before."""
+        pair = Pair()
+        pair.carry()
+        stream_id = pair.client.get_next_available_stream_id()
+        pair.client.send_stream_data(stream_id, b'GET', end_stream=True)
+        pair.carry()
+        self.assertEqual(pair.server.undelivered(), 0)
+        pair.server.send_stream_data(stream_id, bytes(200_000), end_stream=True)
+        # The client is slow: what is sent doesn't reach it.
+        pair.server.datagrams_to_send(pair.now)
+        self.assertEqual(pair.server.undelivered(), 1)
+        pair.server.handle_timer(pair.now + 1)
+        pair.now += 1
+        pair.carry()
+        self.assertEqual(pair.server.undelivered(), 0)
+
+
 class SpoofedClientTest(unittest.TestCase):
     def test_little_is_sent_to_a_client_that_never_answers(self):
         pair = Pair()
