List a fault that reading found: a flow that opened may be given up

Cause: the opener forgets an offer only when a sidecar accepts it. If all its answers are lost while the client has opened the flow, the balancer resets it after 1.3 s.

--- a/tests/unit/carried/test_carrier.py
+++ b/tests/unit/carried/test_carrier.py
@@ -247,6 +247,15 @@
         self.assertIsInstance(message, Open)
         self.assertNotEqual(second, pair)
 
+    def test_flow_that_opened_is_not_given_up(self) -> None:
+        """The sidecar's answer was lost, its server's was not."""
+        self._send(0, SYN)
+        owner = self.outbox.to_daemon[0][1]
+        self._send_data()
+        self._verdict(0.02, owner, Verdict.OWNED)
+        self.carrier.tick(1.4)
+        self.assertEqual(self.outbox.to_client, [])
+
     def test_malformed_packets_are_counted(self) -> None:
         self.carrier.client_packet(0, b'short')
         self.assertEqual(self.outbox.to_daemon, [])
