Keep a flow that opened while its opening was still being placed

Cause: a balancer whose offers were all left unanswered held the opening until it gave up, and reset the flow although its client had an answer by then (a later packet, or an owner found by a look-up, shows that). Change: both drop the opening.

--- a/src/dragonflyshift/_internal/carried/balancer/carrier.py
+++ b/src/dragonflyshift/_internal/carried/balancer/carrier.py
@@ -168,6 +168,8 @@
             self._counters.incr('openings')
             self.opener.open(now, packet)
             return
+        # The client has a server's answer, so its flow has opened.
+        self.opener.opened(packet.key)
         self._look_up(now, packet)
 
     def _look_up(self, now: float, packet: Packet) -> None:
@@ -196,9 +198,8 @@
         if len(self.cache) < MAX_CACHED_FLOWS:
             service = self._service_of(key, pair)
             self.cache[key] = CachedFlow(pair, service, now)
-        if verdict is Verdict.ACCEPTED:
-            self.opener.accepted(key)
-        else:
+        self.opener.opened(key)
+        if verdict is Verdict.OWNED:
             self.lookups.owned(key, pair)
             age_s = now - self.sidecars.belief(pair).heard_at
             logger.info(
--- a/src/dragonflyshift/_internal/carried/balancer/openings.py
+++ b/src/dragonflyshift/_internal/carried/balancer/openings.py
@@ -110,8 +110,8 @@
         pending.target = refused_by
         self.refused(now, packet.key, refused_by)
 
-    def accepted(self, key: FlowKey) -> None:
-        """Take note that a sidecar has taken a flow."""
+    def opened(self, key: FlowKey) -> None:
+        """Stop placing a flow that a sidecar has, or that is open."""
         self.pending.pop(key, None)
 
     def refused(self, now: float, key: FlowKey, pair: Pair) -> None:
