Add an emulator: the roles' own objects on a virtual clock

Clients, fabric, links and backend servers are emulated; balancers and sidecars are the objects that the daemons run.

--- /dev/null
+++ b/bench/emulator/daemons.py
@@ -0,0 +1,256 @@
+"""Balancers and sidecars on the virtual clock: loading, running or dark."""
+
+__all__ = ('EmulatedBalancer', 'EmulatedSidecar')
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from functools import partial
+
+from attrs import define, field
+
+from bench.emulator.backend import EmulatedBackend
+from bench.emulator.clock import VirtualClock
+from bench.emulator.scenario import MS_PER_S
+from dragonflyshift._internal.carried.balancer import (
+    CarrierPorts,
+    FlowCarrier,
+)
+from dragonflyshift._internal.carried.balancer.sidecars import SidecarBook
+from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.messages import (
+    Ask,
+    Carry,
+    Open,
+    Placement,
+    decode_datagram,
+)
+from dragonflyshift._internal.carried.packet import FlowKey, Pair
+from dragonflyshift._internal.carried.policies.openings import OpeningPolicy
+from dragonflyshift._internal.carried.policies.placement import FlowPlacement
+from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.sidecar import FlowHost
+from dragonflyshift._internal.carried.sidecar.admission import HostPorts
+from dragonflyshift._internal.carried.sidecar.condition import (
+    BackendCondition,
+)
+from dragonflyshift._internal.carried.telemetry import Counters
+from dragonflyshift.platform.packets import PlatformCodec
+from tests.lib.carried import PEER_PORT
+
+CLIENT = 0
+PEER = 1
+BACKEND = 2
+SWEEP_S = 1.0
+_CODEC = PlatformCodec()
+
+
+@define(eq=False)
+class Network:
+    """How daemons reach each other and the clients."""
+
+    clock: VirtualClock
+    to_peer: Callable[[Pair, bytes, Pair], None]
+    to_client: Callable[[bytes], None]
+
+
+@define(eq=False)
+class _Daemon(ABC):
+    """A process that takes datagrams one after the other."""
+
+    pair: Pair
+    network: Network
+    view: FleetView
+    rng: random.Random
+    load_s: float
+    packet_ms: float
+    is_bound: bool = False
+    is_loaded: bool = False
+    _life: int = 0
+    _free_at: float = 0
+    _held: list[tuple[int, bytes, Pair]] = field(factory=list)
+
+    def stop(self) -> None:
+        """Lose everything."""
+        self.is_bound = False
+        self.is_loaded = False
+        self._life += 1
+        self._held.clear()
+
+    def start(self, *, load_s: float | None = None) -> None:
+        """Bind the sockets, and work once everything is loaded."""
+        self.is_bound = True
+        self.network.clock.after(
+            self.load_s if load_s is None else load_s,
+            partial(self._loaded, self._life),
+        )
+
+    def datagram(self, kind: int, raw: bytes, source: Pair) -> None:
+        """Take a datagram from one of the sockets."""
+        if self.is_loaded:
+            self._schedule(kind, raw, source)
+        elif self.is_bound:
+            self._held.append((kind, raw, source))
+
+    @abstractmethod
+    def create(self) -> None:
+        """Build the role's objects anew."""
+
+    @abstractmethod
+    def handle(self, kind: int, raw: bytes, source: Pair) -> None:
+        """Act on a datagram."""
+
+    @abstractmethod
+    def tick(self) -> None:
+        """Do the periodic work."""
+
+    def _schedule(self, kind: int, raw: bytes, source: Pair) -> None:
+        clock = self.network.clock
+        self._free_at = max(clock.now, self._free_at)
+        self._free_at += self.packet_ms / MS_PER_S
+        clock.after(
+            self._free_at - clock.now,
+            partial(self._run, self._life, kind, raw, source),
+        )
+
+    def _run(self, life: int, kind: int, raw: bytes, source: Pair) -> None:
+        if life == self._life:
+            self.handle(kind, raw, source)
+
+    def _loaded(self, life: int) -> None:
+        if life != self._life:
+            return
+        self.is_loaded = True
+        self.create()
+        for kind, raw, source in self._held:
+            self._schedule(kind, raw, source)
+        self._held.clear()
+
+
+@define(eq=False)
+class EmulatedBalancer(_Daemon):
+    """A balancer's packet path."""
+
+    data_center: str = ''
+    placement: type[FlowPlacement] = field(kw_only=True)
+    carrier: FlowCarrier = field(init=False)
+
+    def create(self) -> None:
+        """Build the role's objects anew."""
+        self.carrier = FlowCarrier(
+            self.view,
+            SidecarBook(self.data_center),
+            _CODEC,
+            self.placement(),
+            CarrierPorts(
+                self._to_sidecar,
+                self._to_client,
+                _sidecar_of,
+                _fresh,
+                _confirmed,
+            ),
+            self.rng,
+            Counters(),
+        )
+
+    def handle(self, kind: int, raw: bytes, source: Pair) -> None:
+        """Act on a datagram."""
+        now = self.network.clock.now
+        if kind == CLIENT:
+            self.carrier.client_packet(now, raw)
+            return
+        message = decode_datagram(raw)
+        if isinstance(message, Placement):
+            self.carrier.placement(now, message, source)
+
+    def tick(self) -> None:
+        """Do the periodic work."""
+        if self.is_loaded:
+            self.carrier.tick(self.network.clock.now)
+
+    def _to_sidecar(self, raw: bytes, pair: Pair) -> None:
+        self.network.to_peer(self.pair, raw, pair)
+
+    def _to_client(self, raw: bytes, _key: FlowKey) -> None:
+        self.network.to_client(raw)
+
+
+@define(eq=False)
+class EmulatedSidecar(_Daemon):
+    """A sidecar's packet path, beside its backend server."""
+
+    service: str = ''
+    backend: EmulatedBackend = field(kw_only=True)
+    policy: type[OpeningPolicy] = field(kw_only=True)
+    knows_all: bool = True
+    host: FlowHost = field(init=False)
+    _swept_at: float = 0
+
+    def create(self) -> None:
+        """Build the role's objects anew."""
+        backend = (self.pair[0], self.backend_port)
+        condition = BackendCondition(
+            service=self.service,
+            backend=backend,
+            view=self.view,
+            policy=self.policy(),
+            knows_all=self.knows_all,
+        )
+        condition.read_register()
+        ports = HostPorts(
+            self.backend.packet,
+            self._to_client,
+            self._to_balancer,
+        )
+        self.host = FlowHost(condition, _CODEC, ports, Counters())
+
+    @property
+    def backend_port(self) -> int:
+        """The port of the backend server in the register."""
+        return next(
+            record.port
+            for record in self.view.records.values()
+            if record.host == self.pair[0]
+        )
+
+    def handle(self, kind: int, raw: bytes, source: Pair) -> None:
+        """Act on a datagram."""
+        now = self.network.clock.now
+        if kind == BACKEND:
+            self.host.backend_packet(now, raw)
+            return
+        message = decode_datagram(raw)
+        if isinstance(message, Open):
+            self.host.on_open(now, message, source)
+        elif isinstance(message, Carry):
+            self.host.on_carry(now, message, source)
+        elif isinstance(message, Ask):
+            self.host.on_ask(now, message, source)
+
+    def tick(self) -> None:
+        """Do the periodic work."""
+        if not self.is_loaded:
+            return
+        now = self.network.clock.now
+        self.host.tick(now)
+        if now - self._swept_at > SWEEP_S:
+            self._swept_at = now
+            self.host.sweep(now)
+
+    def _to_balancer(self, raw: bytes, pair: Pair) -> None:
+        self.network.to_peer(self.pair, raw, pair)
+
+    def _to_client(self, raw: bytes, _key: FlowKey) -> None:
+        self.network.to_client(raw)
+
+
+def _sidecar_of(record: EndpointRecord) -> Pair:
+    return (record.host, PEER_PORT)
+
+
+def _fresh(_now: float) -> float:
+    return 0
+
+
+def _confirmed() -> None:
+    """The view is always current here."""
--- /dev/null
+++ b/bench/emulator/world.py
@@ -0,0 +1,257 @@
+"""The emulated world: fabric, links, fleet, load and faults of a scenario."""
+
+__all__ = ('World', 'run_scenario')
+
+import random
+import socket
+from collections.abc import Callable
+from functools import partial
+
+import xxhash
+from attrs import define, evolve, field
+
+from bench.emulator.backend import EmulatedBackend
+from bench.emulator.clients import Clients
+from bench.emulator.clock import VirtualClock
+from bench.emulator.daemons import (
+    BACKEND,
+    CLIENT,
+    PEER,
+    EmulatedBalancer,
+    EmulatedSidecar,
+    Network,
+)
+from bench.emulator.faults import FaultPlayer
+from bench.emulator.scenario import MS_PER_S, LoadKind, Scenario
+from bench.emulator.tally import Tally
+from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.packet import Pair
+from dragonflyshift._internal.carried.policies.openings import (
+    OpeningPolicy,
+    TargetFirst,
+)
+from dragonflyshift._internal.carried.policies.placement import (
+    FastestEstimate,
+    FlowPlacement,
+)
+from dragonflyshift._internal.carried.routes import (
+    Route,
+    RouteTable,
+    TransferKind,
+    WeightedService,
+)
+from tests.lib.carried import (
+    PEER_PORT,
+    SERVICE,
+    SERVICE_HOST,
+    build_record,
+    build_route,
+)
+
+TICK_S = 0.02
+READINESS_S = 0.5
+FIRST_SERVICE_PORT = 8000
+IN_DATA_CENTER_MS = 0.1
+DRAIN_TIME_S = 4.0
+
+
+@define(eq=False)
+class World:
+    """One run of a scenario."""
+
+    scenario: Scenario
+    seed: int
+    placement: type[FlowPlacement] = FastestEstimate
+    policy: type[OpeningPolicy] = TargetFirst
+    clock: VirtualClock = field(factory=VirtualClock)
+    tally: Tally = field(factory=Tally)
+    view: FleetView = field(factory=FleetView)
+    balancers: list[EmulatedBalancer] = field(factory=list)
+    sidecars: list[EmulatedSidecar] = field(factory=list)
+    clients: Clients = field(init=False)
+    burst: float = 1
+    _rng: random.Random = field(init=False)
+    # Balancers that the fabric sends packets to.
+    _rotation: list[EmulatedBalancer] = field(factory=list)
+    _misses: dict[Pair, int] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the fleet and its clients."""
+        self._rng = random.Random(self.seed)
+        ports = {
+            kind.name: FIRST_SERVICE_PORT + number
+            for number, kind in enumerate(self.scenario.load)
+        }
+        routes = [_route(kind, ports[kind.name]) for kind in self.scenario.load]
+        table = {route.address: route for route in routes}
+        self.view.routes = RouteTable(1, table)
+        network = Network(self.clock, self._to_peer, self._to_client)
+        for number in range(1, self.scenario.fleet.servers + 1):
+            self._add_server(number, network)
+        for number in range(1, self.scenario.fleet.balancers + 1):
+            self._add_balancer(number, network)
+        self.view.revision = self.scenario.fleet.servers
+        self.clients = Clients(
+            self.clock,
+            self._rng,
+            self.tally,
+            self._to_fabric,
+            ports,
+        )
+
+    def run(self) -> Tally:
+        """Play the load and the faults."""
+        self.clock.run_until(0)
+        for kind in self.scenario.load:
+            self._next_request(kind)
+        faults = FaultPlayer(self, self._rng)
+        for fault in self.scenario.faults:
+            self.clock.after(fault.at, partial(faults.begin, fault))
+        self.clock.every(TICK_S, self._tick)
+        self.clock.every(READINESS_S, self._probe)
+        self.clock.run_until(self.scenario.seconds + DRAIN_TIME_S)
+        return self.tally
+
+    def _add_server(self, number: int, network: Network) -> None:
+        fleet = self.scenario.fleet
+        record = build_record(
+            number,
+            data_center=_data_center(number, fleet.data_centers),
+            slots=fleet.slots,
+        )
+        self.view.merge(record)
+        pair = (record.host, PEER_PORT)
+        backend = EmulatedBackend(
+            self.clock,
+            fleet,
+            self._rng,
+            lambda raw: self._to_sidecar(number - 1, raw),
+        )
+        sidecar = EmulatedSidecar(
+            pair,
+            network,
+            self.view,
+            self._rng,
+            fleet.sidecar_load_s,
+            0.05,
+            service=SERVICE,
+            backend=backend,
+            policy=self.policy,
+        )
+        sidecar.start(load_s=0)
+        self.sidecars.append(sidecar)
+
+    def _add_balancer(self, number: int, network: Network) -> None:
+        fleet = self.scenario.fleet
+        balancer = EmulatedBalancer(
+            (f'10.2.0.{number}', PEER_PORT),
+            network,
+            self.view,
+            self._rng,
+            fleet.balancer_load_s,
+            fleet.packet_ms,
+            data_center=_data_center(number, fleet.data_centers),
+            placement=self.placement,
+        )
+        balancer.start(load_s=0)
+        self.balancers.append(balancer)
+        self._rotation.append(balancer)
+
+    def _next_request(self, kind: LoadKind) -> None:
+        rate = kind.per_s * self.burst
+        self.clock.after(
+            self._rng.expovariate(rate),
+            partial(self._begin_request, kind),
+        )
+
+    def _begin_request(self, kind: LoadKind) -> None:
+        if self.clock.now < self.scenario.seconds:
+            self.clients.begin(kind)
+            self._next_request(kind)
+
+    def _tick(self) -> None:
+        for sidecar in self.sidecars:
+            sidecar.tick()
+        for balancer in self.balancers:
+            balancer.tick()
+
+    def _probe(self) -> None:
+        """Ask for readiness; two misses take a balancer out of rotation."""
+        for balancer in self.balancers:
+            missed = self._misses.get(balancer.pair, 0) + 1
+            self._misses[balancer.pair] = 0 if balancer.is_loaded else missed
+        ready = [item for item in self.balancers if self._misses[item.pair] < 2]
+        is_enough = len(ready) * 2 >= len(self.balancers)
+        self._rotation = ready if is_enough else self.balancers
+
+    def _to_fabric(self, raw: bytes) -> None:
+        flow = raw[13:25]
+        target = max(
+            self._rotation,
+            key=lambda balancer: xxhash.xxh3_64_intdigest(
+                flow + balancer.pair[0].encode(),
+            ),
+        )
+        self._after(
+            self.scenario.fleet.client_ms,
+            lambda: target.datagram(CLIENT, raw, ('', 0)),
+        )
+
+    def _to_peer(self, source: Pair, raw: bytes, target: Pair) -> None:
+        daemon = next(
+            item
+            for item in (*self.sidecars, *self.balancers)
+            if item.pair == target
+        )
+        is_near = self._place(source) == self._place(target)
+        crossing = self.scenario.fleet.crossing_ms
+        self._after(
+            IN_DATA_CENTER_MS if is_near else crossing,
+            lambda: daemon.datagram(PEER, raw, source),
+        )
+
+    def _to_sidecar(self, index: int, raw: bytes) -> None:
+        sidecar = self.sidecars[index]
+        self._after(0.02, lambda: sidecar.datagram(BACKEND, raw, ('', 0)))
+
+    def _to_client(self, raw: bytes) -> None:
+        self._after(
+            self.scenario.fleet.client_ms,
+            lambda: self.clients.packet(raw),
+        )
+
+    def _after(self, delay_ms: float, work: Callable[[], None]) -> None:
+        self.clock.after(delay_ms / MS_PER_S, work)
+
+    def _place(self, pair: Pair) -> str:
+        number = int(pair[0].rpartition('.')[2])
+        return _data_center(number, self.scenario.fleet.data_centers)
+
+
+def run_scenario(
+    scenario: Scenario,
+    seed: int,
+    policy: type[OpeningPolicy] = TargetFirst,
+    placement: type[FlowPlacement] = FastestEstimate,
+) -> Tally:
+    """Play a scenario and return what became of its requests."""
+    return World(scenario, seed, placement, policy).run()
+
+
+def _data_center(number: int, count: int) -> str:
+    return f'dc-{number % count}'
+
+
+def _route(kind: LoadKind, port: int) -> Route:
+    address = socket.inet_aton(SERVICE_HOST) + port.to_bytes(2, 'big')
+    is_safe = bool(kind.users) or kind.priority > 1
+    return evolve(
+        build_route(name=kind.name, address=address),
+        services=(WeightedService(SERVICE, 1),),
+        kind=(
+            TransferKind.IDEMPOTENT if is_safe else TransferKind.NON_IDEMPOTENT
+        ),
+        target_ms=int(kind.target_ms),
+        timeout_ms=int(kind.budget_ms),
+        priority=kind.priority,
+    )
--- /dev/null
+++ b/tests/unit/bench/test_emulator.py
@@ -0,0 +1,60 @@
+"""The emulated world repeats, and serves a calm fleet in full."""
+
+import logging
+import tempfile
+import unittest
+from pathlib import Path
+
+from attrs import evolve
+
+from bench.emulator.scenario import (
+    Fault,
+    FleetPlan,
+    LoadKind,
+    Scenario,
+    ScenarioError,
+    load_scenario,
+)
+from bench.emulator.world import run_scenario
+
+_LOAD = LoadKind('view', 60, 50, 250, 1200, users=40)
+_SCENARIO = Scenario((_LOAD,), 3, FleetPlan(balancers=3, servers=3))
+
+
+class EmulatorTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def test_a_seed_repeats(self) -> None:
+        first = run_scenario(_SCENARIO, 1)
+        self.assertEqual(first, run_scenario(_SCENARIO, 1))
+        self.assertNotEqual(first, run_scenario(_SCENARIO, 2))
+
+    def test_calm_fleet_serves_all(self) -> None:
+        total = run_scenario(_SCENARIO, 1).total()
+        self.assertEqual(total.failed, 0)
+        self.assertGreater(total.worth, 0.99)
+
+    def test_load_returns_after_power_loss(self) -> None:
+        lost = Fault('power', at=1, for_s=0.5)
+        scenario = evolve(_SCENARIO, seconds=8, faults=(lost,))
+        windows = run_scenario(scenario, 1).windows
+        self.assertLess(windows[0].worth, 1)
+        self.assertGreater(windows[3].worth, 0.99)
+
+    def test_lost_balancers_break_no_flow(self) -> None:
+        lost = Fault('balancers', at=1, for_s=1, count=1)
+        scenario = evolve(_SCENARIO, seconds=6, faults=(lost,))
+        self.assertEqual(run_scenario(scenario, 1).total().failed, 0)
+
+    def test_unknown_scenario_is_named(self) -> None:
+        with self.assertRaisesRegex(ScenarioError, 'nowhere'):
+            load_scenario('nowhere')
+
+    def test_unknown_fault_is_named(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'own.toml'
+            path.write_text('load = []\n[[faults]]\nkind = "rain"\nat = 1\n')
+            with self.assertRaisesRegex(ScenarioError, 'rain'):
+                load_scenario(str(path))
