--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -19,7 +19,7 @@
 MAX_REMOVED = 4096
 
 
-@frozen(eq=False)
+@frozen(eq=False, repr=False)
 class ViewUpdate:
     """Changes of a view.
 
--- a/src/dragonflyshift/_internal/carried/http_pages.py
+++ b/src/dragonflyshift/_internal/carried/http_pages.py
@@ -16,7 +16,7 @@
 _REASONS = {200: 'OK', 404: 'Not Found', 503: 'Service Unavailable'}
 
 
-@frozen
+@frozen(repr=False)
 class Page:
     """One answer."""
 
--- a/src/dragonflyshift/_internal/carried/load.py
+++ b/src/dragonflyshift/_internal/carried/load.py
@@ -17,7 +17,7 @@
     FULL = 3
 
 
-@frozen
+@frozen(repr=False)
 class LoadReport:
     """What a backend server has to do.
 
--- a/src/dragonflyshift/_internal/carried/messages.py
+++ b/src/dragonflyshift/_internal/carried/messages.py
@@ -54,7 +54,7 @@
         raise ValueError('flow key has a wrong length')
 
 
-@frozen
+@frozen(repr=False)
 class Open(Datagram):
     """A flow's first packet, for a sidecar to admit.
 
@@ -76,7 +76,7 @@
     raw: bytes
 
 
-@frozen
+@frozen(repr=False)
 class Carry(Datagram):
     """A later packet of a flow, for its owner."""
 
@@ -84,7 +84,7 @@
     raw: bytes
 
 
-@frozen
+@frozen(repr=False)
 class Ask(Datagram):
     """The question to a sidecar whether it holds a flow.
 
@@ -97,7 +97,7 @@
     acknowledged: int
 
 
-@frozen
+@frozen(repr=False)
 class Placement(Datagram):
     """A sidecar's verdict on a flow, with its load.
 
@@ -110,7 +110,7 @@
     raw: bytes = b''
 
 
-@frozen
+@frozen(repr=False)
 class Status(Datagram):
     """What a daemon holds, told to its peers.
 
@@ -133,7 +133,7 @@
     load: LoadReport | None = None
 
 
-@frozen
+@frozen(repr=False)
 class Notice(Datagram):
     """Endpoint changes after revision ``base``, small enough for a datagram."""
 
--- a/src/dragonflyshift/_internal/carried/node_settings.py
+++ b/src/dragonflyshift/_internal/carried/node_settings.py
@@ -7,7 +7,7 @@
 from dragonflyshift._internal.carried.packet import Pair
 
 
-@frozen(kw_only=True)
+@frozen(kw_only=True, repr=False)
 class NodeSettings:
     """Where a daemon stands, listens and looks.
 
--- a/src/dragonflyshift/_internal/carried/policies/placement.py
+++ b/src/dragonflyshift/_internal/carried/policies/placement.py
@@ -36,7 +36,7 @@
 COLD_FACTOR = 1.6
 
 
-@frozen
+@frozen(repr=False)
 class CrossingCost:
     """What sending a flow to another data centre or region costs, in ms.
 
@@ -48,7 +48,7 @@
     region_ms: float
 
 
-@define
+@define(repr=False)
 class PlacementOption:
     """An endpoint with what a balancer believes of it.
 
--- a/src/dragonflyshift/_internal/carried/records.py
+++ b/src/dragonflyshift/_internal/carried/records.py
@@ -7,7 +7,7 @@
 from dragonflyshift._internal.carried.packet import Pair
 
 
-@frozen
+@frozen(repr=False)
 class EndpointRecord:
     """One start of a backend server, with the revision that says so.
 
--- a/src/dragonflyshift/_internal/carried/routes.py
+++ b/src/dragonflyshift/_internal/carried/routes.py
@@ -27,7 +27,7 @@
     UPLOAD = 3
 
 
-@frozen
+@frozen(repr=False)
 class WeightedService:
     """A service with its share of a route's new flows."""
 
@@ -35,7 +35,7 @@
     weight: int
 
 
-@frozen
+@frozen(repr=False)
 class Route:
     """One service address and what is known of its requests.
 
@@ -65,7 +65,7 @@
         return self.services[-1].name
 
 
-@frozen(eq=False)
+@frozen(eq=False, repr=False)
 class RouteTable:
     """All routes of one configuration version, by service address."""
 
--- a/src/dragonflyshift/platform/__main__.py
+++ b/src/dragonflyshift/platform/__main__.py
@@ -1,16 +1,22 @@
 """Entry point: ``python3 -m dragonflyshift.platform ROLE``."""
 
+import gc
 import os
 import sys
+from types import ModuleType
 
 from dragonflyshift.platform.binding import SETTINGS_VARIABLE, bind_early
 
 # Nothing here speaks TLS, and loading it would prolong each start.
 sys.modules.setdefault('ssl', None)  # type: ignore[arg-type]
+# No class here uses attrs' validators; building them is a tenth of a start.
+sys.modules.setdefault('attr.validators', ModuleType('attr.validators'))
 
 
 def _run() -> int:
     sockets = bind_early(os.environ.get(SETTINGS_VARIABLE, ''))
+    # What a start allocates stays; searching it for garbage is in vain.
+    gc.disable()
     # Most of a start is the loading of this: packets wait meanwhile.
     from dragonflyshift.platform.running import main
 
--- a/src/dragonflyshift/platform/running.py
+++ b/src/dragonflyshift/platform/running.py
@@ -3,6 +3,7 @@
 __all__ = ('main',)
 
 import asyncio
+import gc
 import logging
 import os
 import signal
@@ -99,6 +100,8 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     await node.start()
+    gc.freeze()
+    gc.enable()
     reloads = asyncio.create_task(_watch_settings(node, path, reload))
     await stop.wait()
     reloads.cancel()
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -3,7 +3,6 @@
 __all__ = ('read_settings',)
 
 import json
-from pathlib import Path
 from typing import Any
 
 from dragonflyshift._internal.carried.node_settings import NodeSettings
@@ -20,7 +19,8 @@
 def read_settings(path: str) -> NodeSettings:
     """Read the file; raise SettingsError when anything needed is off."""
     try:
-        raw = Path(path).read_bytes()
+        with open(path, 'rb') as settings:
+            raw = settings.read()
     except OSError as exc:
         raise SettingsError(
             f'can not read the settings: {exc.strerror}',
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -7,7 +7,6 @@
 import json
 import logging
 from typing import TYPE_CHECKING, Any
-from urllib.parse import urlencode
 
 from dragonflyshift._internal.carried.fleet.source import (
     HistoryLostError,
@@ -153,7 +152,7 @@
         query: dict[str, Any],
         timeout_s: float,
     ) -> dict[str, Any]:
-        target = f'{path}?{urlencode(query)}'
+        target = f'{path}?{_encoded(query)}'
         try:
             async with asyncio.timeout(timeout_s):
                 status, body = await self._exchange(target)
@@ -179,6 +178,17 @@
         return await stream.get(target)
 
 
+def _encoded(query: dict[str, Any]) -> str:
+    texts = [str(part) for part in query.values()]
+    if all(not text or text.isalnum() for text in texts):
+        names = zip(query, texts, strict=True)
+        return '&'.join(f'{name}={text}' for name, text in names)
+    # Loaded when needed, after a truncated page: it would prolong each start.
+    from urllib.parse import urlencode
+
+    return urlencode(query)
+
+
 def _checked(path: str, status: int, raw: bytes) -> dict[str, Any]:
     if status == _GONE:
         raise HistoryLostError('history is gone', context=path)
--- a/tests/unit/platform/test_imports.py
+++ b/tests/unit/platform/test_imports.py
@@ -1,14 +1,17 @@
 """Starts are short on a quarter of a core: roles import what they use."""
 
+import os
 import subprocess
 import sys
+import sysconfig
 import unittest
 from pathlib import Path
 
 _SOURCE = Path(__file__).resolve().parents[3] / 'src'
+_LIBRARIES = sysconfig.get_path('purelib')
 _PROGRAM = """
 import sys
-sys.modules['ssl'] = None
+import dragonflyshift.platform.__main__
 import dragonflyshift.platform.running
 import dragonflyshift._internal.carried.{role}.node
 print(' '.join(sorted(sys.modules)))
@@ -22,9 +25,11 @@
         'cryptography',
         'httpx',
         'opentelemetry',
+        'pathlib',
         'prometheus_client',
         'reactivex',
         'statsd',
+        'urllib.parse',
     )
 )
 
@@ -51,8 +56,8 @@
 
 def _modules_of(role: str) -> set[str]:
     done = subprocess.run(
-        [sys.executable, '-c', _PROGRAM.format(role=role)],
-        env={'PYTHONPATH': str(_SOURCE)},
+        [sys.executable, '-S', '-c', _PROGRAM.format(role=role)],
+        env={'PYTHONPATH': os.pathsep.join((str(_SOURCE), _LIBRARIES))},
         capture_output=True,
         check=True,
         text=True,
