--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -27,8 +27,8 @@
 from dragonflyshift._internal.carried.fleet.view import FleetView
 from dragonflyshift._internal.carried.packet import Pair
 from dragonflyshift._internal.carried.policies.openings import (
+    InTimeOnly,
     OpeningPolicy,
-    TargetFirst,
 )
 from dragonflyshift._internal.carried.policies.placement import (
     FastestEstimate,
@@ -62,7 +62,7 @@
     scenario: Scenario
     seed: int
     placement: type[FlowPlacement] = FastestEstimate
-    policy: type[OpeningPolicy] = TargetFirst
+    policy: type[OpeningPolicy] = InTimeOnly
     clock: VirtualClock = field(factory=VirtualClock)
     tally: Tally = field(factory=Tally)
     view: FleetView = field(factory=FleetView)
@@ -231,7 +231,7 @@
 def run_scenario(
     scenario: Scenario,
     seed: int,
-    policy: type[OpeningPolicy] = TargetFirst,
+    policy: type[OpeningPolicy] = InTimeOnly,
     placement: type[FlowPlacement] = FastestEstimate,
 ) -> Tally:
     """Play a scenario and return what became of its requests."""
--- a/src/dragonflyshift/_internal/carried/policies/openings.py
+++ b/src/dragonflyshift/_internal/carried/policies/openings.py
@@ -1,20 +1,21 @@
 """How new carried flows wait for a slot, and when they are refused.
 
 The load pattern: a crowd that returns after many servers were lost, or 1.7
-times the usual load, before servers with three slots. In arrival order every
-request waits until it is late, and a server whose queue is full sheds at
-random. Here the flow's first packet waits instead, so that the order can
-still be chosen: those first that can still meet their latency target, dear
-ones before cheap ones, and a refusal at once for those with no chance. And it
-waits only where it was sent for good: a busy server passes it on while the
-balancer believes that another one is idle.
+times the usual load, before servers with one to four slots. When all may wait,
+everybody's wait grows to the latency target and most answers come just too
+late. Here a flow's first packet waits only if its answer is predicted within
+the target; all others are refused at once, while their clients can still be
+served elsewhere. And it waits only where it was sent for good: a busy server
+passes it on while the balancer believes that another one is idle.
 """
 
 __all__ = (
+    'MAX_WAIT_MS',
+    'OVERCOMMIT',
+    'InTimeOnly',
     'Opening',
     'OpeningPolicy',
     'OpeningVerdict',
-    'TargetFirst',
 )
 
 import enum
@@ -26,10 +27,12 @@
 
 # Clients repeat a first packet for 1.4 s; an answer needs some of it.
 MAX_WAIT_MS = 1200.0
-# Mean service times that must be left before a latency target for a flow to
-# count as in time; service times vary by about half of their mean.
-TARGET_MARGIN = 2.0
-# With less than this share of a mean service time left there is no chance.
+# Share of a mean service time that is left for the answer when a flow is
+# predicted to start, by its priority; the last one holds for all lower ones.
+# Less urgent flows leave room for urgent ones that come after them.
+ANSWER_MARGINS = (0.5, 0.5, 1.0)
+LOWEST_PRIORITY = len(ANSWER_MARGINS) - 1
+# With less of a service time left the answer is late for nearly all.
 CHANCE_MARGIN = 0.5
 # Flows beyond the slots that are let through, so that a server doesn't idle
 # for the round trip between two requests.
@@ -44,14 +47,6 @@
     REFUSE = 'refuse'
 
 
-class _Chance(enum.IntEnum):
-    """The chance of a flow to meet its latency target."""
-
-    GOOD = 0
-    SLIGHT = 1
-    NONE = 2
-
-
 @define(eq=False, repr=False)
 class Opening:
     """A new flow that asks for a slot.
@@ -121,8 +116,11 @@
         """Tell whether a flow waits."""
 
 
-class TargetFirst(OpeningPolicy, name='target-first'):
-    """Those that can meet their target first, those with no chance last."""
+class InTimeOnly(OpeningPolicy, name='in-time-only'):
+    """In order of age, and only those that can meet their latency target.
+
+    A flow that is late already still starts where a slot is free.
+    """
 
     def __init__(self) -> None:
         """Start with nothing waiting."""
@@ -142,18 +140,19 @@
         service_ms: float,
     ) -> OpeningVerdict:
         """Decide on a new flow; it is kept when the verdict is to wait."""
-        is_idle = not self._waiting and busy < slots
-        if is_idle:
+        allowed = slots + OVERCOMMIT if opening.is_last else slots
+        if not self._waiting and busy < allowed:
             return OpeningVerdict.START
         if not opening.is_last:
             # Another server may be idle, and asking it takes a round trip.
             return OpeningVerdict.REFUSE
-        if not self._waiting and busy < slots + OVERCOMMIT:
-            return OpeningVerdict.START
-        ahead = busy + self._before(now, opening, service_ms) + 1 - slots
-        wait_ms = max(0, ahead) * service_ms / max(1, slots)
-        total_ms = opening.age_ms(now) + wait_ms
-        if total_ms > self._limit_ms(opening, service_ms):
+        age_ms = opening.age_ms(now)
+        older = sum(
+            other.age_ms(now) >= age_ms for other in self._waiting.values()
+        )
+        wait_ms = max(0, busy + older + 1 - slots) * service_ms / slots
+        margin = ANSWER_MARGINS[min(opening.priority, LOWEST_PRIORITY)]
+        if age_ms + wait_ms > _latest_ms(opening, margin * service_ms):
             return OpeningVerdict.REFUSE
         self._waiting[opening.key] = opening
         return OpeningVerdict.WAIT
@@ -165,21 +164,22 @@
         slots: int,
         service_ms: float,
     ) -> Opening | None:
-        """Remove and return the flow that shall start, if a slot is free."""
+        """Remove and return the oldest flow, if a slot is free."""
         if not self._waiting or busy >= slots + OVERCOMMIT:
             return None
-        chosen = min(
+        oldest = max(
             self._waiting.values(),
-            key=lambda opening: _rank(now, opening, service_ms),
+            key=lambda opening: opening.age_ms(now),
         )
-        return self._waiting.pop(chosen.key)
+        return self._waiting.pop(oldest.key)
 
     def expire(self, now: float, service_ms: float) -> list[Opening]:
-        """Remove and return the flows that can no longer be served."""
+        """Remove and return the flows that have become late."""
         late = [
             opening
             for opening in self._waiting.values()
-            if opening.age_ms(now) > self._limit_ms(opening, service_ms)
+            if opening.age_ms(now)
+            > _latest_ms(opening, CHANCE_MARGIN * service_ms)
         ]
         for opening in late:
             self.discard(opening.key)
@@ -199,37 +199,7 @@
         """Tell whether a flow waits."""
         return key in self._waiting
 
-    def _before(
-        self,
-        now: float,
-        opening: Opening,
-        service_ms: float,
-    ) -> int:
-        """Count the waiting flows that would start before this one."""
-        rank = _rank(now, opening, service_ms)
-        return sum(
-            _rank(now, other, service_ms) <= rank
-            for other in self._waiting.values()
-        )
 
-    def _limit_ms(self, opening: Opening, service_ms: float) -> float:
-        return min(MAX_WAIT_MS, opening.timeout_ms - service_ms)
-
-
-def _rank(
-    now: float,
-    opening: Opening,
-    service_ms: float,
-) -> tuple[_Chance, int, float]:
-    """Order flows by their chance, then by priority, then by age.
-
-    Among those that may just make it the youngest has the best chance. The
-    others of one kind go in order of arrival.
-    """
-    age_ms = opening.age_ms(now)
-    left_ms = opening.target_ms - age_ms
-    if left_ms >= TARGET_MARGIN * service_ms:
-        return (_Chance.GOOD, opening.priority, -age_ms)
-    if left_ms >= CHANCE_MARGIN * service_ms:
-        return (_Chance.SLIGHT, opening.priority, age_ms)
-    return (_Chance.NONE, opening.priority, -age_ms)
+def _latest_ms(opening: Opening, answer_ms: float) -> float:
+    """Return the age at which a flow has to start at the latest."""
+    return min(opening.target_ms - answer_ms, MAX_WAIT_MS)
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -63,7 +63,7 @@
                 'a sidecar needs a service and a backend server',
                 hint='name both in the settings',
             )
-        name = settings.plugins.get('opening-policy', 'target-first')
+        name = settings.plugins.get('opening-policy', 'in-time-only')
         self.condition = BackendCondition(
             service=settings.service,
             backend=settings.backend,
