--- a/src/dragonflyshift/_internal/carried/balancer/carrier.py
+++ b/src/dragonflyshift/_internal/carried/balancer/carrier.py
@@ -31,6 +31,9 @@
     PacketCodec,
     Pair,
 )
+from dragonflyshift._internal.carried.policies.candidates import (
+    CandidateRing,
+)
 from dragonflyshift._internal.carried.policies.placement import FlowPlacement
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.routes import Route
@@ -99,6 +102,7 @@
                 self._is_fresh,
             ),
             rng,
+            CandidateRing(sidecars.data_center),
         )
         self.lookups = OwnerLookups(
             LookupPorts(
--- a/src/dragonflyshift/_internal/carried/balancer/openings.py
+++ b/src/dragonflyshift/_internal/carried/balancer/openings.py
@@ -4,7 +4,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from attrs import define, field
 
@@ -12,6 +12,9 @@
 from dragonflyshift._internal.carried.fleet.view import FleetView
 from dragonflyshift._internal.carried.messages import Open
 from dragonflyshift._internal.carried.packet import FlowKey, Packet, Pair
+from dragonflyshift._internal.carried.policies.candidates import (
+    CandidateRing,
+)
 from dragonflyshift._internal.carried.policies.placement import (
     CrossingCost,
     FlowPlacement,
@@ -79,6 +82,7 @@
     placement: FlowPlacement
     ports: OpenerPorts
     rng: random.Random
+    candidates: CandidateRing
     pending: dict[FlowKey, PendingOpening] = field(factory=dict)
     # Since when a service has had no endpoint at all.
     _empty_since: dict[str, float] = field(factory=dict)
@@ -158,7 +162,7 @@
             self._without_route(now, key)
             return
         service = route.service_for(key)
-        options = self._options(now, route, service)
+        options = self._options(now, route, service, key)
         if not options:
             self._without_endpoint(now, key, service)
             return
@@ -177,10 +181,25 @@
         now: float,
         route: Route,
         service: str,
+        key: FlowKey,
+    ) -> list[PlacementOption]:
+        endpoints = self.view.endpoints(service)
+        candidates = self.candidates.choose(service, endpoints, key)
+        options = self._rated(now, route, candidates)
+        if not options and len(candidates) < len(endpoints):
+            # All of them leave, or are down: look at the whole service.
+            options = self._rated(now, route, endpoints)
+        return options
+
+    def _rated(
+        self,
+        now: float,
+        route: Route,
+        endpoints: Sequence[EndpointRecord],
     ) -> list[PlacementOption]:
         options = [
             self.sidecars.option(now, record, self.ports.sidecar(record))
-            for record in self.view.endpoints(service)
+            for record in endpoints
         ]
         large = route.kind in _LARGE
         cost = LARGE_CROSSING if large else SMALL_CROSSING
