--- a/src/dragonflyshift/_internal/carried/policies/openings.py
+++ b/src/dragonflyshift/_internal/carried/policies/openings.py
@@ -32,6 +32,9 @@
 # Less urgent flows leave room for urgent ones that come after them.
 ANSWER_MARGINS = (0.5, 0.5, 1.0)
 LOWEST_PRIORITY = len(ANSWER_MARGINS) - 1
+# Mean service times before the target below which time is tight; service
+# times vary by about half of their mean.
+SPARE_MARGIN = 2.0
 # With less of a service time left the answer is late for nearly all.
 CHANCE_MARGIN = 0.5
 # Flows beyond the slots that are let through, so that a server doesn't idle
@@ -117,7 +120,7 @@
 
 
 class InTimeOnly(OpeningPolicy, name='in-time-only'):
-    """In order of age, and only those that can meet their latency target.
+    """Only flows that can meet their latency target wait.
 
     A flow that is late already still starts where a slot is free.
     """
@@ -164,14 +167,14 @@
         slots: int,
         service_ms: float,
     ) -> Opening | None:
-        """Remove and return the oldest flow, if a slot is free."""
+        """Remove and return the flow that shall start, if a slot is free."""
         if not self._waiting or busy >= slots + OVERCOMMIT:
             return None
-        oldest = max(
+        chosen = min(
             self._waiting.values(),
-            key=lambda opening: opening.age_ms(now),
+            key=lambda opening: _rank(now, opening, service_ms),
         )
-        return self._waiting.pop(oldest.key)
+        return self._waiting.pop(chosen.key)
 
     def expire(self, now: float, service_ms: float) -> list[Opening]:
         """Remove and return the flows that have become late."""
@@ -200,6 +203,21 @@
         return key in self._waiting
 
 
+def _rank(
+    now: float,
+    opening: Opening,
+    service_ms: float,
+) -> tuple[bool, int, float]:
+    """Order flows by their chance, then by priority, then by age.
+
+    With time to spare the oldest goes first. When the wait has grown beyond
+    the prediction, the youngest has the best chance left.
+    """
+    age_ms = opening.age_ms(now)
+    is_tight = opening.target_ms - age_ms < SPARE_MARGIN * service_ms
+    return (is_tight, opening.priority, age_ms if is_tight else -age_ms)
+
+
 def _latest_ms(opening: Opening, answer_ms: float) -> float:
     """Return the age at which a flow has to start at the latest."""
     return min(opening.target_ms - answer_ms, MAX_WAIT_MS)
--- a/tests/unit/carried/test_openings.py
+++ b/tests/unit/carried/test_openings.py
@@ -68,6 +68,21 @@
         self._offer(0, older, busy=4)
         self.assertIs(self._next(0.01, busy=3), older)
 
+    def test_youngest_goes_first_when_time_is_tight(self) -> None:
+        """Waits grew beyond the prediction: the oldest will be late."""
+        older = build_opening(1, waited_ms=150)
+        younger = build_opening(2, waited_ms=130)
+        self._offer(0, older, busy=4)
+        self._offer(0, younger, busy=4)
+        self.assertIs(self._next(0.01, busy=3), younger)
+
+    def test_urgent_flow_goes_before_older_ones(self) -> None:
+        older = build_opening(1, waited_ms=40)
+        urgent = build_opening(2, priority=1)
+        self._offer(0, older, busy=4)
+        self._offer(0, urgent, busy=4)
+        self.assertIs(self._next(0.01, busy=3), urgent)
+
     def test_urgent_flow_waits_where_another_is_refused(self) -> None:
         for number in range(200):
             self._offer(0, build_opening(number), busy=4)
