Cut store calls of sidecars, questions after a loss of power, and tighten margins

Balancers now name the readers that they hear. - After a loss of power every sidecar was unsure of its server's flows, so each dead flow was put to 50 servers as a question. A server that started with its sidecar can hold no other flow. - Margins of half a service time let flows start that were late half of the time. Look-ups ask in address order, so that the emulator repeats between processes.

--- a/src/dragonflyshift/_internal/carried/fleet/gossip.py
+++ b/src/dragonflyshift/_internal/carried/fleet/gossip.py
@@ -128,9 +128,12 @@
     def own_status(self, now: float, *, wants_reply: bool) -> Status:
         """Return this daemon's status."""
         age_s = min(self.age_s(now), FOREVER_S)
+        is_balancer = self.audience.is_balancer
+        is_reading = self.ports.is_reading()
+        readers = self.book.reader_names(now, is_reading=is_reading)
         return Status(
-            is_balancer=self.audience.is_balancer,
-            is_reader=self.ports.is_reading(),
+            is_balancer=is_balancer,
+            is_reader=is_reading,
             data_center=self.audience.data_center,
             revision=self.view.revision,
             version=self.view.routes.version,
@@ -140,6 +143,7 @@
             wants_reply=wants_reply,
             peers=self.book.names(NAMED_PEERS),
             load=self.ports.load(),
+            readers=readers if is_balancer else (),
         )
 
     def ask(self, now: float, pairs: Iterable[Pair] | None = None) -> None:
--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -132,9 +132,13 @@
 
     def _should_read(self) -> bool:
         now = time.monotonic()
+        readers = self.book.readers(now)
+        if not self.gossip.audience.is_balancer:
+            # Sidecars seldom hear readers themselves, only whom these tell.
+            readers = self.book.reported_readers(now)
         return self._election.should_read(
             now,
-            self.book.readers(now),
+            readers,
             self.gossip.age_s(now),
             is_reading=self._is_reading(),
         )
--- a/src/dragonflyshift/_internal/carried/fleet/peers.py
+++ b/src/dragonflyshift/_internal/carried/fleet/peers.py
@@ -16,6 +16,9 @@
 READER_SILENCE_S = 1.3
 # A view older than this at its reader shows that the store doesn't answer.
 READER_MAX_AGE_MS = 3500
+NAMED_READERS = 3
+# A balancer with an older view doesn't hear the readers that it names.
+FRESH_REPORT_MS = 1500
 
 
 @define(eq=False, repr=False)
@@ -53,8 +56,7 @@
         peer.heard_at = now
         self.named.pop(pair, None)
         for text in status.peers:
-            host, _colon, port = text.rpartition(':')
-            self._name(now, (host, int(port) if port.isdigit() else 0))
+            self._name(now, _pair(text))
         return peer
 
     def forget_silent(self, now: float) -> None:
@@ -91,6 +93,26 @@
             and peer.status.age_ms < READER_MAX_AGE_MS
         )
 
+    def reader_names(self, now: float, *, is_reading: bool) -> tuple[str, ...]:
+        """Return some readers among the balancers as text, to pass on."""
+        readers = [
+            pair
+            for pair in self.readers(now)
+            if self.peers[pair].status.is_balancer
+        ]
+        if is_reading:
+            readers.insert(0, self.own)
+        return tuple(_text(pair) for pair in readers[:NAMED_READERS])
+
+    def reported_readers(self, now: float) -> list[Pair]:
+        """Return the readers that balancers with a fresh view have heard."""
+        reported: set[Pair] = set()
+        for peer in self.balancers():
+            is_fresh = peer.status.age_ms < FRESH_REPORT_MS
+            if is_fresh and now - peer.heard_at < READER_SILENCE_S:
+                reported.update(_pair(text) for text in peer.status.readers)
+        return sorted(reported)
+
     def sample(self, pairs: Iterable[Pair], count: int) -> list[Pair]:
         """Return at most ``count`` of the addresses, chosen at random."""
         known = sorted(pairs)
@@ -101,8 +123,20 @@
     def names(self, count: int) -> tuple[str, ...]:
         """Return some balancers' addresses as text, to pass on."""
         pairs = self.sample((peer.pair for peer in self.balancers()), count)
-        return tuple(f'{host}:{port}' for host, port in pairs)
+        return tuple(_text(pair) for pair in pairs)
 
     def _name(self, now: float, pair: Pair) -> None:
         if pair[1] and pair != self.own and pair not in self.peers:
             self.named.setdefault(pair, now)
+
+
+def _pair(text: str) -> Pair:
+    """Read an address; port 0 stands for one that can't be read."""
+    host, _colon, port = text.rpartition(':')
+    return (host, int(port) if port.isdigit() else 0)
+
+
+def _text(pair: Pair) -> str:
+    """Return an address as text."""
+    host, port = pair
+    return f'{host}:{port}'
--- a/src/dragonflyshift/_internal/carried/lookups.py
+++ b/src/dragonflyshift/_internal/carried/lookups.py
@@ -86,7 +86,7 @@
         self.lookups[packet.key] = lookup
         self.started += 1
         question = Ask(service, packet.key, packet.acknowledged).encode()
-        for pair in sidecars:
+        for pair in sorted(sidecars):
             self.ports.send(question, pair)
 
     def owned(self, key: FlowKey, pair: Pair) -> None:
@@ -144,7 +144,7 @@
         lookup.is_questioned = True
         for packet in lookup.packets:
             datagram = Carry(lookup.service, packet.raw).encode()
-            for pair in lookup.unsure:
+            for pair in sorted(lookup.unsure):
                 self.ports.send(datagram, pair)
 
     def _hold(self, lookup: Lookup, packet: Packet) -> None:
@@ -154,5 +154,5 @@
         lookup.packets.append(packet)
         if lookup.is_questioned:
             datagram = Carry(lookup.service, packet.raw).encode()
-            for pair in lookup.unsure:
+            for pair in sorted(lookup.unsure):
                 self.ports.send(datagram, pair)
--- a/src/dragonflyshift/_internal/carried/messages.py
+++ b/src/dragonflyshift/_internal/carried/messages.py
@@ -154,6 +154,8 @@
     daemon that this one has it from; a reader has it from the store itself.
     ``digest`` is over the endpoints' names and revisions. ``peers`` are
     balancers' addresses. ``wants_reply`` asks for the receiver's status.
+    ``readers`` are the balancers that read the store, as the sender has heard
+    from them directly.
     """
 
     is_balancer: bool
@@ -167,6 +169,7 @@
     wants_reply: bool
     peers: tuple[str, ...] = ()
     load: LoadReport | None = None
+    readers: tuple[str, ...] = ()
 
 
 @frozen(repr=False)
--- a/src/dragonflyshift/_internal/carried/policies/openings.py
+++ b/src/dragonflyshift/_internal/carried/policies/openings.py
@@ -27,16 +27,16 @@
 
 # Clients repeat a first packet for 1.4 s; an answer needs some of it.
 MAX_WAIT_MS = 1200.0
-# Share of a mean service time that is left for the answer when a flow is
+# Mean service times that are left for the answer when a flow is
 # predicted to start, by its priority; the last one holds for all lower ones.
 # Less urgent flows leave room for urgent ones that come after them.
-ANSWER_MARGINS = (0.5, 0.5, 1.0)
+ANSWER_MARGINS = (1.0, 1.0, 1.5)
 LOWEST_PRIORITY = len(ANSWER_MARGINS) - 1
 # Mean service times before the target below which time is tight; service
 # times vary by about half of their mean.
 SPARE_MARGIN = 2.0
-# With less of a service time left the answer is late for nearly all.
-CHANCE_MARGIN = 0.5
+# With less than a service time left more than half of the answers are late.
+CHANCE_MARGIN = 1.0
 # Flows beyond the slots that are let through, so that a server doesn't idle
 # for the round trip between two requests.
 OVERCOMMIT = 1
--- a/src/dragonflyshift/_internal/carried/sidecar/condition.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/condition.py
@@ -15,6 +15,9 @@
 # as long after each further one; a server that is ending bounces all.
 FULL_S = 0.1
 MAX_FULL_S = 2.0
+# A server that started at most this long before this process has had no other
+# sidecar: restarting one takes longer.
+START_GAP_MS = 250
 
 
 @define(eq=False, repr=False)
@@ -22,7 +25,8 @@
     """The backend server's state, slots and pace.
 
     ``knows_all`` is False while the server may hold flows that this process
-    has not seen, after a restart of the process.
+    has not seen, after a restart of the process. ``bound_ms`` is the Unix
+    millisecond at which this process began to take packets.
     """
 
     service: str
@@ -30,6 +34,7 @@
     view: FleetView
     policy: OpeningPolicy
     knows_all: bool
+    bound_ms: float = field(default=float('inf'))
     table: FlowTable = field(factory=FlowTable)
     pace: ServicePace = field(factory=ServicePace)
     slots: int = field(default=1)
@@ -64,6 +69,8 @@
         if listed.service == self.service:
             self._was_listed = True
             self.slots = max(1, listed.slots)
+            if listed.started_ms > self.bound_ms - START_GAP_MS:
+                self.knows_all = True
 
     def note_full(self, now: float) -> None:
         """Take note that the server bounced a first packet."""
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -49,6 +49,7 @@
 STOP_MARGIN_S = 0.8
 MIN_DRAIN_S = 0.1
 DRAIN_CHECK_S = 0.02
+MS_PER_S = 1000
 
 
 class SidecarNode(CarryingNode):
@@ -76,6 +77,7 @@
             view=self.view,
             policy=find_plugin(OpeningPolicy, name)(),
             knows_all=settings.is_first_start,
+            bound_ms=(time.time() - sockets.age_s()) * MS_PER_S,
         )
         ports = HostPorts(
             self._send_backend,
--- a/tests/unit/carried/test_host.py
+++ b/tests/unit/carried/test_host.py
@@ -152,6 +152,14 @@
         self.assertIs(message.verdict, Verdict.OWNED)
         self.assertEqual(outbox.to_client, [answer])
 
+    def test_server_that_started_with_its_sidecar_has_no_other_flows(self):
+        """After a loss of power nobody needs to ask the servers."""
+        self.assertIs(self._asked_after(started_ms=99_900), Verdict.NOT_OWNED)
+        self.assertIs(self._asked_after(started_ms=101_000), Verdict.NOT_OWNED)
+
+    def test_server_that_is_older_may_have_flows(self) -> None:
+        self.assertIs(self._asked_after(started_ms=99_000), Verdict.UNSURE)
+
     def test_restarted_sidecar_disowns_what_its_server_bounces(self) -> None:
         host, outbox = build_host(knows_all=False)
         data = build_packet(self.key, ACK, payload=b'GET')
@@ -252,6 +260,21 @@
             flow.first_sequence = 0
             self.host.on_carry(now, Carry(SERVICE, request), _BALANCER)
 
+    def _asked_after(self, started_ms: int) -> Verdict:
+        """Ask a sidecar that has run since 100,000 ms, its server since."""
+        view = build_view()
+        view.merge(build_record(revision=40, started_ms=started_ms))
+        host, outbox = build_host(view, knows_all=False)
+        host.condition.bound_ms = 100_000
+        host.view_changed(0)
+        host.on_ask(0, Ask(SERVICE, self.key, 0), _BALANCER)
+        (answer,) = [
+            message
+            for message, _pair in outbox.to_daemon
+            if isinstance(message, Placement) and message.key == self.key
+        ]
+        return answer.verdict
+
     def _open(self, key: FlowKey) -> None:
         self.host.on_open(0, build_open(key), _BALANCER)
         self._server_answers()
