--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo bench emulate format lint types unit lock clean
+.PHONY: test demo bench emulate soak format lint types unit lock clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -20,6 +20,9 @@
 bench: $(STAMP)
 	$(RUN) -m bench $(BENCH_ARGS)
 
+soak: $(STAMP)
+	$(RUN) -m bench.soak $(or $(SOAK_ARGS),--seeds 5)
+
 emulate: $(STAMP)
 	$(RUN) -m bench.emulator $(or $(SCENARIO),power-loss) --windows $(EMULATE_ARGS)
 
