--- a/src/dragonflyshift/_internal/carried/policies/target_first.py
+++ b/src/dragonflyshift/_internal/carried/policies/target_first.py
@@ -12,8 +12,8 @@
 from dragonflyshift._internal.carried.policies.openings import (
     MAX_WAIT_MS,
     OVERCOMMIT,
+    InTimeOnly,
     Opening,
-    OpeningPolicy,
     OpeningVerdict,
 )
 
@@ -32,18 +32,9 @@
     NONE = 2
 
 
-class TargetFirst(OpeningPolicy, name='target-first'):
+class TargetFirst(InTimeOnly, name='target-first'):
     """Those that can meet their target first, those with no chance last."""
 
-    def __init__(self) -> None:
-        """Start with nothing waiting."""
-        self._waiting: dict[bytes, Opening] = {}
-
-    @property
-    def waiting(self) -> int:
-        """Return the flows that wait."""
-        return len(self._waiting)
-
     def offer(
         self,
         now: float,
@@ -96,20 +87,6 @@
             self.discard(opening.key)
         return late
 
-    def clear(self) -> list[Opening]:
-        """Remove and return all flows that wait."""
-        openings = list(self._waiting.values())
-        self._waiting.clear()
-        return openings
-
-    def discard(self, key: bytes) -> None:
-        """Remove a flow if it waits."""
-        self._waiting.pop(key, None)
-
-    def holds(self, key: bytes) -> bool:
-        """Tell whether a flow waits."""
-        return key in self._waiting
-
     def _before(
         self,
         now: float,
