--- a/tests/functional/test_carried_path.py
+++ b/tests/functional/test_carried_path.py
@@ -1,6 +1,7 @@
 """The carried path through real processes."""
 
 import asyncio
+import re
 import signal
 import tempfile
 import unittest
@@ -17,8 +18,11 @@
     CarriedStage,
 )
 
-# The interpreter is up by then, and most of the program is not loaded.
-EARLY_S = 0.08
+
+def _ignores_reloads(pid: int) -> bool:
+    status = Path(f'/proc/{pid}/status').read_text()
+    (ignored,) = re.findall(r'SigIgn:\s*([0-9a-f]+)', status)
+    return bool(int(ignored, 16) & 1 << signal.SIGHUP - 1)
 
 
 class CarriedPathTest(unittest.IsolatedAsyncioTestCase):
@@ -81,7 +85,7 @@
         await self.stage.signal('balancer', signal.SIGKILL)
         await self.stage.run('balancer')
         process = self.stage.processes['balancer']
-        await asyncio.sleep(EARLY_S)
+        await self._wait_until_reloads_are_ignored(process.pid)
         for _ in range(20):
             if process.returncode is None:
                 process.send_signal(signal.SIGHUP)
@@ -89,6 +93,14 @@
         await self.stage.wait_ready()
         self.assertIsNone(process.returncode)
 
+    async def _wait_until_reloads_are_ignored(self, pid: int) -> None:
+        """Wait for the first line of the program, however slow its start."""
+        for _ in range(500):
+            if _ignores_reloads(pid):
+                return
+            await asyncio.sleep(0.01)
+        self.fail('a reload is not ignored')
+
     async def _open(self) -> None:
         packet = await self.client.ask(build_packet(self.key, SYN))
         self.assertTrue(packet.is_opening)
