Start each daemon of the soak once, with servers that number flows themselves

Cause 1: start_daemon took a daemon off the stopped ones before its process existed, so supervise could start a second one, which outlived the run. Cause 2: all servers of the soak answered first packets with one sequence number. The client's acknowledgement then fits two servers that received copies of one first packet, the flow opens at both, and the loss of one resets it: "reset of a flow that lists-0 holds". The platform's servers each send a number of their own, and a packet that acknowledges another one is bounced.

Change: starts and stops of one daemon exclude each other (processes.py), a cancelled start is awaited; servers draw their numbers and bounce what doesn't acknowledge them. The check for resets and its bound are unchanged.

--- a/bench/soak/backend.py
+++ b/bench/soak/backend.py
@@ -3,6 +3,7 @@
 __all__ = ('SoakBackend', 'Violations')
 
 import asyncio
+import random
 import time
 
 from attrs import define, field
@@ -14,7 +15,8 @@
 from tests.lib.carried import ACK, BOUNCED, FIN, SYN, build_packet
 
 RESPONSE = b'answer:'
-SERVER_SEQUENCE = 5000
+SEQUENCE_BITS = 32
+SEQUENCE_MASK = 0xFFFFFFFF
 MS_PER_S = 1000
 _FLAGS_OFFSET = 8
 _HEADER_BYTES = 31
@@ -36,10 +38,11 @@
 class SoakBackend:
     """Backend server that accepts flows, echoes requests and bounces packets.
 
-    It bounces packets of flows that it doesn't hold. A packet for a port other
-    than ``service_port`` is a violation. ``address`` is the server's own
-    address and ``outbound_address`` that of its sidecar for packets to
-    clients. ``started_at_ms`` is the wall-clock time of the last start.
+    It bounces packets of flows that it doesn't hold and packets that
+    acknowledge the answer of another server. A packet for a port other than
+    ``service_port`` is a violation. ``address`` is the server's own address
+    and ``outbound_address`` that of its sidecar for packets to clients.
+    ``started_at_ms`` is the wall-clock time of the last start.
     """
 
     name: str
@@ -48,15 +51,23 @@
     address: SocketAddress
     outbound_address: SocketAddress
     violations: Violations
-    flows: set[FlowKey] = field(factory=set)
+    # The first sequence number of this server on each flow. Servers that answer
+    # copies of one first packet need different ones: the number that the client
+    # acknowledges decides whose flow it is.
+    flows: dict[FlowKey, int] = field(factory=dict)
     # Flows on which the client has sent a request. Copies of a first packet
     # may leave half-open flows at other servers, which are not in this set.
     established: set[FlowKey] = field(factory=set)
     started_at_ms: int = 0
     is_up: bool = False
+    _rng: random.Random = field(init=False)
     _sock: PlainUdpSocket | None = None
     _server: asyncio.Server | None = None
 
+    def __attrs_post_init__(self) -> None:
+        """Seed the sequence numbers with the name of the server."""
+        self._rng = random.Random(self.name)
+
     async def start(self) -> None:
         """Listen and record the time of the start."""
         self.started_at_ms = int(time.time() * MS_PER_S)
@@ -85,20 +96,24 @@
         if port != self.service_port:
             self.violations.add(f'{self.name} got a packet for port {port}')
         if packet.is_first:
-            self.flows.add(packet.key)
-            self._send(packet.key, SYN | ACK, SERVER_SEQUENCE, b'')
-        elif packet.key not in self.flows:
+            sequence = self.flows.setdefault(
+                packet.key, self._rng.getrandbits(SEQUENCE_BITS)
+            )
+            self._send(packet.key, SYN | ACK, sequence, b'')
+            return
+        acknowledged = (packet.acknowledged - 1) & SEQUENCE_MASK
+        if self.flows.get(packet.key) != acknowledged:
             bounced = bytearray(raw)
             bounced[_FLAGS_OFFSET] |= BOUNCED
             self._send_raw(bytes(bounced))
         elif packet.is_fin:
-            self.flows.discard(packet.key)
+            self.flows.pop(packet.key)
             self.established.discard(packet.key)
-            self._send(packet.key, FIN | ACK, SERVER_SEQUENCE + 1, b'')
+            self._send(packet.key, FIN | ACK, packet.acknowledged, b'')
         elif packet.payload_bytes:
             self.established.add(packet.key)
             response = RESPONSE + raw[_HEADER_BYTES:]
-            self._send(packet.key, ACK, SERVER_SEQUENCE + 1, response)
+            self._send(packet.key, ACK, packet.acknowledged, response)
 
     def _send(
         self,
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -9,7 +9,12 @@
 
 from attrs import define, field
 
-from bench.soak.backend import RESPONSE, SoakBackend, Violations
+from bench.soak.backend import (
+    RESPONSE,
+    SEQUENCE_MASK,
+    SoakBackend,
+    Violations,
+)
 from dragonflyshift._internal.carried.packet import (
     FlowKey,
     Packet,
@@ -113,7 +118,7 @@
             if received is not None and received[0].is_rst:
                 return False
             if received is not None and received[0].is_syn:
-                flow.acknowledged = received[0].sequence + 1
+                flow.acknowledged = (received[0].sequence + 1) & SEQUENCE_MASK
                 flow.is_established = True
                 return True
         return False
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import signal
 import sys
 from pathlib import Path
 from typing import Any
@@ -12,6 +11,7 @@
 from attrs import define, field
 
 from bench.soak.backend import SoakBackend, Violations
+from bench.soak.processes import DaemonProcesses
 from bench.soak.proxy import StoreProxy
 from dragonflyshift._internal.carried.packet import SocketAddress
 from dragonflyshift.platform.binding import SETTINGS_VARIABLE
@@ -24,14 +24,13 @@
 # The port of each service.
 SERVICES = {'lists': 443, 'parts': 444}
 PROBE_PERIOD_S = 0.25
-RESTART_PERIOD_S = 0.3
 PROBE_TIMEOUT_S = 0.2
 PORT_NAMES = ('packets', 'peers', 'ready', 'control', 'outbound', 'app')
 
 
 @define(eq=False)
 class SoakFleet:
-    """Starts, signals and restarts the daemons.
+    """Runs the daemons, the backend servers, the store and its proxy.
 
     ``subnet`` is the third octet of the loopback addresses of the balancers.
     Sidecars use the next subnet and clients the one after it, so two fleets
@@ -44,15 +43,15 @@
     ports: dict[str, int] = field(factory=dict)
     store: FakeStore = field(factory=FakeStore)
     backends: list[SoakBackend] = field(factory=list)
-    processes: dict[str, asyncio.subprocess.Process] = field(factory=dict)
-    # The log files of each daemon, one per process.
-    logs: dict[str, list[Path]] = field(factory=dict)
     version: int = 0
+    daemons: DaemonProcesses = field(init=False)
     proxy: StoreProxy = field(init=False)
     _store_address: SocketAddress = ('', 0)
     _is_ready: dict[str, bool] = field(factory=dict)
-    # Daemons ended by ``stop_daemon``, which ``supervise`` doesn't restart.
-    _stopped: set[str] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare the processes of the daemons."""
+        self.daemons = DaemonProcesses(self.folder, self._launch)
 
     async def start(self) -> None:
         """Start the store, the backend servers and all daemons."""
@@ -64,7 +63,7 @@
                 await self._add_backend(service, port, index, number)
         self.publish_configuration()
         for name in self.balancers() + self.sidecars():
-            await self.start_daemon(name)
+            await self.daemons.start(name)
 
     def balancers(self) -> list[str]:
         """Return the names of the balancers."""
@@ -101,47 +100,6 @@
             )
         )
 
-    async def start_daemon(self, name: str) -> None:
-        """Start the process of a daemon with a new log file."""
-        self._stopped.discard(name)
-        path = self.folder / f'{name}.json'
-        path.write_text(json.dumps(self._settings(name)))
-        role = 'balancer' if name.startswith('balancer') else 'sidecar'
-        log_paths = self.logs.setdefault(name, [])
-        log_paths.append(self.folder / f'{name}.{len(log_paths)}.log')
-        with log_paths[-1].open('wb') as log:
-            self.processes[name] = await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                'dragonflyshift.platform',
-                role,
-                env={
-                    SETTINGS_VARIABLE: str(path),
-                    'PYTHONPATH': str(ROOT / 'src'),
-                },
-                stdout=log,
-            )
-
-    async def stop_daemon(
-        self, name: str, signal_number: signal.Signals
-    ) -> None:
-        """End the process of a daemon by a signal and wait for its exit.
-
-        A paused process is resumed first. ``supervise`` doesn't restart it.
-        """
-        self._stopped.add(name)
-        process = self.processes[name]
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
-            process.send_signal(signal_number)
-            await process.wait()
-
-    def signal_daemon(self, name: str, signal_number: signal.Signals) -> None:
-        """Send a signal to a daemon if its process runs."""
-        process = self.processes[name]
-        if process.returncode is None:
-            process.send_signal(signal_number)
-
     def ready_balancers(self) -> list[SocketAddress]:
         """Return the addresses of the balancers that were ready when probed.
 
@@ -159,22 +117,9 @@
             await asyncio.gather(*map(self._probe_balancer, self.balancers()))
             await asyncio.sleep(PROBE_PERIOD_S)
 
-    async def supervise(self) -> None:
-        """Restart daemons that exited by themselves, as the platform does.
-
-        A signal that arrives while the interpreter starts, before it has
-        handlers, ends the process.
-        """
-        while True:
-            await asyncio.sleep(RESTART_PERIOD_S)
-            for name, process in tuple(self.processes.items()):
-                if process.returncode is not None and name not in self._stopped:
-                    await self.start_daemon(name)
-
     async def close(self) -> None:
         """Kill the daemons and close the backend servers, proxy and store."""
-        for name in self.processes:
-            await self.stop_daemon(name, signal.SIGKILL)
+        await self.daemons.stop_all()
         for backend in self.backends:
             backend.crash()
         self.proxy.close()
@@ -188,6 +133,25 @@
         offset = list(SERVICES).index(role) * 10
         return f'127.0.{self.subnet + 1}.{offset + int(number) + 1}'
 
+    async def _launch(
+        self, name: str, log_path: Path
+    ) -> asyncio.subprocess.Process:
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(self._settings(name)))
+        role = 'balancer' if name.startswith('balancer') else 'sidecar'
+        with log_path.open('wb') as log:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'dragonflyshift.platform',
+                role,
+                env={
+                    SETTINGS_VARIABLE: str(path),
+                    'PYTHONPATH': str(ROOT / 'src'),
+                },
+                stdout=log,
+            )
+
     async def _add_backend(
         self,
         service: str,
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -87,26 +87,26 @@
         name = self._reserve_target(self._daemons(), 'kill')
         if name is None:
             return
-        await self.fleet.stop_daemon(name, signal.SIGKILL)
+        await self.fleet.daemons.stop(name, signal.SIGKILL)
         await asyncio.sleep(duration_s)
-        await self.fleet.start_daemon(name)
+        await self.fleet.daemons.start(name)
         self._busy_targets.discard(name)
 
     async def _pause(self, duration_s: float) -> None:
         name = self._reserve_target(self._daemons(), 'pause')
         if name is None:
             return
-        self.fleet.signal_daemon(name, signal.SIGSTOP)
+        self.fleet.daemons.send_signal(name, signal.SIGSTOP)
         await asyncio.sleep(duration_s)
-        self.fleet.signal_daemon(name, signal.SIGCONT)
+        self.fleet.daemons.send_signal(name, signal.SIGCONT)
         self._busy_targets.discard(name)
 
     async def _terminate(self, _duration_s: float) -> None:
         name = self._reserve_target(self._daemons(), 'terminate')
         if name is None:
             return
-        await self.fleet.stop_daemon(name, signal.SIGTERM)
-        await self.fleet.start_daemon(name)
+        await self.fleet.daemons.stop(name, signal.SIGTERM)
+        await self.fleet.daemons.start(name)
         self._busy_targets.discard(name)
 
     async def _crash_backend(self, duration_s: float) -> None:
@@ -137,7 +137,7 @@
         self.injected.append(f'new version, reload of {name}')
         self.fleet.publish_configuration()
         if name not in self._busy_targets:
-            self.fleet.signal_daemon(name, signal.SIGHUP)
+            self.fleet.daemons.send_signal(name, signal.SIGHUP)
 
 
 async def run_seed(seed: int, seconds: float, folder: Path) -> SoakResult:
@@ -164,7 +164,7 @@
         clients.start()
         tasks = [
             asyncio.create_task(fleet.probe_readiness()),
-            asyncio.create_task(fleet.supervise()),
+            asyncio.create_task(fleet.daemons.supervise()),
         ]
         tasks += [asyncio.create_task(clients.run_user()) for _ in range(USERS)]
         await asyncio.sleep(WARM_UP_S)
@@ -173,8 +173,7 @@
         _check_recovery(clients, violations, await _measure())
         _check_versions(fleet, violations)
     finally:
-        for task in tasks:
-            task.cancel()
+        await _cancel(tasks)
         await fleet.close()
     clients.close()
     return SoakResult(
@@ -186,6 +185,13 @@
     )
 
 
+async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    """Cancel tasks and wait for them, as a start must end its process."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 async def _measure() -> float:
     """Wait for the time of the last measurement, and return its start."""
     started_at = asyncio.get_running_loop().time()
@@ -212,7 +218,7 @@
     They rise within each process, and the last process of each daemon has the
     last version.
     """
-    for name, logs in fleet.logs.items():
+    for name, logs in fleet.daemons.logs.items():
         versions: list[int] = []
         for log in logs:
             versions = _versions(log)
