Serve the metrics page of both carried roles

Cause: prometheus-client imports ssl, which platform/__main__.py blocks so that a start stays short. The first request for the page failed in the import.

Change: the import is unblocked on the first request, and made in a thread, as it takes longer than a packet may wait.

Measured: the new functional test gets no response before the change (IncompleteReadError), and counters and buckets of both roles after it. The guard of what a start imports passes.

--- a/bench/naive_carried/__main__.py
+++ b/bench/naive_carried/__main__.py
@@ -14,6 +14,7 @@
 import os
 import signal
 import sys
+from functools import partial
 
 import xxhash
 
@@ -147,6 +148,10 @@
     """Discard a datagram, because the daemons exchange none."""
 
 
+async def _readiness_page(node: 'NaiveBalancer | NaiveSidecar') -> Page:
+    return Page(200 if node.is_ready() else 503)
+
+
 async def _serve(
     node: NaiveBalancer | NaiveSidecar, readiness_address: SocketAddress
 ) -> None:
@@ -154,7 +159,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
-    pages = HttpPages({'/ready': lambda: Page(200 if node.is_ready() else 503)})
+    pages = HttpPages({'/ready': partial(_readiness_page, node)})
     server = await asyncio.start_server(pages.handle, *readiness_address)
     running = asyncio.create_task(node.run())
     await stop.wait()
--- a/src/dragonflyshift/_internal/carried/http_pages.py
+++ b/src/dragonflyshift/_internal/carried/http_pages.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from attrs import define, frozen
 
@@ -29,10 +29,10 @@
 class HttpPages:
     """Serves pages by path on persistent connections.
 
-    ``pages`` maps paths to functions that build their pages.
+    ``pages`` maps paths to coroutine functions that build their pages.
     """
 
-    pages: dict[str, Callable[[], Page]]
+    pages: dict[str, Callable[[], Awaitable[Page]]]
 
     async def handle(
         self,
@@ -60,7 +60,7 @@
             request_line[1].decode('latin-1') if len(request_line) > 1 else ''
         )
         build_page = self.pages.get(path.partition('?')[0])
-        page = Page(404) if build_page is None else build_page()
+        page = Page(404) if build_page is None else await build_page()
         closes = b'connection: close' in head.lower()
         writer.write(_encode(page, closes=closes))
         return not closes
--- a/src/dragonflyshift/_internal/carried/listeners.py
+++ b/src/dragonflyshift/_internal/carried/listeners.py
@@ -11,7 +11,10 @@
 from dragonflyshift._internal.carried.http_pages import HttpPages, Page
 from dragonflyshift._internal.carried.node_settings import NodeSettings
 from dragonflyshift._internal.carried.packet import SocketAddress
-from dragonflyshift._internal.carried.telemetry import Counters
+from dragonflyshift._internal.carried.telemetry import (
+    Counters,
+    load_exposition,
+)
 from dragonflyshift._internal.exceptions import SettingsError
 
 READY_PATH = '/ready'
@@ -37,12 +40,15 @@
         )
         return pages.handle
 
-    def _ready(self) -> Page:
+    async def _ready(self) -> Page:
         if self.is_ready():
             return Page(200, b'ready\n')
         return Page(503, b'not ready\n')
 
-    def _metrics(self) -> Page:
+    async def _metrics(self) -> Page:
+        # The first call imports a library, which takes longer than a packet
+        # may wait.
+        await asyncio.to_thread(load_exposition)
         return Page(200, self.counters.exposition())
 
 
--- a/src/dragonflyshift/_internal/carried/telemetry/counters.py
+++ b/src/dragonflyshift/_internal/carried/telemetry/counters.py
@@ -4,9 +4,11 @@
 built only on request.
 """
 
-__all__ = ('Counters',)
+__all__ = ('Counters', 'load_exposition')
 
 import bisect
+import importlib
+import sys
 from collections import defaultdict
 from collections.abc import Callable
 
@@ -80,8 +82,7 @@
 
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        # Imported on the first request, because importing it at the start
-        # would double the start's cost.
+        load_exposition()
         from prometheus_client import CollectorRegistry, generate_latest
 
         registry = CollectorRegistry(auto_describe=False)
@@ -111,6 +112,18 @@
         return families
 
 
+def load_exposition() -> None:
+    """Import the library that writes the exposition, unless it is loaded.
+
+    It is imported on the first request for the metrics, as importing it at the
+    start would double the cost of a start. It imports ``ssl``, which the
+    programs that use ``Counters`` block during their start.
+    """
+    if sys.modules.get('ssl', sys) is None:
+        sys.modules.pop('ssl')
+    importlib.import_module('prometheus_client')
+
+
 class _Collector:
     """Adapts ``Counters`` to the collectors of prometheus_client."""
 
--- a/src/dragonflyshift/platform/__main__.py
+++ b/src/dragonflyshift/platform/__main__.py
@@ -9,6 +9,7 @@
 from dragonflyshift.platform.binding import SETTINGS_VARIABLE, bind_early
 
 # No code of these roles uses TLS, and importing ssl would prolong each start.
+# The library of the metrics page needs it, and load_exposition unblocks it.
 sys.modules.setdefault('ssl', None)  # type: ignore[arg-type]
 # No class of these roles uses attr.validators; importing it takes a tenth of a
 # start.
--- a/tests/functional/test_carried_path.py
+++ b/tests/functional/test_carried_path.py
@@ -16,6 +16,7 @@
     CarriedHarness,
     FakeBackend,
     PacketClient,
+    fetch_metrics,
 )
 
 
@@ -68,6 +69,23 @@
         packet = await self.client.request(self._request())
         self.assertTrue(packet.is_rst)
 
+    async def test_metrics_of_both_daemons_count_flows(self) -> None:
+        """The roles block modules that the library of the page imports."""
+        await self._open_flow()
+        await self._exchange_packets()
+        for role, host, counter in (
+            ('balancer', BALANCER_HOST, 'dragonflyshift_openings_total'),
+            ('sidecar', SIDECAR_HOST, 'dragonflyshift_service_seconds_count'),
+        ):
+            with self.subTest(role=role):
+                first = await fetch_metrics(host)
+                self.assertGreaterEqual(first[counter], 1)
+                self.assertGreaterEqual((await fetch_metrics(host))[counter], 1)
+        metrics = await fetch_metrics(SIDECAR_HOST)
+        self.assertIn(
+            'dragonflyshift_service_seconds_bucket{le="+Inf"}', metrics
+        )
+
     async def test_sigterm_stops_both_daemons_with_exit_status_0(self) -> None:
         await self._open_flow()
         self.assertEqual(
--- a/tests/lib/carried_harness.py
+++ b/tests/lib/carried_harness.py
@@ -23,6 +23,7 @@
 from dragonflyshift._internal.utils.early_binding import BoundSockets
 from dragonflyshift.platform.binding import SETTINGS_VARIABLE
 from dragonflyshift.platform.packets import PlatformCodec
+from dragonflyshift.platform.settings import METRICS_PORT
 from tests.lib.carried import ACK, BOUNCED, SYN, build_packet
 from tests.lib.kvstore import (
     FakeStore,
@@ -46,6 +47,24 @@
         return int(sock.getsockname()[1])
 
 
+async def fetch_metrics(host: str) -> dict[str, float]:
+    """Return the values of a daemon's metrics page by name and labels.
+
+    Raises IncompleteReadError if the daemon closes without a response.
+    """
+    reader, writer = await asyncio.open_connection(host, METRICS_PORT)
+    writer.write(b'GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n')
+    await reader.readuntil(b'\r\n\r\n')
+    page = await reader.read()
+    writer.close()
+    rows = (
+        line.rpartition(' ')
+        for line in page.decode().splitlines()
+        if not line.startswith('#')
+    )
+    return {name: float(count) for name, _space, count in rows}
+
+
 class FakeBackend:
     """A backend server that answers each payload of its flows.
 
