Say what own records and flow decisions mean at their edges

test_own_word_always_holds asked for a higher precedence than any record that differs from the first own one. A process that adopted boot 3 may receive a record that equals its own, which no process can tell from its own record returned by a peer. The check is replaced: any record other than the present own one must be lower, now also the first one after a boot was adopted, and a peer that merges both in either order must hold the own record. The drawn example that broke the old check is a fixed one.

A sidecar that can't keep a flow passes it on to a second candidate that is recorded as dead as well, since the record may be outdated while the flow is certain to break here. It is said in the docstring and tested.

--- a/src/dragonflyshift/_internal/routing/flow_decision.py
+++ b/src/dragonflyshift/_internal/routing/flow_decision.py
@@ -14,7 +14,9 @@
 
     ``accepts`` returns False for a sidecar that is leaving, dead or at its
     connection limit, whatever is known of the second candidate and however
-    often the flow was passed on. The flow table doesn't call it for a flow
+    often the flow was passed on. A second candidate that is recorded as dead
+    gets the flow too: the record may be outdated, while this sidecar is
+    certain not to serve the flow. The flow table doesn't call it for a flow
     that was passed on before or that has no second candidate.
     """
 
--- a/tests/unit/membership/test_table.py
+++ b/tests/unit/membership/test_table.py
@@ -6,7 +6,7 @@
 
 import unittest
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from dragonflyshift._internal.membership import MemberTable, decode_digest
@@ -87,16 +87,29 @@
 class OwnMemberTest(unittest.TestCase):
     @steady
     @given(words, st.sampled_from(MemberState))
-    def test_own_word_always_holds(self, batch, state):
+    @example(
+        # The process adopts boot 3, then receives a record that equals its own.
+        [
+            build_member(boot=2, state=MemberState.COLD),
+            build_member(boot=3, epoch=0, state=MemberState.COLD),
+        ],
+        MemberState.COLD,
+    )
+    def test_own_record_always_holds(self, batch, state):
+        """A record that equals the own one is a copy that a peer returns.
+
+        It can't be refuted, and at a peer it changes nothing. Any other record
+        must have a lower precedence, whatever the order of arrival.
+        """
         table = MemberTable(build_member(state=state))
         table.merge(batch, 0)
         own = table.own.record
         self.assertIs(own.state, state)
-        for word in batch:
-            if word.address == own.address and word != build_member(
-                state=state,
-            ):
-                self.assertGreater(own.precedence, word.precedence)
+        for record in batch:
+            if record.address == own.address and record != own:
+                self.assertGreater(own.precedence, record.precedence)
+        for peer in (_merged(batch, [own]), _merged([own], batch)):
+            self.assertEqual(peer.record(own.address), own)
 
     def test_restart_after_a_clock_change_adopts_the_next_boot(self):
         table = MemberTable(build_member(boot=5))
--- a/tests/unit/routing/test_decisions.py
+++ b/tests/unit/routing/test_decisions.py
@@ -43,6 +43,15 @@
             with self.subTest(own=own):
                 self.assertFalse(self.decision.accepts(own, self.freer_peer, 0))
 
+    def test_passes_the_flow_on_to_a_dead_member_when_it_cannot_keep_it(
+        self,
+    ) -> None:
+        """The record may be outdated; here the flow would break for certain."""
+        dead_peer = build_member(2, state=MemberState.DEAD)
+        for own in (_load(state=MemberState.LEAVING), _load(connections=10)):
+            with self.subTest(own=own):
+                self.assertFalse(self.decision.accepts(own, dead_peer, 0))
+
     def test_keeps_the_flow_when_the_second_is_no_better(self) -> None:
         for state in MemberState:
             free = 0 if state is MemberState.ALIVE else 3
