--- a/src/dragonflyshift/_internal/carried/balancer/forwarder.py
+++ b/src/dragonflyshift/_internal/carried/balancer/forwarder.py
@@ -218,7 +218,8 @@
         status: FlowStatus,
     ) -> None:
         if len(self.owner_cache) < MAX_CACHED_OWNERS:
-            service = self._service_of(key, sidecar)
+            record = self.view.newest_by_host().get(sidecar[0])
+            service = '' if record is None else record.service
             self.owner_cache[key] = CachedOwner(sidecar, service, now)
         self.placer.stop_placing(key)
         if status is FlowStatus.OWNED:
@@ -238,18 +239,6 @@
     ) -> None:
         self._on_owner(now, key, sidecar, FlowStatus.OWNED)
 
-    def _service_of(self, key: FlowKey, sidecar: SocketAddress) -> str:
-        route = self.view.routes.find(key)
-        if route is None:
-            return ''
-        if len(route.services) == 1:
-            return route.services[0].name
-        for option in route.services:
-            for record in self.view.endpoints(option.name):
-                if self._callbacks.sidecar_of(record) == sidecar:
-                    return option.name
-        return route.choose_service(key)
-
     def _on_refusal(
         self,
         now: float,
--- a/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
+++ b/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
@@ -23,6 +23,8 @@
     LookupCallbacks,
     LookupTable,
     PendingLookup,
+    find_candidates,
+    sidecar_addresses,
 )
 from dragonflyshift._internal.carried.messages import LookupResult
 from dragonflyshift._internal.carried.packet import (
@@ -34,8 +36,10 @@
 from dragonflyshift._internal.carried.policies.candidates import (
     CandidateRing,
 )
+from dragonflyshift._internal.carried.policies.owner_search import (
+    is_server_lost,
+)
 from dragonflyshift._internal.carried.records import EndpointRecord
-from dragonflyshift._internal.carried.routes import Route
 from dragonflyshift._internal.carried.telemetry import Counters
 
 logger = logging.getLogger(__name__)
@@ -68,8 +72,8 @@
 class OwnerLookup:
     """Finds the sidecar that owns a flow.
 
-    The balancer queries all sidecars of the route's services, or delegates
-    that to one of them if they are many.
+    The balancer queries the sidecars itself, or delegates that to one of them
+    if they are many.
     """
 
     view: FleetView
@@ -108,13 +112,15 @@
             self.counters.incr('dropped_no_route')
             return
         self.counters.incr('lookups')
-        service = route.choose_service(packet.key)
-        sidecars = self._sidecars_of(route)
-        if len(sidecars) > MAX_QUERIED_SIDECARS:
+        if len(self.view.newest_by_host()) > MAX_QUERIED_SIDECARS:
+            service = route.choose_service(packet.key)
             delegate = self._choose_delegate(now, packet.key, service)
             self.delegated.start(now, packet, service, delegate)
-        else:
-            self.lookups.start(now, packet, service, sidecars)
+            return
+        candidates = find_candidates(
+            self.view, packet.key, self.callbacks.sidecar_of
+        )
+        self.lookups.start(now, packet, candidates)
 
     def has_waiting(self) -> bool:
         """Return whether a lookup is pending."""
@@ -131,9 +137,12 @@
         """Return the first candidate for the flow that is not suspect.
 
         Candidates in the own data centre come first. If all are suspect, the
-        first one is returned.
+        first one is returned. For a service without endpoints any sidecar may
+        be the delegate.
         """
-        endpoints = self.view.endpoints(service)
+        endpoints = self.view.endpoints(service) or tuple(
+            self.view.records.values()
+        )
         candidates = [
             self.callbacks.sidecar_of(record)
             for record in self.candidates.choose(service, endpoints, key)
@@ -143,13 +152,6 @@
                 return sidecar
         return candidates[0]
 
-    def _sidecars_of(self, route: Route) -> set[SocketAddress]:
-        return {
-            self.callbacks.sidecar_of(record)
-            for option in route.services
-            for record in self.view.endpoints(option.name)
-        }
-
     def _on_unanswered(self, lookup: PendingLookup) -> None:
         """Log that a lookup failed.
 
@@ -161,18 +163,23 @@
     def _on_denied(self, now: float, lookup: PendingLookup) -> None:
         """Reset a flow that no sidecar owns, so that its client reconnects.
 
-        Only a current view ensures that no running server is missing among
-        those that replied. If it lists a sidecar that has not been
-        queried, the lookup starts again.
+        If the view lists a sidecar that has not been queried, the lookup
+        starts again.
         """
-        packet = lookup.packets[-1]
-        route = self.view.routes.find(packet.key)
-        if route is None or not self.callbacks.is_view_current(now):
+        sidecars = sidecar_addresses(self.view, self.callbacks.sidecar_of)
+        is_view_current = self.callbacks.is_view_current(now)
+        if is_server_lost(
+            lookup.queried,
+            lookup.answered - lookup.unsure,
+            sidecars,
+            is_view_current=is_view_current,
+        ):
+            if self._reset_flow(lookup.packets):
+                self._log_lookup('flow-reset', lookup)
+        elif is_view_current and not lookup.queried >= sidecars:
+            self.start(now, lookup.packets[-1])
+        else:
             self._on_unanswered(lookup)
-        elif not self._sidecars_of(route) <= lookup.queried:
-            self.start(now, packet)
-        elif self._reset_flow(lookup.packets):
-            self._log_lookup('flow-reset', lookup)
 
     def _on_delegated_denied(
         self,
@@ -180,10 +187,15 @@
         packets: list[Packet],
         result: LookupResult,
     ) -> None:
-        """Reset a flow that no sidecar owns, if both views are the same."""
+        """Reset a flow that no sidecar owns, if both views are the same.
+
+        A delegate of an earlier version queries only the sidecars of the
+        present route, so the number of the queried ones must match too.
+        """
         is_same_view = (
             result.digest == self.view.checksum
             and result.version == self.view.routes.version
+            and result.queried >= len(self.view.newest_by_host())
         )
         if not is_same_view or not self.callbacks.is_view_current(now):
             self._on_delegated_unanswered(result)
--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -7,19 +7,29 @@
 
 __all__ = ('FleetView', 'ViewUpdate')
 
+import time
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, field, frozen
 
-from dragonflyshift._internal.carried.packet import SocketAddress
+from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
+from dragonflyshift._internal.carried.policies.owner_search import (
+    RouteHistory,
+)
 from dragonflyshift._internal.carried.records import EndpointRecord
-from dragonflyshift._internal.carried.routes import RouteTable
+from dragonflyshift._internal.carried.routes import (
+    SERVICE_ADDRESS_SLICE,
+    RouteTable,
+)
 
 # Limit of the removals that are kept so that they can be passed on to peers. It
 # is applied when a known endpoint is dropped; the removal of an unknown one is
 # recorded without a limit.
 MAX_REMOVAL_RECORDS = 4096
+# Twice the longest life of a flow: another balancer may have received a change
+# of routes later by as much, and placed flows by the former ones until then.
+ROUTE_HISTORY_S = 120.0
 
 
 @frozen(eq=False, repr=False)
@@ -46,6 +56,7 @@
     ``records`` holds the endpoints by name, ``removed`` the revisions of
     removals by name. Removals around an outage of the store are tentative:
     these endpoints stay usable until ``confirm_removals`` is called.
+    ``clock()`` returns monotonic seconds.
     """
 
     revision: int = field(default=0)
@@ -53,7 +64,12 @@
     records: dict[str, EndpointRecord] = field(factory=dict)
     removed: dict[str, int] = field(factory=dict)
     tentative_removals: dict[str, int] = field(factory=dict)
+    clock: Callable[[], float] = field(default=time.monotonic)
+    _route_history: RouteHistory = field(
+        factory=lambda: RouteHistory(ROUTE_HISTORY_S),
+    )
     _by_service: dict[str, tuple[EndpointRecord, ...]] = field(factory=dict)
+    _newest_by_host: dict[str, EndpointRecord] | None = field(default=None)
     _checksum: int | None = field(default=None)
 
     @property
@@ -84,6 +100,22 @@
             self._by_service[service] = cached
         return cached
 
+    def newest_by_host(self) -> Mapping[str, EndpointRecord]:
+        """Return the newest endpoint of each host."""
+        if self._newest_by_host is None:
+            records = sorted(self.records.values(), key=_start_order)
+            self._newest_by_host = {record.host: record for record in records}
+        return self._newest_by_host
+
+    def routed_services(self, key: FlowKey) -> set[str]:
+        """Return the services to which a flow's route leads or has led."""
+        address = key[SERVICE_ADDRESS_SLICE]
+        services = set(self._route_history.services(self.clock(), address))
+        route = self.routes.find(key)
+        if route is not None:
+            services.update(service.name for service in route.services)
+        return services
+
     def find_by_address(self, address: SocketAddress) -> EndpointRecord | None:
         """Return the newest endpoint whose backend server has this address.
 
@@ -139,11 +171,13 @@
 
     def _invalidate(self) -> None:
         self._by_service.clear()
+        self._newest_by_host = None
         self._checksum = None
 
     def _merge_routes(self, routes: RouteTable | None) -> bool:
         if routes is None or routes.version <= self.routes.version:
             return False
+        self._route_history.record_change(self.clock(), self.routes, routes)
         self.routes = routes
         return True
 
--- a/src/dragonflyshift/_internal/carried/routes.py
+++ b/src/dragonflyshift/_internal/carried/routes.py
@@ -1,6 +1,12 @@
 """Routes of carried flows, which map service addresses to services."""
 
-__all__ = ('Route', 'RouteTable', 'TransferKind', 'WeightedService')
+__all__ = (
+    'SERVICE_ADDRESS_SLICE',
+    'Route',
+    'RouteTable',
+    'TransferKind',
+    'WeightedService',
+)
 
 import enum
 
--- a/src/dragonflyshift/_internal/carried/sidecar/lookup_delegate.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/lookup_delegate.py
@@ -11,6 +11,8 @@
     LookupCallbacks,
     LookupTable,
     PendingLookup,
+    find_candidates,
+    sidecar_addresses,
 )
 from dragonflyshift._internal.carried.messages import (
     FlowReply,
@@ -48,8 +50,8 @@
 class LookupDelegate:
     """Processes the lookup requests of balancers.
 
-    It sends an ownership query to each sidecar of the services to which the
-    flow's route leads, and sends the result to the balancers that requested it.
+    It sends an ownership query to each sidecar that may own the flow, and
+    sends the result to the balancers that requested it.
     """
 
     view: FleetView
@@ -94,13 +96,15 @@
         except WireError as exc:
             self.callbacks.on_malformed(exc)
             return
-        sidecars = self._sidecars(packet.key)
-        if not sidecars:
-            lookup = PendingLookup(message.service, now, sidecars, [packet])
+        candidates = find_candidates(
+            self.view, packet.key, self.callbacks.sidecar_address
+        )
+        if not candidates.count:
+            lookup = PendingLookup(candidates, now, [packet])
             self._send_result(lookup, {balancer}, LookupOutcome.UNANSWERED)
             return
         self._requesters.setdefault(packet.key, set()).add(balancer)
-        self.lookups.start(now, packet, message.service, sidecars)
+        self.lookups.start(now, packet, candidates)
 
     def _on_reply(
         self,
@@ -127,15 +131,6 @@
         """Return whether a lookup is in progress."""
         return bool(self.lookups.pending)
 
-    def _sidecars(self, key: FlowKey) -> set[SocketAddress]:
-        route = self.view.routes.find(key)
-        options = () if route is None else route.services
-        return {
-            self.callbacks.sidecar_address(record)
-            for option in options
-            for record in self.view.endpoints(option.name)
-        }
-
     def _on_denied(self, _now: float, lookup: PendingLookup) -> None:
         self._finish(lookup, LookupOutcome.DENIED)
 
@@ -160,7 +155,9 @@
     ) -> None:
         # A sidecar that joined the view during the lookup was not queried and
         # may own the flow.
-        all_queried = self._sidecars(lookup.packets[0].key) <= lookup.queried
+        all_queried = lookup.queried >= sidecar_addresses(
+            self.view, self.callbacks.sidecar_address
+        )
         if outcome is LookupOutcome.DENIED and not all_queried:
             outcome = LookupOutcome.UNANSWERED
         result = LookupResult(
