Follow a store that is restored from a copy

Cause: views, statuses, pulls and removals were ordered by the store's revision alone, and nothing read the header Store-Era. After a restore every entry was ignored until the counter had passed the old one, removals of before suppressed entries of after, and a watch whose revision exists again returned only the changes of the restored history.

Change: the adapter puts the era into the high bits of all revisions (fleet/revisions.py), so that the order of views and messages follows it without new fields; a store in its first era has the same numbers as before, which peers of the build before read. A response of another era than the watch asked for, or a restore between two pages, causes a full read. Entries that the copy lacks are kept for the usual 2.2 s and dropped then; a daemon that starts to read after peers reported the restore reads all once. A server that was leaving stays so when the copy lists it as serving. The configuration's version never goes back, as before. A view from an older epoch than the peers' is refused with backoff.

Not covered: an entry that the copy brings back although its server ended draws offers until the store drops it; the sidecar at that address refuses them by service or state.

--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -76,6 +76,16 @@
     def publish_configuration(self) -> None:
         """Publish the next version of the configuration."""
         self.version += 1
+        self._put_configuration()
+
+    def publish_again(self) -> None:
+        """Publish the last configuration and all servers that are up again."""
+        self._put_configuration()
+        for backend in self.backends:
+            if backend.is_up:
+                self.publish_endpoint(backend)
+
+    def _put_configuration(self) -> None:
         revision = self._next_revision()
         routes = [_route(name, port) for name, port in SERVICES.items()]
         config = {
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -25,6 +25,8 @@
 MAX_FAULT_INTERVAL_S = 0.9
 MIN_FAULT_DURATION_S = 0.2
 MAX_FAULT_DURATION_S = 2.5
+# Servers write their entries again within this time after a restore.
+MAX_REWRITE_DELAY_S = 1.5
 
 
 @frozen
@@ -44,6 +46,8 @@
 
     fleet: SoakFleet
     rng: random.Random
+    # Apart from ``rng``, so that seeds of earlier failures keep their faults.
+    restore_rng: random.Random
     injected: list[str] = field(factory=list)
     _tasks: list[asyncio.Task[None]] = field(factory=list)
     # Daemons and backend servers with a fault under way.
@@ -61,6 +65,11 @@
             self._disrupt_store,
             self._update_configuration,
         )
+        self._tasks.append(
+            loop.create_task(
+                self._restore_store(self.restore_rng.uniform(0, seconds))
+            )
+        )
         while loop.time() < ends_at:
             duration_s = self.rng.uniform(
                 MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S
@@ -132,6 +141,25 @@
         await asyncio.sleep(duration_s)
         self.fleet.proxy.switch_mode(Mode.PASS)
 
+    async def _restore_store(self, delay_s: float) -> None:
+        """Restore the store from a copy that is some seconds old.
+
+        The operator and the servers write again what the copy lacks.
+        """
+        store = self.fleet.store
+        await asyncio.sleep(delay_s)
+        copy, revision = list(store.items), store.revision
+        await asyncio.sleep(
+            self.restore_rng.uniform(MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S)
+        )
+        self.injected.append('store restored')
+        self.fleet.proxy.switch_mode(Mode.RESET)
+        await asyncio.sleep(MIN_FAULT_DURATION_S)
+        store.restore(copy, revision)
+        self.fleet.proxy.switch_mode(Mode.PASS)
+        await asyncio.sleep(self.restore_rng.uniform(0, MAX_REWRITE_DELAY_S))
+        self.fleet.publish_again()
+
     async def _update_configuration(self, _duration_s: float) -> None:
         name = self.rng.choice(self._daemons())
         self.injected.append(f'new version, reload of {name}')
@@ -150,7 +178,7 @@
     violations = Violations()
     fleet = SoakFleet(folder, violations)
     tasks: list[asyncio.Task[None]] = []
-    injector = _FaultInjector(fleet, rng)
+    injector = _FaultInjector(fleet, rng, random.Random(seed + 2))
     try:
         await fleet.start()
         clients = SoakClients(
--- a/src/dragonflyshift/_internal/carried/balancer/forwarder.py
+++ b/src/dragonflyshift/_internal/carried/balancer/forwarder.py
@@ -18,7 +18,6 @@
 )
 from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
 from dragonflyshift._internal.carried.fleet.view import FleetView
-from dragonflyshift._internal.carried.flow_names import flow_name
 from dragonflyshift._internal.carried.lookups import (
     LookupTable,
 )
@@ -33,6 +32,7 @@
     Packet,
     PacketCodec,
     SocketAddress,
+    flow_name,
 )
 from dragonflyshift._internal.carried.policies.candidates import (
     CandidateRing,
--- a/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
+++ b/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
@@ -18,7 +18,6 @@
 )
 from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
 from dragonflyshift._internal.carried.fleet.view import FleetView
-from dragonflyshift._internal.carried.flow_names import flow_name
 from dragonflyshift._internal.carried.lookups import (
     LookupCallbacks,
     LookupTable,
@@ -32,6 +31,7 @@
     Packet,
     PacketCodec,
     SocketAddress,
+    flow_name,
 )
 from dragonflyshift._internal.carried.policies.candidates import (
     CandidateRing,
--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field
 
+from dragonflyshift._internal.carried.fleet.revisions import epoch_of
 from dragonflyshift._internal.carried.fleet.source import (
     HistoryLostError,
     ViewSource,
@@ -92,21 +93,31 @@
             await asyncio.sleep(READ_INTERVAL_S)
 
     async def _next_update(self) -> ViewUpdate:
-        if self._needs_full_read or not self.view.revision:
+        needs_full_read = (
+            self._needs_full_read
+            or not self.view.revision
+            # A peer has reported that the store was restored.
+            or self.view.has_records_before_epoch(epoch_of(self.view.revision))
+        )
+        if needs_full_read:
             update = await self.source.read_all()
             self._needs_full_read = False
+            _check_not_outdated(update, self.view)
             return update
         return await self.source.wait(self.view.revision)
 
     def _apply(self, update: ViewUpdate) -> None:
         now = time.monotonic()
-        if self._failures or now - self.confirmed_at > CONTACT_GAP_S:
-            # Entries that expired during an outage are renewed after it.
+        if self._may_lack_entries(now, update):
             self._grace_until = now + REMOVAL_GRACE_S
         if not self.is_reading:
             logger.info(
                 'store-read',
-                extra={'revision': update.revision, 'after': self._failures},
+                extra={
+                    'revision': update.revision,
+                    'epoch': epoch_of(update.revision),
+                    'after': self._failures,
+                },
             )
         self._failures = 0
         self.is_reading = True
@@ -115,6 +126,19 @@
         changed = self.view.apply(update, is_tentative=is_in_grace)
         self.on_update(changed)
 
+    def _may_lack_entries(self, now: float, update: ViewUpdate) -> bool:
+        """Return whether entries may be missing that will be renewed.
+
+        They expire during an outage of the store, and are missing in the copy
+        from which it is restored.
+        """
+        if self._failures or now - self.confirmed_at > CONTACT_GAP_S:
+            return True
+        is_complete = not update.base
+        return is_complete and self.view.has_records_before_epoch(
+            epoch_of(update.revision)
+        )
+
     async def _back_off(self, exc: PlatformError) -> None:
         if not self._failures:
             logger.warning('store-lost', extra={'reason': str(exc)})
@@ -131,3 +155,13 @@
             self.is_reading = False
             self.source.close()
             logger.info('store-left-to-peers')
+
+
+def _check_not_outdated(update: ViewUpdate, view: FleetView) -> None:
+    """Raise PlatformError if peers have reported a later restore."""
+    epoch = epoch_of(update.revision)
+    if epoch < epoch_of(view.revision):
+        raise PlatformError(
+            f'the store lists its state of epoch {epoch}, '
+            f'peers that of {epoch_of(view.revision)}',
+        )
--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -2,7 +2,9 @@
 
 Every change carries the revision at which the store published it. Changes
 may therefore arrive in any order and from any daemon: an older record never
-replaces a newer one.
+replaces a newer one. Revisions of a restored store are higher than all before
+(``revisions``), so what the store lists after a restore replaces what it listed
+before it.
 """
 
 __all__ = ('FleetView', 'ViewUpdate')
@@ -11,8 +13,9 @@
 import zlib
 from collections.abc import Callable, Iterable, Mapping
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
+from dragonflyshift._internal.carried.fleet.revisions import epoch_of
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
 from dragonflyshift._internal.carried.policies.owner_search import (
     RouteHistory,
@@ -127,6 +130,17 @@
             default=None,
         )
 
+    def has_records_before_epoch(self, epoch: int) -> bool:
+        """Return whether endpoints were last listed in an earlier epoch.
+
+        Those that are tentatively removed are not counted.
+        """
+        return any(
+            epoch_of(record.revision) < epoch
+            for name, record in self.records.items()
+            if name not in self.tentative_removals
+        )
+
     def apply(self, update: ViewUpdate, *, is_tentative: bool = False) -> bool:
         """Merge an update; return whether anything changed.
 
@@ -191,6 +205,8 @@
             return False
         if self.removed.get(record.name, 0) >= record.revision:
             return False
+        if current is not None and _has_left(current, record):
+            record = evolve(record, is_leaving=True)
         self.records[record.name] = record
         self.removed.pop(record.name, None)
         self.tentative_removals.pop(record.name, None)
@@ -242,5 +258,15 @@
         )
 
 
+def _has_left(current: EndpointRecord, newer: EndpointRecord) -> bool:
+    """Return whether a server that is leaving is listed by a restored store.
+
+    The copy from which the store was restored may be older than its leaving.
+    """
+    is_restored = epoch_of(current.revision) < epoch_of(newer.revision)
+    is_same_start = current.started_ms == newer.started_ms
+    return current.is_leaving and is_restored and is_same_start
+
+
 def _start_order(record: EndpointRecord) -> tuple[int, int]:
     return (record.started_ms, record.revision)
--- a/src/dragonflyshift/_internal/carried/packet.py
+++ b/src/dragonflyshift/_internal/carried/packet.py
@@ -7,8 +7,10 @@
     'PacketCodec',
     'SocketAddress',
     'client_host',
+    'flow_name',
 )
 
+import socket
 from abc import ABC, abstractmethod
 
 from attrs import define
@@ -25,6 +27,15 @@
     return '.'.join(str(octet) for octet in key[:4])
 
 
+def flow_name(key: FlowKey) -> str:
+    """Format a flow key as ``client:port>service:port``."""
+    client = socket.inet_ntoa(key[:4])
+    client_port = int.from_bytes(key[4:6], 'big')
+    service = socket.inet_ntoa(key[6:10])
+    service_port = int.from_bytes(key[10:12], 'big')
+    return f'{client}:{client_port}>{service}:{service_port}'
+
+
 @define(eq=False, repr=False)
 class Packet:
     """One packet of a flow.
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -7,7 +7,6 @@
 
 from attrs import define
 
-from dragonflyshift._internal.carried.flow_names import flow_name
 from dragonflyshift._internal.carried.load import BackendState
 from dragonflyshift._internal.carried.messages import (
     AdmissionRequest,
@@ -19,6 +18,7 @@
     Packet,
     PacketCodec,
     SocketAddress,
+    flow_name,
 )
 from dragonflyshift._internal.carried.policies.admission import (
     AdmissionDecision,
--- a/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
@@ -6,7 +6,6 @@
 
 from attrs import define, field
 
-from dragonflyshift._internal.carried.flow_names import flow_name
 from dragonflyshift._internal.carried.load import BackendState
 from dragonflyshift._internal.carried.messages import (
     AdmissionRequest,
@@ -18,6 +17,7 @@
     Packet,
     PacketCodec,
     SocketAddress,
+    flow_name,
 )
 from dragonflyshift._internal.carried.sidecar.admission import (
     FlowAdmission,
--- a/src/dragonflyshift/platform/http_client.py
+++ b/src/dragonflyshift/platform/http_client.py
@@ -1,6 +1,6 @@
 """An HTTP connection to the platform's store."""
 
-__all__ = ('HttpConnection', 'open_connection')
+__all__ = ('HttpConnection', 'HttpResponse', 'open_connection')
 
 import asyncio
 import logging
@@ -8,6 +8,7 @@
 from typing import Any
 
 import h11
+from attrs import define, field
 
 from dragonflyshift._internal.carried.packet import SocketAddress
 
@@ -18,6 +19,15 @@
 READ_BYTES = 65536
 
 
+@define(eq=False, repr=False)
+class HttpResponse:
+    """A response; ``headers`` has their names in lower case."""
+
+    status: int = 0
+    headers: dict[bytes, bytes] = field(factory=dict)
+    body: bytes = b''
+
+
 class HttpConnection:
     """A persistent HTTP connection to the store.
 
@@ -38,8 +48,8 @@
         self._http = h11.Connection(h11.CLIENT)
         self.is_unusable = False
 
-    async def get(self, target: str) -> tuple[int, bytes]:
-        """Return the status and body of the response.
+    async def get(self, target: str) -> HttpResponse:
+        """Return the response to a GET request.
 
         Raises EOFError or OSError if the connection fails.
         """
@@ -48,7 +58,7 @@
         except h11.ProtocolError as exc:
             raise EOFError(f'response is not valid HTTP: {exc}') from exc
 
-    async def _exchange(self, target: str) -> tuple[int, bytes]:
+    async def _exchange(self, target: str) -> HttpResponse:
         self.is_unusable = True
         request = h11.Request(
             method='GET',
@@ -58,26 +68,28 @@
         self._writer.write(self._http.send(request) or b'')
         self._writer.write(self._http.send(h11.EndOfMessage()) or b'')
         await self._writer.drain()
-        status, body = await self._receive()
+        response = await self._receive()
         states = {self._http.our_state, self._http.their_state}
         if states == {h11.DONE}:
             self._http.start_next_cycle()
             self.is_unusable = False
-        return status, body
+        return response
 
     def close(self) -> None:
         """Close the connection at once."""
         self._writer.transport.abort()
 
-    async def _receive(self) -> tuple[int, bytes]:
-        status = 0
+    async def _receive(self) -> HttpResponse:
+        response = HttpResponse()
         parts: list[bytes] = []
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return status, b''.join(parts)
+                response.body = b''.join(parts)
+                return response
             if isinstance(event, h11.Response):
-                status = event.status_code
+                response.status = event.status_code
+                response.headers.update(event.headers)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
 
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -8,6 +8,11 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from dragonflyshift._internal.carried.fleet.revisions import (
+    epoch_of,
+    join_revision,
+    split_revision,
+)
 from dragonflyshift._internal.carried.fleet.source import (
     HistoryLostError,
     ViewSource,
@@ -28,7 +33,10 @@
 )
 
 if TYPE_CHECKING:
-    from dragonflyshift.platform.http_client import HttpConnection
+    from dragonflyshift.platform.http_client import (
+        HttpConnection,
+        HttpResponse,
+    )
 
 logger = logging.getLogger(__name__)
 
@@ -39,6 +47,10 @@
 WATCH_TIMEOUT_MARGIN_S = 0.7
 MAX_PAGES = 200
 MS_PER_S = 1000
+# The platform's name for the number of times that the store was restored from a
+# copy. A store that was never restored sends the first value.
+_EPOCH_HEADER = b'store-era'
+_FIRST_EPOCH = 1
 _OK = 200
 _GONE = 410
 _NOT_FOUND = 404
@@ -59,7 +71,8 @@
         """Return the complete state, read page by page.
 
         The pages are no snapshot, so the update has the revision of the first
-        page; the watch returns later changes.
+        page; the watch returns later changes. Raises HistoryLostError if the
+        store was restored between two pages.
         """
         revision = 0
         after = ''
@@ -72,6 +85,7 @@
             page = _entries(body, 'items')
             items.extend(page)
             revision = revision or _revision(body, 'asOf')
+            _check_epoch(body, revision)
             if not body.get('truncated') or not page:
                 break
             after = str(page[-1].get('key'))
@@ -79,11 +93,15 @@
 
     async def wait(self, after: int) -> ViewUpdate:
         """Return the changes after a revision, once there are any."""
+        store_revision = split_revision(after)[1]
         body = await self._request(
             '/kv-watch',
-            {'prefix': '', 'after': after, 'waitMs': WATCH_WAIT_MS},
+            {'prefix': '', 'after': store_revision, 'waitMs': WATCH_WAIT_MS},
             WATCH_WAIT_MS / MS_PER_S + WATCH_TIMEOUT_MARGIN_S,
         )
+        # The revision may exist in the present epoch too, where the changes
+        # since are other ones.
+        _check_epoch(body, after)
         return self._build_update(
             after,
             max(after, _revision(body, 'asOf')),
@@ -159,7 +177,7 @@
         target = f'{path}?{_encode_query(query)}'
         try:
             async with asyncio.timeout(timeout_s):
-                status, body = await self._exchange(target)
+                response = await self._exchange(target)
         except _CONNECTION_ERRORS as exc:
             self.close()
             raise PlatformError(
@@ -169,9 +187,9 @@
         except asyncio.CancelledError:
             self.close()
             raise
-        return _decode_response(path, status, body)
+        return _decode_response(path, response)
 
-    async def _exchange(self, target: str) -> tuple[int, bytes]:
+    async def _exchange(self, target: str) -> 'HttpResponse':
         connection = self._connection
         if connection is None or connection.is_unusable:
             # Imported on first use, as most sidecars never read the store.
@@ -194,7 +212,8 @@
     return urlencode(query)
 
 
-def _decode_response(path: str, status: int, raw: bytes) -> dict[str, Any]:
+def _decode_response(path: str, response: 'HttpResponse') -> dict[str, Any]:
+    status = response.status
     if status == _GONE:
         raise HistoryLostError(
             'the store no longer holds the changes since the revision',
@@ -207,7 +226,8 @@
             f'store responded with status {status}', context=path
         )
     try:
-        body = json.loads(raw)
+        body = json.loads(response.body)
+        epoch = int(response.headers.get(_EPOCH_HEADER, _FIRST_EPOCH))
     except ValueError as exc:
         raise PlatformError(
             f'response of the store is malformed: {exc}'
@@ -216,9 +236,35 @@
         raise PlatformError(
             'response of the store is not an object', context=path
         )
+    return _join_revisions(body, max(0, epoch - _FIRST_EPOCH))
+
+
+def _join_revisions(body: dict[str, Any], epoch: int) -> dict[str, Any]:
+    """Put the epoch into all revisions of a response."""
+    if epoch:
+        rows = [body]
+        for name in ('items', 'events'):
+            listed = body.get(name)
+            if isinstance(listed, list):
+                rows += [row for row in listed if isinstance(row, dict)]
+        for row in rows:
+            for name in ('asOf', 'revision'):
+                if isinstance(row.get(name), int):
+                    row[name] = join_revision(epoch, row[name])
     return body
 
 
+def _check_epoch(body: dict[str, Any], revision: int) -> None:
+    """Raise HistoryLostError if a response is of another epoch."""
+    epoch = epoch_of(_revision(body, 'asOf'))
+    expected = epoch_of(revision)
+    if epoch != expected:
+        raise HistoryLostError(
+            'the store was restored from a copy',
+            context=f'epoch {epoch} instead of {expected}',
+        )
+
+
 def _entries(body: dict[str, Any], name: str) -> list[Any]:
     entries = body.get(name)
     if not isinstance(entries, list):
--- a/tests/lib/kvstore.py
+++ b/tests/lib/kvstore.py
@@ -71,7 +71,8 @@
 
     A ``status`` other than 200 is the response to every call. While
     ``is_unresponsive`` is set, calls get no response. Watches from before
-    ``oldest_revision`` are refused.
+    ``oldest_revision`` are refused, and those from a revision that it doesn't
+    have. With an ``era`` all responses have it in the header ``Store-Era``.
     """
 
     items: list[dict[str, Any]] = field(factory=list)
@@ -79,6 +80,9 @@
     page_size: int = 500
     revision: int = 1
     oldest_revision: int = 0
+    era: int | None = None
+    # After this number of calls the store is restored from its present items.
+    restore_after_calls: int = -1
     status: int = 200
     is_unresponsive: bool = False
     calls: list[str] = field(factory=list)
@@ -91,6 +95,13 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return (host, port)
 
+    def restore(self, copy: list[dict[str, Any]], revision: int) -> None:
+        """Continue from a copy of the items; later changes are lost."""
+        self.items = list(copy)
+        self.events = []
+        self.revision = revision
+        self.era = (self.era or 1) + 1
+
     def close(self) -> None:
         """Stop listening."""
         if self._server is not None:
@@ -111,13 +122,16 @@
 
     async def _answer(self, target: str, writer: asyncio.StreamWriter) -> None:
         self.calls.append(target)
+        if self.restore_after_calls == len(self.calls) - 1:
+            self.restore(self.items, self.revision)
         if self.is_unresponsive:
             return
         status, body = self.status, b'{}'
         if status == 200:
             status, body = self._build_body(target)
+        era = '' if self.era is None else f'Store-Era: {self.era}\r\n'
         writer.write(
-            f'HTTP/1.1 {status} Status\r\n'
+            f'HTTP/1.1 {status} Status\r\n{era}'
             f'Content-Length: {len(body)}\r\n\r\n'.encode()
             + body,
         )
@@ -133,7 +147,7 @@
                 self._build_page(query.get('after', ''))
             ).encode()
         after = int(query['after'])
-        if after < self.oldest_revision:
+        if after < self.oldest_revision or after > self.revision:
             return 410, b'{}'
         events = [event for event in self.events if event['revision'] > after]
         body = {'events': events, 'asOf': self.revision}
--- a/tests/unit/carried/test_fleet.py
+++ b/tests/unit/carried/test_fleet.py
@@ -2,6 +2,7 @@
 import unittest
 
 from dragonflyshift._internal.carried.fleet.member import FleetMember
+from dragonflyshift._internal.carried.fleet.revisions import join_revision
 from dragonflyshift._internal.carried.fleet.view import ViewUpdate
 from tests.lib.carried import build_record, build_routes
 from tests.lib.fleet_harness import FleetHarness
@@ -20,6 +21,17 @@
     return ViewUpdate(0, 5, records, routes=build_routes(2))
 
 
+def _restored_view(epoch: int) -> ViewUpdate:
+    """Return the state of a copy that has two of the three endpoints."""
+    records = tuple(
+        build_record(number, revision=join_revision(epoch, number))
+        for number in (1, 2)
+    )
+    return ViewUpdate(
+        0, join_revision(epoch, 3), records, routes=build_routes(1)
+    )
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.harness = FleetHarness()
@@ -72,6 +84,34 @@
         new_age_s = self.sidecar.gossip.age_s(time.monotonic())
         self.assertLess(new_age_s, 1.5)
 
+    async def test_restore_of_the_store_reaches_all_daemons(self) -> None:
+        """Its revisions are lower than those that the peers hold."""
+        _publish(self.first, _first_view())
+        await self.harness.run(1.2)
+        _publish(self.first, _restored_view(1))
+        await self.harness.run(1.2)
+        for member in (self.second, self.sidecar):
+            self.assertEqual(member.view.records, self.first.view.records)
+            self.assertEqual(
+                set(member.view.records), {'instance-1', 'instance-2'}
+            )
+            self.assertEqual(member.view.routes.version, 2)
+
+    async def test_daemon_that_missed_two_restores_catches_up(self) -> None:
+        _publish(self.first, _first_view())
+        await self.harness.run(1.2)
+        cut_off = self.harness.address(3)
+        for number in (1, 2):
+            pair = frozenset((cut_off, self.harness.address(number)))
+            self.harness.partitioned.add(pair)
+        _publish(self.first, _restored_view(1))
+        _publish(self.first, _restored_view(2))
+        await self.harness.run(0.6)
+        self.assertEqual(len(self.sidecar.view.records), 3)
+        self.harness.partitioned.clear()
+        await self.harness.run(1.6)
+        self.assertEqual(self.sidecar.view.records, self.first.view.records)
+
     async def test_pause_discards_the_confirmation_of_a_view(self) -> None:
         _publish(self.first, _first_view())
         self.first.on_pause(time.monotonic(), 3)
--- a/tests/unit/carried/test_reader.py
+++ b/tests/unit/carried/test_reader.py
@@ -2,17 +2,19 @@
 import random
 import time
 import unittest
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from dragonflyshift._internal.carried.fleet.reader import (
     REMOVAL_GRACE_S,
     StoreReader,
 )
+from dragonflyshift._internal.carried.fleet.revisions import join_revision
 from dragonflyshift._internal.carried.fleet.source import (
     HistoryLostError,
     ViewSource,
 )
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
+from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.exceptions import PlatformError
 from tests.lib.carried import SERVICE, build_record, build_routes
 
@@ -29,6 +31,8 @@
 
     def __init__(self, answers: Sequence[ViewUpdate | PlatformError]) -> None:
         self.calls: list[str] = []
+        # Functions that are called before the response to a call.
+        self.on_call: dict[str, Callable[[], None]] = {}
         self._answers = list(answers)
 
     async def read_all(self) -> ViewUpdate:
@@ -44,6 +48,7 @@
         if not self._answers:
             await asyncio.Event().wait()
         self.calls.append(call)
+        self.on_call.get(call, _do_nothing)()
         answer = self._answers.pop(0)
         if isinstance(answer, PlatformError):
             raise answer
@@ -88,9 +93,66 @@
         self.assertLess(len(source.calls), 8)
         self.assertFalse(reader.is_reading)
 
+    async def test_entries_that_a_copy_lacks_are_kept_for_a_while(self) -> None:
+        """Endpoints write their entries again after a restore."""
+        copy = ViewUpdate(0, join_revision(1, 4), (_restored(1, 3),))
+        returned = ViewUpdate(copy.revision, join_revision(1, 5))
+        source = _ScriptedSource(
+            [_COMPLETE_STATE, HistoryLostError('restored'), copy, returned]
+        )
+        reader = await self._run(source, 0.5)
+        self.assertEqual(source.calls[-2:], ['all', f'after {copy.revision}'])
+        self.assertEqual(len(reader.view.endpoints(SERVICE)), 2)
+        now = time.monotonic()
+        self.assertEqual(reader.confirm_removals(now), ())
+        dropped = reader.confirm_removals(now + REMOVAL_GRACE_S)
+        self.assertEqual(dropped, ('instance-2',))
+
+    async def test_changes_after_a_restore_do_not_extend_the_wait(self) -> None:
+        copy = ViewUpdate(0, join_revision(1, 4), (_restored(1, 3),))
+        changes = [
+            ViewUpdate(
+                join_revision(1, number),
+                join_revision(1, number + 1),
+                (_restored(1, number + 1),),
+            )
+            for number in range(4, 12)
+        ]
+        source = _ScriptedSource(
+            [_COMPLETE_STATE, HistoryLostError('restored'), copy, *changes]
+        )
+        reader = await self._run(source, 0.8)
+        self.assertEqual(reader.view.revision, join_revision(1, 12))
+        now = time.monotonic()
+        dropped = reader.confirm_removals(now + REMOVAL_GRACE_S - 0.3)
+        self.assertEqual(dropped, ('instance-2',))
+
+    async def test_reader_reads_all_after_peers_reported_a_restore(self):
+        """Otherwise entries from before it would never be removed."""
+        copy = ViewUpdate(0, join_revision(1, 4), (_restored(1, 3),))
+        source = _ScriptedSource([_COMPLETE_STATE, ViewUpdate(5, 5), copy])
+        source.on_call['after 5'] = self._report_restore
+        reader = await self._run(source, 0.4)
+        self.assertEqual(source.calls, ['all', 'after 5', 'all'])
+        self.assertEqual(set(reader.view.tentative_removals), {'instance-2'})
+
+    async def test_store_of_an_earlier_epoch_is_retried_with_backoff(self):
+        source = _ScriptedSource([_COMPLETE_STATE for _ in range(40)])
+        source.on_call['all'] = self._report_restore
+        reader = await self._run(source, 1.5)
+        self.assertLess(len(source.calls), 8)
+        self.assertFalse(reader.is_reading)
+
+    def _report_restore(self) -> None:
+        """Update the view as if a peer had reported the restore."""
+        revision = join_revision(1, 4)
+        record = _restored(1, 3)
+        self.view.apply(ViewUpdate(self.view.revision, revision, (record,)))
+
     async def _run(self, source: ViewSource, seconds: float) -> StoreReader:
+        self.view = FleetView()
         reader = StoreReader(
-            FleetView(),
+            self.view,
             source,
             random.Random(1),
             lambda: True,
@@ -102,5 +164,13 @@
         return reader
 
 
+def _restored(number: int, revision: int) -> EndpointRecord:
+    return build_record(number, revision=join_revision(1, revision))
+
+
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
 def _ignore(_changed: bool) -> None:
     """Ignore an update."""
--- a/tests/unit/carried/test_view.py
+++ b/tests/unit/carried/test_view.py
@@ -7,6 +7,7 @@
     decode_update,
     encode_update,
 )
+from dragonflyshift._internal.carried.fleet.revisions import join_revision
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.exceptions import ConfigurationError
 from tests.lib.carried import (
@@ -95,6 +96,42 @@
         assert found is not None
         self.assertEqual(found.name, 'new')
 
+    def test_restored_store_replaces_what_it_listed_before(self) -> None:
+        """It gives out revisions that are lower than those of the view."""
+        view = build_view(endpoints=3)
+        view.remove('instance-2', 90)
+        view.revision = 90
+        restored = [
+            build_record(number, revision=join_revision(1, number))
+            for number in (1, 2)
+        ]
+        update = ViewUpdate(0, join_revision(1, 8), tuple(restored))
+        self.assertTrue(view.has_records_before_epoch(1))
+        view.apply(update, is_tentative=True)
+        self.assertEqual(len(view.records), 3)
+        self.assertIn('instance-2', view.records)
+        self.assertEqual(view.revision, join_revision(1, 8))
+        self.assertFalse(view.has_records_before_epoch(1))
+        self.assertEqual(view.confirm_removals(), ('instance-3',))
+
+    def test_server_that_left_is_not_listed_as_serving_by_a_copy(self) -> None:
+        """A copy may be older than the report that a server is leaving."""
+        view = build_view()
+        view.merge(build_record(1, revision=9, is_leaving=True))
+        view.merge(build_record(1, revision=join_revision(1, 3)))
+        self.assertTrue(view.records['instance-1'].is_leaving)
+        restarted = build_record(
+            1, revision=join_revision(1, 4), started_ms=2000
+        )
+        view.merge(restarted)
+        self.assertFalse(view.records['instance-1'].is_leaving)
+
+    def test_configuration_of_a_copy_does_not_replace_a_newer_one(self) -> None:
+        view = build_view(version=5)
+        copy = ViewUpdate(0, join_revision(1, 2), routes=build_routes(4))
+        view.apply(copy)
+        self.assertEqual(view.routes.version, 5)
+
     @settings(derandomize=True, max_examples=200)
     @given(st.binary(max_size=60))
     def test_malformed_update_is_refused(self, raw: bytes) -> None:
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -1,5 +1,6 @@
 import unittest
 
+from dragonflyshift._internal.carried.fleet.revisions import split_revision
 from dragonflyshift._internal.carried.fleet.source import HistoryLostError
 from dragonflyshift._internal.exceptions import PlatformError
 from dragonflyshift.platform.store import PlatformStore
@@ -66,6 +67,39 @@
                 await self.store.read_all()
             self.assertNotIsInstance(caught.exception, HistoryLostError)
 
+    async def test_revisions_rise_when_the_store_is_restored(self) -> None:
+        """The store gives out lower revisions again, in a later era."""
+        self.fake_store.era = 1
+        before = await self.store.read_all()
+        self.assertEqual(before.revision, 9)
+        self.fake_store.restore([build_entry_item('i-1', 3)], revision=4)
+        after = await self.store.read_all()
+        self.assertGreater(after.revision, before.revision)
+        self.assertGreater(after.records[0].revision, before.revision)
+        self.assertEqual(split_revision(after.revision), (1, 4))
+
+    async def test_watch_from_before_a_restore_loses_its_history(self) -> None:
+        """The restored store may have the same revision with other changes."""
+        self.fake_store.era = 3
+        before = await self.store.read_all()
+        self.fake_store.restore([], revision=20)
+        with self.assertRaises(HistoryLostError):
+            await self.store.wait(before.revision)
+        restored = await self.store.read_all()
+        self.fake_store.revision = 21
+        self.fake_store.events = [build_entry_item('i-5', 21)]
+        update = await self.store.wait(restored.revision)
+        self.assertEqual([rec.name for rec in update.records], ['i-5'])
+        self.assertEqual(update.base, restored.revision)
+
+    async def test_restore_between_two_pages_is_no_complete_state(self) -> None:
+        self.fake_store.era = 1
+        self.fake_store.page_size = 1
+        self.fake_store.items.append(build_entry_item('i-1', 2))
+        self.fake_store.restore_after_calls = 1
+        with self.assertRaises(HistoryLostError):
+            await self.store.read_all()
+
     async def test_unresponsive_connection_is_replaced(self) -> None:
         await self.store.read_all()
         self.fake_store.is_unresponsive = True
