--- a/bench/micro_carried.py
+++ b/bench/micro_carried.py
@@ -32,6 +32,7 @@
     FastestEstimate,
 )
 from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.sidecar.flows import FlowPhase
 from dragonflyshift._internal.carried.telemetry import Counters
 from dragonflyshift.platform.packets import PlatformCodec
 from tests.lib.carried import (
@@ -146,7 +147,7 @@
         self._outbox = outbox
         keys = [_flow_key(number) for number in range(flows)]
         for key in keys:
-            handler.backend.table.adopt(0, key, _BALANCER)
+            handler.backend.table.adopt(0, key, _BALANCER, FlowPhase.OPEN)
         self._datagrams = [
             ForwardedPacket(
                 SERVICE, build_packet(each, ACK, payload=PAYLOAD)
--- a/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
@@ -232,7 +232,9 @@
         """Add a flow that the server holds and the flow table lacks."""
         probe = self._probes.pop(packet.key)
         balancer = _NO_BALANCER if probe is None else probe.balancer
-        flow = self.backend.table.adopt(now, packet.key, balancer)
+        # The client may accept another server's answer to a first packet.
+        phase = FlowPhase.HANDSHAKE if packet.is_syn else FlowPhase.OPEN
+        flow = self.backend.table.adopt(now, packet.key, balancer, phase)
         self.counters.incr('adopted')
         if probe is not None:
             self.admission.send_flow_status(
--- a/src/dragonflyshift/_internal/carried/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flows.py
@@ -111,9 +111,10 @@
         now: float,
         key: FlowKey,
         balancer: SocketAddress,
+        phase: FlowPhase,
     ) -> BackendFlow:
-        """Add an open flow that the server holds and the table lacks."""
-        flow = BackendFlow(key, balancer, now, now, FlowPhase.OPEN)
+        """Add a flow that the server holds and the table lacks."""
+        flow = BackendFlow(key, balancer, now, now, phase)
         self.flows[key] = flow
         return flow
 
--- a/tests/unit/carried/test_flow_handler.py
+++ b/tests/unit/carried/test_flow_handler.py
@@ -224,6 +224,31 @@
         self.assertEqual(self.outbox.to_client, [answer])
         self.assertEqual(self._flow_statuses(), [FlowStatus.ACCEPTED])
 
+    def test_answer_to_a_first_packet_of_before_a_restart_opens_no_flow(
+        self,
+    ) -> None:
+        """The client may have accepted another server's answer.
+
+        A sidecar that takes the flow for its own gets the packets that the
+        client sends to the other server; its server bounces them, and the
+        sidecar would reset the flow.
+        """
+        handler, outbox = build_flow_handler(knows_all=False)
+        answer = build_packet(
+            self.key, SYN | ACK, sequence=_SERVER_SEQUENCE, from_backend=True
+        )
+        handler.on_backend_packet(0, answer)
+        for acknowledged, is_owned in (
+            (_SERVER_SEQUENCE + 9_000_000, False),
+            (_SERVER_SEQUENCE + 1, True),
+        ):
+            outbox.clear()
+            query = OwnershipQuery(SERVICE, self.key, acknowledged)
+            handler.on_ownership_query(0.1, query, _BALANCER)
+            reply = outbox.to_daemon[0][0]
+            assert isinstance(reply, FlowReply)
+            self.assertIs(reply.status is FlowStatus.OWNED, is_owned)
+
     def test_restarted_sidecar_probes_and_adopts_a_flow(self) -> None:
         handler, outbox = build_flow_handler(knows_all=False)
         data = build_packet(self.key, ACK, payload=b'GET')
