Play route moves in the emulator, and count resets of open flows

The emulator filled no violations. A reset that a client accepts on a flow whose server runs and has had a request on it is one now. Servers can be divided among services, and a fault lets all routes lead to the next service and back.

--- a/bench/emulator/backend.py
+++ b/bench/emulator/backend.py
@@ -72,6 +72,11 @@
         self.is_down = False
         self._started_at = self.clock.now
 
+    def holds_open(self, key: FlowKey) -> bool:
+        """Return whether the server has received a request on a flow."""
+        flow = self._flows.get(key)
+        return flow is not None and flow.last_request_sequence >= 0
+
     def on_packet(self, raw: bytes) -> None:
         """Handle a packet from the sidecar."""
         if self.is_down:
--- a/bench/emulator/clients.py
+++ b/bench/emulator/clients.py
@@ -13,7 +13,7 @@
 from bench.emulator.clock import VirtualClock
 from bench.emulator.scenario import MS_PER_S, LoadKind
 from bench.emulator.statistics import Request, Statistics
-from dragonflyshift._internal.carried.packet import FlowKey
+from dragonflyshift._internal.carried.packet import FlowKey, flow_name
 from dragonflyshift.platform.packets import PlatformCodec
 from tests.lib.carried import ACK, FIN, SERVICE_HOST, SYN, build_packet
 
@@ -50,14 +50,16 @@
 class Clients:
     """All clients of a run.
 
-    ``send(raw)`` passes a packet to the fabric. ``services`` maps the name of
-    each load kind to the port of its service.
+    ``send(raw)`` passes a packet to the fabric. ``is_held(key)`` returns
+    whether a server that runs holds an open flow, which no daemon may reset.
+    ``services`` maps the name of each load kind to the port of its service.
     """
 
     clock: VirtualClock
     rng: random.Random
     statistics: Statistics
     send: Callable[[bytes], None]
+    is_held: Callable[[FlowKey], bool]
     services: dict[str, int]
     _flows: dict[FlowKey, _Flow] = field(factory=dict)
     # The established flow of each user that has no request under way, by the
@@ -156,8 +158,14 @@
         )
 
     def _on_reset(self, flow: _Flow, sequence: int) -> None:
-        if not flow.is_established or sequence == flow.acknowledged:
-            self._on_flow_lost(flow)
+        if flow.is_established:
+            if sequence != flow.acknowledged:
+                return
+            if self.is_held(flow.key):
+                self.statistics.violations.append(
+                    f'reset of the open flow {flow_name(flow.key)}'
+                )
+        self._on_flow_lost(flow)
 
     def _on_flow_lost(self, flow: _Flow) -> None:
         flow.is_closed = True
--- a/bench/emulator/faults.py
+++ b/bench/emulator/faults.py
@@ -29,6 +29,9 @@
     sidecars: list[EmulatedSidecar]
     load_factor: float
 
+    def route_to(self, service: int) -> None:
+        """Publish routes that lead to the service with that index."""
+
 
 @define(eq=False)
 class FaultInjector:
@@ -95,6 +98,10 @@
     def _end_load_burst(self) -> None:
         self.targets.load_factor = 1
 
+    def _begin_routes(self, fault: Fault) -> None:
+        self.targets.route_to(1)
+        self.targets.clock.after(fault.for_s, partial(self.targets.route_to, 0))
+
 
 def _set_slowdown(sidecars: Sequence[EmulatedSidecar], factor: float) -> None:
     for sidecar in sidecars:
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -16,7 +16,9 @@
 from attrs import frozen
 from cattrs.errors import BaseValidationError
 
-FAULT_KINDS = frozenset(('balancers', 'burst', 'crash', 'power', 'slow'))
+FAULT_KINDS = frozenset(
+    ('balancers', 'burst', 'crash', 'power', 'routes', 'slow')
+)
 DIRECTORY = Path(__file__).resolve().parent / 'scenarios'
 MS_PER_S = 1000
 
@@ -34,12 +36,14 @@
     ``crossing_ms`` is the one-way delay between data centres and ``client_ms``
     the one between clients and the fleet. ``balancer_load_s`` and
     ``sidecar_load_s`` are the times from a start to the first packet. A server
-    is ``cold_factor`` times slower for ``cold_s`` seconds after its start.
+    is ``cold_factor`` times slower for ``cold_s`` seconds after its start. The
+    servers are divided among ``services``; routes lead to the first of them.
     """
 
     data_centers: int = 3
     balancers: int = 7
     servers: int = 7
+    services: int = 1
     slots: int = 4
     queue: int = 14
     packet_ms: float = 0.15
@@ -86,6 +90,7 @@
     - slow: ``count`` backend servers are ``factor`` times slower.
     - burst: the load is ``factor`` times as high.
     - balancers: ``count`` balancers are killed and start again.
+    - routes: all routes lead to the next service, and then back.
     """
 
     kind: str
--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -24,8 +24,8 @@
 from bench.emulator.faults import FaultInjector
 from bench.emulator.scenario import MS_PER_S, LoadKind, Scenario
 from bench.emulator.statistics import Statistics
-from dragonflyshift._internal.carried.fleet.view import FleetView
-from dragonflyshift._internal.carried.packet import SocketAddress
+from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
+from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
 from dragonflyshift._internal.carried.policies.admission import (
     AdmissionPolicy,
     InTimeOnly,
@@ -68,12 +68,13 @@
     policy: type[AdmissionPolicy] = InTimeOnly
     clock: VirtualClock = field(factory=VirtualClock)
     statistics: Statistics = field(factory=Statistics)
-    view: FleetView = field(factory=FleetView)
+    view: FleetView = field(init=False)
     balancers: list[EmulatedBalancer] = field(factory=list)
     sidecars: list[EmulatedSidecar] = field(factory=list)
     clients: Clients = field(init=False)
     load_factor: float = 1
     _rng: random.Random = field(init=False)
+    _routes: list[Route] = field(init=False)
     # The balancers that the fabric sends packets to.
     _rotation: list[EmulatedBalancer] = field(factory=list)
     _missed_checks: dict[SocketAddress, int] = field(factory=dict)
@@ -85,9 +86,11 @@
             kind.name: FIRST_SERVICE_PORT + number
             for number, kind in enumerate(self.scenario.load)
         }
-        routes = [_route(kind, ports[kind.name]) for kind in self.scenario.load]
-        routes_by_address = {route.address: route for route in routes}
-        self.view.routes = RouteTable(1, routes_by_address)
+        self._routes = [
+            _route(kind, ports[kind.name]) for kind in self.scenario.load
+        ]
+        self.view = FleetView(clock=lambda: self.clock.now)
+        self.route_to(0)
         network = Network(self.clock, self._to_peer, self._to_client)
         for number in range(1, self.scenario.fleet.servers + 1):
             self._add_server(number, network)
@@ -99,6 +102,7 @@
             self._rng,
             self.statistics,
             self._to_fabric,
+            self._is_held,
             ports,
         )
 
@@ -115,10 +119,27 @@
         self.clock.run_until(self.scenario.seconds + DRAIN_TIME_S)
         return self.statistics
 
+    def route_to(self, service: int) -> None:
+        """Publish routes that lead to the service with that index."""
+        services = (WeightedService(_service_name(service), 1),)
+        table = RouteTable(
+            self.view.routes.version + 1,
+            {
+                route.address: evolve(route, services=services)
+                for route in self._routes
+            },
+        )
+        revision = self.view.revision
+        self.view.apply(ViewUpdate(revision or 1, revision, routes=table))
+
+    def _is_held(self, key: FlowKey) -> bool:
+        return any(sidecar.backend.holds_open(key) for sidecar in self.sidecars)
+
     def _add_server(self, number: int, network: Network) -> None:
         fleet = self.scenario.fleet
         record = build_record(
             number,
+            service=_service_name(number % fleet.services),
             data_center=_data_center_name(number, fleet.data_centers),
             slots=fleet.slots,
         )
@@ -137,7 +158,7 @@
             self._rng,
             fleet.sidecar_load_s,
             0.05,
-            service=SERVICE,
+            service=record.service,
             backend=backend,
             policy=self.policy,
         )
@@ -256,6 +277,10 @@
     return f'dc-{number % count}'
 
 
+def _service_name(index: int) -> str:
+    return f'{SERVICE}-{index}' if index else SERVICE
+
+
 def _route(kind: LoadKind, port: int) -> Route:
     address = socket.inet_aton(SERVICE_HOST) + port.to_bytes(2, 'big')
     is_idempotent = bool(kind.users) or kind.priority > 1
--- a/bench/emulator/statistics.py
+++ b/bench/emulator/statistics.py
@@ -46,8 +46,8 @@
 class Statistics:
     """Statistics of a run.
 
-    ``windows`` holds the windows by number. ``violations`` is for descriptions
-    of guarantees that the run broke; the emulator itself adds none.
+    ``windows`` holds the windows by number, ``violations`` descriptions of
+    the guarantees that the run broke.
     """
 
     windows: dict[int, Window] = field(factory=dict)
--- a/tests/unit/bench/test_emulator.py
+++ b/tests/unit/bench/test_emulator.py
@@ -52,6 +52,12 @@
         scenario = evolve(_SCENARIO, seconds=6, faults=(fault,))
         self.assertEqual(run_scenario(scenario, 1).total().failed, 0)
 
+    def test_no_open_flow_is_reset_when_routes_move(self) -> None:
+        """Lookups by the present route reset flows of the former service."""
+        statistics = run_scenario(load_scenario('route-moves'), 1)
+        self.assertEqual(statistics.violations, [])
+        self.assertGreater(statistics.total().worth, 0.95)
+
     def test_error_names_unknown_scenario(self) -> None:
         with self.assertRaisesRegex(ScenarioError, 'nowhere'):
             load_scenario('nowhere')
