Test the metrics page with the libraries that the build installs

The build takes the newest libraries that requirements.txt allows, and the roles run without the site module; the other functional tests use the locked ones.

--- a/tests/lib/carried_harness.py
+++ b/tests/lib/carried_harness.py
@@ -161,9 +161,14 @@
 
 @define(eq=False)
 class CarriedHarness:
-    """Runs a store, a balancer and a sidecar, and holds their ports."""
+    """Runs a store, a balancer and a sidecar, and holds their ports.
+
+    The daemons import the package from ``python_path``.
+    """
 
     folder: Path
+    interpreter_options: tuple[str, ...] = ()
+    python_path: Path = ROOT / 'src'
     store: FakeStore = field(factory=FakeStore)
     ports: dict[str, int] = field(factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(factory=dict)
@@ -190,12 +195,13 @@
         settings_path.write_text(json.dumps(self._settings(role)))
         self.processes[role] = await asyncio.create_subprocess_exec(
             sys.executable,
+            *self.interpreter_options,
             '-m',
             'dragonflyshift.platform',
             role,
             env={
                 SETTINGS_VARIABLE: str(settings_path),
-                'PYTHONPATH': str(ROOT / 'src'),
+                'PYTHONPATH': str(self.python_path),
             },
             stdout=asyncio.subprocess.DEVNULL,
         )
