Reset no flow while the view lists no endpoint

Cause: a lookup without any sidecar counted as denied by all of them since owner lookups query in two steps. After a loss of power, or when entries lapse during an outage of the store and balancers restart, the list is empty while servers may live.

Change: an empty view proves nothing (is_server_lost). Also removes three unused leftovers.

--- a/src/dragonflyshift/_internal/carried/fleet/peers.py
+++ b/src/dragonflyshift/_internal/carried/fleet/peers.py
@@ -35,7 +35,6 @@
     status: DaemonStatus
     received_at: float
     sent_revision: int = 0
-    sent_version: int = 0
 
 
 @define(eq=False, repr=False)
--- a/src/dragonflyshift/_internal/carried/node.py
+++ b/src/dragonflyshift/_internal/carried/node.py
@@ -39,7 +39,6 @@
 
 logger = logging.getLogger(__name__)
 
-MS_PER_S = 1000
 MS_PER_S = 1000
 SWEEP_PERIOD_S = 1.0
 # Timers that fire later than this show that the process was suspended.
--- a/src/dragonflyshift/_internal/carried/policies/owner_search.py
+++ b/src/dragonflyshift/_internal/carried/policies/owner_search.py
@@ -99,8 +99,9 @@
 
     ``denied`` are the queried sidecars that replied that they don't own the
     flow, ``sidecars`` all those of the present view. A view that may lack a
-    sidecar proves nothing.
+    sidecar proves nothing. One without any is incomplete: after a loss of power
+    the servers register later than the daemons start.
     """
-    if not is_view_current:
+    if not sidecars or not is_view_current:
         return False
     return set(denied) >= set(queried) and set(queried) >= set(sidecars)
--- a/tests/lib/demo.py
+++ b/tests/lib/demo.py
@@ -101,7 +101,6 @@
     journal_check: JournalCheck
     late: int
     drain_status: int
-    left: list[str] = Factory(list)
 
     def rows(self) -> list[tuple[str, object, bool]]:
         """Return rows of a label, a count and whether the guarantee holds."""
--- a/tests/unit/carried/test_owner_search.py
+++ b/tests/unit/carried/test_owner_search.py
@@ -182,6 +182,15 @@
         self.assertEqual(_forwarded(self.outbox), [])
         self.assertEqual(self.outbox.to_client, [])
 
+    def test_flow_is_not_reset_while_no_endpoint_is_listed(self) -> None:
+        for number in range(1, 5):
+            self.view.remove(f'instance-{number}', 50)
+        self.forwarder.on_client_packet(0, _DATA)
+        self.forwarder.tick(0.1)
+        self.forwarder.tick(0.5)
+        self.assertEqual(self.outbox.to_client, [])
+        self.assertEqual(self.forwarder.lookups.pending, {})
+
     def test_unsure_reply_after_the_denial_prevents_a_reset(self) -> None:
         """A sidecar restarted after its first reply."""
         self.forwarder.on_client_packet(0, _DATA)
@@ -347,6 +356,12 @@
                 )
                 self.assertIs(is_lost, expected)
 
+    def test_view_without_sidecars_proves_nothing(self) -> None:
+        """The servers may register again after a loss of power."""
+        self.assertFalse(
+            is_server_lost(set(), set(), set(), is_view_current=True)
+        )
+
     def test_candidates_keep_the_services_of_their_servers(self) -> None:
         rows = [(('10.1.0.1', 1), 'one'), (('10.1.0.2', 1), 'two')]
         candidates = OwnerCandidates.split(rows, {'one'})
