--- a/tests/lib/demo.py
+++ b/tests/lib/demo.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import AsyncIterator
 
-from attrs import Factory, define, evolve, frozen
+from attrs import define, evolve, frozen
 
 from tests.lib.cluster import Cluster, ClusterPlan, Instance
 from tests.lib.declarations import ANYWHERE_RULES, ServicePlan
