Deny no flow because a probe names another service

Cause: a restarted sidecar denied a flow probe whose message names another service. Balancers take that name from their view; after addresses were used again, or a step of a clock that reverses two starts at one host, it may be the wrong one, and the denial would let a balancer reset a flow that the server holds.

Change: such a packet is still never delivered, but the reply is UNSURE and returns the packet; a balancer that had the sidecar cached looks the flow up again.

Measured: both new tests fail before the change.

--- a/src/dragonflyshift/_internal/carried/balancer/forwarder.py
+++ b/src/dragonflyshift/_internal/carried/balancer/forwarder.py
@@ -161,10 +161,12 @@
             self._on_owner(now, key, sidecar, reply.status)
         elif reply.status is FlowStatus.UNSURE:
             self.lookups.on_unsure(now, key, sidecar)
+            self._on_returned_packet(now, reply, sidecar)
         elif reply.status is FlowStatus.REFUSED:
             self._on_refusal(now, reply, sidecar)
         elif reply.status is FlowStatus.NOT_OWNED:
-            self._on_not_owned(now, reply, sidecar)
+            self.lookups.on_not_owned(now, key, sidecar)
+            self._on_returned_packet(now, reply, sidecar)
 
     def on_lookup_result(
         self, now: float, message: LookupResult, sidecar: SocketAddress
@@ -253,16 +255,16 @@
         packet = self._codec.from_client(reply.raw)
         self.placer.place_elsewhere(now, packet, sidecar)
 
-    def _on_not_owned(
+    def _on_returned_packet(
         self,
         now: float,
         reply: FlowReply,
         sidecar: SocketAddress,
     ) -> None:
+        """Look up the owner of a flow whose sidecar didn't deliver a packet."""
         cached = self.owner_cache.get(reply.key)
         if cached is not None and cached.sidecar == sidecar:
             self.owner_cache.pop(reply.key)
-        self.lookups.on_not_owned(now, reply.key, sidecar)
         if reply.raw and reply.key not in self.lookups.pending:
             packet = self._codec.from_client(reply.raw)
             if not packet.is_first:
--- a/src/dragonflyshift/_internal/carried/lookups.py
+++ b/src/dragonflyshift/_internal/carried/lookups.py
@@ -43,8 +43,8 @@
 logger = logging.getLogger(__name__)
 
 # After this time unsure sidecars receive probes and unlikely owners receive
-# queries even if replies are missing.
-# Covers a round trip and one scheduling delay on a busy processor.
+# queries even if replies are missing. Covers a round trip and one scheduling
+# delay on a busy processor.
 QUERY_TIMEOUT_S = 0.03
 # Limit for a lookup without an owner; the client retransmits the packet.
 LOOKUP_LIFETIME_S = 0.3
@@ -236,10 +236,15 @@
         self, lookup: PendingLookup, sidecars: Mapping[SocketAddress, str]
     ) -> None:
         packet = lookup.packets[0]
+        queries = {
+            service: OwnershipQuery(
+                service, packet.key, packet.acknowledged
+            ).encode()
+            for service in set(sidecars.values())
+        }
+        lookup.queried.update(sidecars)
         for address, service in sorted(sidecars.items()):
-            lookup.queried.add(address)
-            query = OwnershipQuery(service, packet.key, packet.acknowledged)
-            self.callbacks.send(query.encode(), address)
+            self.callbacks.send(queries[service], address)
 
     def _forward(
         self, lookup: PendingLookup, packet: Packet, address: SocketAddress
--- a/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
@@ -101,7 +101,8 @@
         """Deliver a packet that follows the first one of its flow.
 
         The packet of an unowned flow is returned to the balancer, or is
-        delivered as a flow probe while the server may hold unknown flows.
+        delivered as a flow probe while the server may hold unknown flows. A
+        packet for another service is never delivered.
         """
         packet = self._decode_client(message.raw)
         if packet is None:
@@ -220,10 +221,16 @@
         balancer: SocketAddress,
         service: str,
     ) -> None:
-        is_other_service = service not in ('', self.backend.service)
-        if is_other_service or packet.is_first or self._knows_all():
+        if packet.is_first or self._knows_all():
             self.admission.reply_not_owned(now, packet, balancer)
             return
+        if service not in ('', self.backend.service):
+            # The server may hold the flow nevertheless: the balancer may have
+            # the service of an earlier server at this address.
+            self.admission.send_flow_status(
+                now, packet.key, FlowStatus.UNSURE, balancer, packet
+            )
+            return
         self._probes.add(now, packet.key, balancer)
         self.counters.incr('questions')
         self.admission.deliver(packet, PROBE_MARK)
--- a/tests/unit/carried/test_owner_search.py
+++ b/tests/unit/carried/test_owner_search.py
@@ -304,6 +304,32 @@
         handler.on_forwarded_packet(0, probe, _BALANCER)
         self.assertEqual(len(outbox.to_backend), 1)
 
+    def test_probe_for_another_service_is_neither_delivered_nor_denied(
+        self,
+    ) -> None:
+        """Its address may have been that of another server before.
+
+        A denial would let the balancer reset a flow that this server holds.
+        """
+        handler, outbox = build_flow_handler(knows_all=False)
+        probe = ForwardedPacket(_UNRELATED, _DATA)
+        handler.on_forwarded_packet(0, probe, _BALANCER)
+        self.assertEqual(outbox.to_backend, [])
+        reply = outbox.to_daemon[0][0]
+        assert isinstance(reply, FlowReply)
+        self.assertIs(reply.status, FlowStatus.UNSURE)
+        self.assertEqual(reply.raw, _DATA)
+
+    def test_packet_returned_as_unsure_is_looked_up(self) -> None:
+        """The balancer had cached the sidecar under another service."""
+        outbox = Outbox()
+        forwarder = _build_forwarder(_build_view(), outbox)
+        accepted = FlowReply(_KEY, FlowStatus.ACCEPTED, build_load())
+        forwarder.on_flow_reply(0, accepted, _FORMER_SIDECAR)
+        returned = FlowReply(_KEY, FlowStatus.UNSURE, build_load(), _DATA)
+        forwarder.on_flow_reply(0.1, returned, _FORMER_SIDECAR)
+        self.assertIn(_FORMER_SIDECAR, _queried(outbox))
+
 
 class RouteHistoryTest(unittest.TestCase):
     def setUp(self) -> None:
