--- a/tests/lib/carried.py
+++ b/tests/lib/carried.py
@@ -1,10 +1,17 @@
 """Builders of objects and packets for tests of carried flows."""
 
+import random
 import socket
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field
 
+from dragonflyshift._internal.carried.balancer.forwarder import (
+    FlowForwarder,
+    ForwarderCallbacks,
+)
+from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
 from dragonflyshift._internal.carried.fleet.view import FleetView
 from dragonflyshift._internal.carried.load import BackendState, LoadReport
 from dragonflyshift._internal.carried.messages import (
@@ -17,6 +24,9 @@
     InTimeOnly,
     NewFlow,
 )
+from dragonflyshift._internal.carried.policies.placement import (
+    FastestEstimate,
+)
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.routes import (
     Route,
@@ -238,3 +248,40 @@
         outbox.add_datagram,
     )
     return FlowHandler(tracker, PlatformCodec(), senders, Counters()), outbox
+
+
+def sidecar_address(record: EndpointRecord) -> SocketAddress:
+    """Return the peer address of the sidecar beside an endpoint."""
+    return (record.host, PEER_PORT)
+
+
+def ignore(*_args: object) -> None:
+    """Ignore a call."""
+
+
+def _no_age_s(_now: float) -> float:
+    return 0
+
+
+def build_forwarder(
+    view: FleetView,
+    outbox: Outbox,
+    view_age_s: Callable[[float], float] = _no_age_s,
+    request_reader_statuses: Callable[[], None] = ignore,
+) -> FlowForwarder:
+    """Return the forwarder of a balancer that sends to an outbox."""
+    return FlowForwarder(
+        view,
+        SidecarTable(DATA_CENTER),
+        PlatformCodec(),
+        FastestEstimate(),
+        ForwarderCallbacks(
+            outbox.add_datagram,
+            outbox.add_client_packet,
+            sidecar_address,
+            view_age_s,
+            request_reader_statuses,
+        ),
+        random.Random(1),
+        Counters(),
+    )
--- a/tests/unit/carried/test_delegated_lookups.py
+++ b/tests/unit/carried/test_delegated_lookups.py
@@ -5,14 +5,8 @@
 another view must not reset a flow, because its owner may be missing there.
 """
 
-import random
 import unittest
 
-from dragonflyshift._internal.carried.balancer.forwarder import (
-    FlowForwarder,
-    ForwarderCallbacks,
-)
-from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
 from dragonflyshift._internal.carried.messages import (
     FlowReply,
     FlowStatus,
@@ -23,27 +17,24 @@
     OwnershipQuery,
 )
 from dragonflyshift._internal.carried.packet import SocketAddress
-from dragonflyshift._internal.carried.policies.placement import (
-    FastestEstimate,
-)
-from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.sidecar.lookup_delegate import (
     LookupDelegate,
     LookupDelegateCallbacks,
 )
-from dragonflyshift._internal.carried.telemetry import Counters
 from dragonflyshift.platform.packets import PlatformCodec
 from tests.lib.carried import (
     ACK,
-    DATA_CENTER,
     PEER_PORT,
     SERVICE,
     Outbox,
+    build_forwarder,
     build_key,
     build_load,
     build_packet,
     build_record,
     build_view,
+    ignore,
+    sidecar_address,
 )
 
 _CODEC = PlatformCodec()
@@ -51,14 +42,6 @@
 _BALANCER: SocketAddress = ('10.2.0.1', PEER_PORT)
 
 
-def _sidecar(record: EndpointRecord) -> SocketAddress:
-    return (record.host, PEER_PORT)
-
-
-def _request_reader_statuses() -> None:
-    """Do nothing; the view is current."""
-
-
 def _data(payload: bytes = b'GET /') -> bytes:
     return build_packet(build_key(), ACK, acknowledged=7000, payload=payload)
 
@@ -67,21 +50,7 @@
     def setUp(self) -> None:
         self.outbox = Outbox()
         self.view = build_view(endpoints=_ENDPOINTS)
-        self.forwarder = FlowForwarder(
-            self.view,
-            SidecarTable(DATA_CENTER),
-            _CODEC,
-            FastestEstimate(),
-            ForwarderCallbacks(
-                self.outbox.add_datagram,
-                self.outbox.add_client_packet,
-                _sidecar,
-                lambda _now: 0,
-                _request_reader_statuses,
-            ),
-            random.Random(1),
-            Counters(),
-        )
+        self.forwarder = build_forwarder(self.view, self.outbox)
 
     def test_unknown_flow_takes_one_datagram(self) -> None:
         """50 queries and answers overload a balancer with a slow processor."""
@@ -170,8 +139,8 @@
             _CODEC,
             LookupDelegateCallbacks(
                 self.outbox.add_datagram,
-                _sidecar,
-                _request_reader_statuses,
+                sidecar_address,
+                ignore,
                 self.fail,
             ),
         )
--- a/tests/unit/carried/test_flow_forwarder.py
+++ b/tests/unit/carried/test_flow_forwarder.py
@@ -4,14 +4,11 @@
 own the flow, a running request is lost. If it waits too long, clients give up.
 """
 
-import random
 import unittest
 
 from dragonflyshift._internal.carried.balancer.forwarder import (
     FlowForwarder,
-    ForwarderCallbacks,
 )
-from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
 from dragonflyshift._internal.carried.fleet.view import FleetView
 from dragonflyshift._internal.carried.load import BackendState
 from dragonflyshift._internal.carried.messages import (
@@ -22,33 +19,25 @@
     OwnershipQuery,
 )
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
-from dragonflyshift._internal.carried.policies.placement import (
-    FastestEstimate,
-)
-from dragonflyshift._internal.carried.records import EndpointRecord
-from dragonflyshift._internal.carried.telemetry import Counters
 from dragonflyshift.platform.packets import PlatformCodec
 from tests.lib.carried import (
     ACK,
-    PEER_PORT,
     SYN,
     Outbox,
+    build_forwarder,
     build_key,
     build_load,
     build_packet,
     build_record,
     build_routes,
     build_view,
+    sidecar_address,
 )
 
 _CODEC = PlatformCodec()
 _ACKNOWLEDGED = 7000
 
 
-def _sidecar(record: EndpointRecord) -> SocketAddress:
-    return (record.host, PEER_PORT)
-
-
 class FlowForwarderTest(unittest.TestCase):
     def setUp(self) -> None:
         self.outbox = Outbox()
@@ -159,7 +148,7 @@
             self.key = build_key(number)
             self._send(0, SYN)
         targets = {address for _message, address in self.outbox.to_daemon}
-        self.assertEqual(targets, {_sidecar(build_record(3))})
+        self.assertEqual(targets, {sidecar_address(build_record(3))})
 
     def test_unknown_flow_is_found_at_its_owner(self) -> None:
         self._send(0, ACK)
@@ -169,7 +158,7 @@
             if isinstance(message, OwnershipQuery)
         }
         self.assertEqual(queried, self._sidecars())
-        owner = _sidecar(build_record(2))
+        owner = sidecar_address(build_record(2))
         self.outbox.clear()
         self._answer(0.01, owner, FlowStatus.OWNED)
         message, address = self.outbox.to_daemon[0]
@@ -180,12 +169,16 @@
 
     def test_unsure_sidecar_receives_the_packet_without_an_owner(self) -> None:
         self._send(0, ACK)
-        unsure = _sidecar(build_record(3))
+        unsure = sidecar_address(build_record(3))
         self.outbox.clear()
-        self._answer(0.01, _sidecar(build_record(1)), FlowStatus.NOT_OWNED)
+        self._answer(
+            0.01, sidecar_address(build_record(1)), FlowStatus.NOT_OWNED
+        )
         self._answer(0.01, unsure, FlowStatus.UNSURE)
         self.assertEqual(self.outbox.to_daemon, [])
-        self._answer(0.01, _sidecar(build_record(2)), FlowStatus.NOT_OWNED)
+        self._answer(
+            0.01, sidecar_address(build_record(2)), FlowStatus.NOT_OWNED
+        )
         self.assertEqual(
             [address for _message, address in self.outbox.to_daemon],
             [unsure],
@@ -215,12 +208,12 @@
         self.forwarder.tick(0.1)
         self.assertEqual(self.outbox.to_client, [])
         queried = {address for _message, address in self.outbox.to_daemon}
-        self.assertIn(_sidecar(build_record(9)), queried)
+        self.assertIn(sidecar_address(build_record(9)), queried)
 
     def test_flow_is_not_reset_while_an_answer_is_missing(self) -> None:
         self._send_data()
         for number in (1, 2):
-            address = _sidecar(build_record(number))
+            address = sidecar_address(build_record(number))
             self._answer(0.01, address, FlowStatus.NOT_OWNED)
         self.forwarder.tick(0.2)
         self.forwarder.tick(0.5)
@@ -269,7 +262,7 @@
         self.assertEqual(self.outbox.to_daemon, [])
 
     def test_sidecar_of_a_down_server_receives_no_new_flow(self) -> None:
-        lost = _sidecar(build_record(1))
+        lost = sidecar_address(build_record(1))
         down = build_load(state=BackendState.DOWN)
         self.forwarder.sidecars.record_report(0, lost, down)
         for number in range(20):
@@ -279,22 +272,12 @@
         self.assertNotIn(lost, targets)
 
     def _create_forwarder(self, view: FleetView) -> FlowForwarder:
-        callbacks = ForwarderCallbacks(
-            self.outbox.add_datagram,
-            self.outbox.add_client_packet,
-            _sidecar,
+        return build_forwarder(
+            view,
+            self.outbox,
             lambda _now: self.view_age_s,
             self._count_confirmation,
         )
-        return FlowForwarder(
-            view,
-            SidecarTable('klang'),
-            _CODEC,
-            FastestEstimate(),
-            callbacks,
-            random.Random(1),
-            Counters(),
-        )
 
     def _remove_all(self) -> None:
         for number in range(1, 4):
@@ -318,7 +301,7 @@
             self._answer(0.01, address, FlowStatus.NOT_OWNED)
 
     def _sidecars(self) -> set[SocketAddress]:
-        return {_sidecar(build_record(number)) for number in range(1, 4)}
+        return {sidecar_address(build_record(number)) for number in range(1, 4)}
 
     def _send(self, now: float, flags: int) -> None:
         self.forwarder.on_client_packet(now, build_packet(self.key, flags))
--- a/tests/unit/carried/test_flow_ownership.py
+++ b/tests/unit/carried/test_flow_ownership.py
@@ -64,6 +64,8 @@
     build_record,
     build_route,
     build_routes,
+    ignore,
+    sidecar_address,
 )
 
 _CODEC = PlatformCodec()
@@ -79,19 +81,11 @@
 _SETTLING_STEP_S = 0.06
 
 
-def _sidecar(record: EndpointRecord) -> SocketAddress:
-    return (record.host, PEER_PORT)
-
-
 def _routes(version: int, services: tuple[str, ...]) -> RouteTable:
     weighted = tuple(WeightedService(name, 1) for name in services)
     return build_routes(version, (build_route(services=weighted),))
 
 
-def _do_nothing(*_args: object) -> None:
-    """Ignore a call."""
-
-
 @define(eq=False)
 class _Server:
     """A backend server; ``open_flows`` are those whose handshake has ended."""
@@ -265,9 +259,9 @@
             ForwarderCallbacks(
                 lambda raw, target: self.network.append((target, raw, address)),
                 self._on_client_packet,
-                _sidecar,
+                sidecar_address,
                 lambda _now: 0,
-                _do_nothing,
+                ignore,
             ),
             random.Random(1),
             Counters(),
@@ -275,7 +269,7 @@
 
     def _start_sidecar(self, index: int, *, knows_all: bool) -> None:
         record = self.records[index]
-        address = _sidecar(record)
+        address = sidecar_address(record)
         view = self._new_view(address)
         tracker = BackendTracker(
             service=record.service,
@@ -297,7 +291,7 @@
         delegate = LookupDelegate(
             view,
             _CODEC,
-            LookupDelegateCallbacks(send, _sidecar, _do_nothing, _do_nothing),
+            LookupDelegateCallbacks(send, sidecar_address, ignore, ignore),
         )
         self.sidecars[address] = (handler, delegate)
 
@@ -337,7 +331,7 @@
     ) -> None:
         response = server.on_packet(raw)
         if response is not None:
-            handler, _delegate = self.sidecars[_sidecar(record)]
+            handler, _delegate = self.sidecars[sidecar_address(record)]
             handler.on_backend_packet(self.now, response)
 
     def _deliver_to_balancer(
--- a/tests/unit/carried/test_owner_search.py
+++ b/tests/unit/carried/test_owner_search.py
@@ -5,14 +5,8 @@
 balancer resets a flow whose server serves it.
 """
 
-import random
 import unittest
 
-from dragonflyshift._internal.carried.balancer.forwarder import (
-    FlowForwarder,
-    ForwarderCallbacks,
-)
-from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.carried.messages import (
     FlowReply,
@@ -29,30 +23,27 @@
     RouteHistory,
     is_server_lost,
 )
-from dragonflyshift._internal.carried.policies.placement import (
-    FastestEstimate,
-)
-from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.routes import RouteTable, WeightedService
 from dragonflyshift._internal.carried.sidecar.lookup_delegate import (
     LookupDelegate,
     LookupDelegateCallbacks,
 )
-from dragonflyshift._internal.carried.telemetry import Counters
 from dragonflyshift.platform.packets import PlatformCodec
 from tests.lib.carried import (
     ACK,
-    DATA_CENTER,
     PEER_PORT,
     SERVICE,
     Outbox,
     build_flow_handler,
+    build_forwarder,
     build_key,
     build_load,
     build_packet,
     build_record,
     build_route,
     build_routes,
+    ignore,
+    sidecar_address,
 )
 
 _CODEC = PlatformCodec()
@@ -63,14 +54,6 @@
 _LARGE = 30
 
 
-def _sidecar(record: EndpointRecord) -> SocketAddress:
-    return (record.host, PEER_PORT)
-
-
-def _request_reader_statuses() -> None:
-    """Do nothing; the view is current."""
-
-
 def _routes(version: int, *services: str) -> RouteTable:
     weighted = tuple(WeightedService(name, 1) for name in services)
     return build_routes(version, (build_route(services=weighted),))
@@ -95,8 +78,8 @@
     view.apply(ViewUpdate(base=1, revision=1, routes=_routes(2, SERVICE)))
 
 
-_FORMER_SIDECAR = _sidecar(build_record(1))
-_UNRELATED_SIDECAR = _sidecar(build_record(2))
+_FORMER_SIDECAR = sidecar_address(build_record(1))
+_UNRELATED_SIDECAR = sidecar_address(build_record(2))
 _DATA = build_packet(_KEY, ACK, acknowledged=7000, payload=b'GET /')
 
 
@@ -105,7 +88,7 @@
         self.outbox = Outbox()
         self.view = _build_view()
         _move_route(self.view)
-        self.forwarder = _build_forwarder(self.view, self.outbox)
+        self.forwarder = build_forwarder(self.view, self.outbox)
 
     def test_owner_in_a_former_service_is_found(self) -> None:
         self.forwarder.on_client_packet(0, _DATA)
@@ -119,7 +102,7 @@
         """Its view never had the former route."""
         view = _build_view()
         view.routes = _routes(2, SERVICE)
-        self.forwarder = _build_forwarder(view, self.outbox)
+        self.forwarder = build_forwarder(view, self.outbox)
         self.forwarder.on_client_packet(0, _DATA)
         self.assertNotIn(_FORMER_SIDECAR, _queried(self.outbox))
         for address in _queried(self.outbox):
@@ -132,7 +115,7 @@
         """A sidecar of the present service may just be restarting."""
         view = _build_view()
         view.routes = _routes(2, SERVICE)
-        self.forwarder = _build_forwarder(view, self.outbox)
+        self.forwarder = build_forwarder(view, self.outbox)
         self.forwarder.on_client_packet(0, _DATA)
         self.forwarder.tick(0.04)
         self.assertIn(_FORMER_SIDECAR, _queried(self.outbox))
@@ -165,7 +148,10 @@
             self._answer(address, FlowStatus.UNSURE)
         services = {
             _FORMER_SIDECAR: _FORMER,
-            **{_sidecar(build_record(number)): SERVICE for number in (3, 4)},
+            **{
+                sidecar_address(build_record(number)): SERVICE
+                for number in (3, 4)
+            },
         }
         self.assertEqual(
             {address: name for name, address in _forwarded(self.outbox)},
@@ -235,7 +221,7 @@
         for queried, resets in ((_LARGE, 0), (_LARGE + 2, 1)):
             with self.subTest(queried=queried):
                 self.outbox.clear()
-                forwarder = _build_forwarder(self.view, self.outbox)
+                forwarder = build_forwarder(self.view, self.outbox)
                 forwarder.on_client_packet(0, _DATA)
                 delegate = self.outbox.to_daemon[0][1]
                 result = LookupResult(
@@ -256,7 +242,7 @@
         self.view.apply(
             ViewUpdate(base=1, revision=1, routes=_routes(3, 'empty'))
         )
-        forwarder = _build_forwarder(self.view, self.outbox)
+        forwarder = build_forwarder(self.view, self.outbox)
         forwarder.on_client_packet(0, _DATA)
         self.assertIsInstance(self.outbox.to_daemon[0][0], LookupRequest)
 
@@ -266,8 +252,8 @@
             _CODEC,
             LookupDelegateCallbacks(
                 self.outbox.add_datagram,
-                _sidecar,
-                _request_reader_statuses,
+                sidecar_address,
+                ignore,
                 self.fail,
             ),
         )
@@ -323,7 +309,7 @@
     def test_packet_returned_as_unsure_is_looked_up(self) -> None:
         """The balancer had cached the sidecar under another service."""
         outbox = Outbox()
-        forwarder = _build_forwarder(_build_view(), outbox)
+        forwarder = build_forwarder(_build_view(), outbox)
         accepted = FlowReply(_KEY, FlowStatus.ACCEPTED, build_load())
         forwarder.on_flow_reply(0, accepted, _FORMER_SIDECAR)
         returned = FlowReply(_KEY, FlowStatus.UNSURE, build_load(), _DATA)
@@ -395,24 +381,6 @@
         self.assertEqual(candidates.service_of(('10.1.0.2', 1)), 'two')
 
 
-def _build_forwarder(view: FleetView, outbox: Outbox) -> FlowForwarder:
-    return FlowForwarder(
-        view,
-        SidecarTable(DATA_CENTER),
-        _CODEC,
-        FastestEstimate(),
-        ForwarderCallbacks(
-            outbox.add_datagram,
-            outbox.add_client_packet,
-            _sidecar,
-            lambda _now: 0,
-            _request_reader_statuses,
-        ),
-        random.Random(1),
-        Counters(),
-    )
-
-
 def _queried(outbox: Outbox) -> list[SocketAddress]:
     return [
         address
