Close a server of the soak that is down

Cause: a run that failed while a server was down closed its socket a second time; the error hid the run's own and left the other servers open. The test fails before the change.

--- a/bench/soak/backend.py
+++ b/bench/soak/backend.py
@@ -87,6 +87,7 @@
         self.established.clear()
         if self._sock is not None:
             self._sock.close()
+            self._sock = None
         if self._server is not None:
             self._server.close()
 
--- a/tests/unit/bench/test_soak_fleet.py
+++ b/tests/unit/bench/test_soak_fleet.py
@@ -99,6 +99,13 @@
         self.assertTrue((await self._exchange(backends[1], request)).is_bounced)
         self.assertEqual(backends[1].established, set())
 
+    async def test_server_that_is_down_can_be_closed(self) -> None:
+        """A run that fails while a server is down still closes its fleet."""
+        backend = await self._start_backend(3)
+        backend.crash()
+        backend.crash()
+        self.assertFalse(backend.is_up)
+
     async def _start_backend(self, number: int) -> SoakBackend:
         host = f'127.0.58.{number}'
         self.received: list[Packet] = []
