Evacuate data centres on the users' platform

Cause: nothing read the operator's key, so new flows went on to servers of a data centre that was to be emptied.

Change: evacuations are records of the view with revisions. They travel among the removals of notices and pulls, which the build before keeps and passes on. Balancers place no flow there, sidecars there refuse new flows and send the evacuation to balancers that offer them. An entry that is missing after an outage ends an evacuation only after the time in which entries return.

--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -74,6 +74,7 @@
             self.counters,
         )
         self._fabric: PlainUdpSocket | None = None
+        self._evacuated: frozenset[str] = frozenset()
 
     def open_role_sockets(self) -> None:
         """Open the socket for packets from the fabric."""
@@ -133,7 +134,19 @@
 
     def on_view_changed(self, now: float) -> None:
         """Place the flows that were waiting for a view."""
-        self.forwarder.sidecars.keep_only(self.member.sidecar_data_centers())
+        data_centers = self.member.sidecar_data_centers()
+        self.forwarder.sidecars.keep_only(data_centers)
+        evacuated = self.view.evacuations.evacuated
+        if evacuated != self._evacuated:
+            # Until their next reports, the sidecars of a data centre that is
+            # back in service count as leaving.
+            restored = self._evacuated - evacuated
+            self._evacuated = evacuated
+            self.forwarder.sidecars.discard_reports(
+                address
+                for address, data_center in data_centers.items()
+                if data_center in restored
+            )
         self.forwarder.placer.view_changed(now)
 
     def tick(self, now: float) -> None:
--- a/src/dragonflyshift/_internal/carried/balancer/placer.py
+++ b/src/dragonflyshift/_internal/carried/balancer/placer.py
@@ -211,7 +211,7 @@
         service: str,
         key: FlowKey,
     ) -> list[PlacementOption]:
-        endpoints = self.view.endpoints(service)
+        endpoints = self.view.placeable_endpoints(service)
         candidates = self.candidates.choose(service, endpoints, key)
         options = self._ordered_options(now, route, candidates)
         if not options and len(candidates) < len(endpoints):
@@ -319,9 +319,13 @@
         """Refuse a flow if its service has been empty for long, else wait.
 
         After a loss of all machines the servers register again slightly later
-        than the balancers start.
+        than the balancers start. A flow whose service stands in evacuated data
+        centres alone is refused at once, since waiting would not help it.
         """
         if self.view.endpoints(service):
+            if not self.view.placeable_endpoints(service):
+                self.pending.pop(key)
+                self.callbacks.refuse(key, 'evacuated')
             return
         empty_since = self._empty_since.setdefault(service, now)
         if (
--- a/src/dragonflyshift/_internal/carried/balancer/sidecars.py
+++ b/src/dragonflyshift/_internal/carried/balancer/sidecars.py
@@ -99,6 +99,13 @@
         for address in removed:
             self.entries.pop(address)
 
+    def discard_reports(self, addresses: Iterable[SocketAddress]) -> None:
+        """Discard the reports of sidecars that describe them no more."""
+        for address in addresses:
+            entry = self.entries.get(address)
+            if entry is not None:
+                entry.load = None
+
     def placement_option(
         self,
         now: float,
--- a/src/dragonflyshift/_internal/carried/fleet/exchange.py
+++ b/src/dragonflyshift/_internal/carried/fleet/exchange.py
@@ -8,6 +8,10 @@
 import msgpack
 from attrs import define
 
+from dragonflyshift._internal.carried.fleet.evacuation_rows import (
+    encode_evacuations,
+    split_removals,
+)
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.carried.packet import SocketAddress
 from dragonflyshift._internal.carried.records import EndpointRecord
@@ -108,7 +112,7 @@
             update.base,
             update.revision,
             [encode_row(record) for record in update.records],
-            update.removed,
+            update.removed + encode_evacuations(update.evacuations),
             table,
         )
     )
@@ -118,13 +122,17 @@
 def decode_update(raw: bytes) -> ViewUpdate:
     """Decode a view's changes; raise ConfigurationError if malformed."""
     try:
-        base, revision, records, removed, table = msgpack.unpackb(raw)
+        base, revision, records, rows, table = msgpack.unpackb(raw)
+        removed, evacuations = split_removals(
+            (str(name), int(removed_at)) for name, removed_at in rows
+        )
         return ViewUpdate(
             base=int(base),
             revision=int(revision),
             records=tuple(decode_row(EndpointRecord, row) for row in records),
-            removed=tuple((str(name), int(rev)) for name, rev in removed),
+            removed=removed,
             routes=None if table is None else RouteTable.decode(table),
+            evacuations=evacuations,
         )
     except (ValueError, TypeError, msgpack.UnpackException) as exc:
         raise ConfigurationError(f'view is malformed: {exc}') from exc
--- a/src/dragonflyshift/_internal/carried/fleet/gossip.py
+++ b/src/dragonflyshift/_internal/carried/fleet/gossip.py
@@ -11,10 +11,16 @@
 
 import logging
 import time
+import zlib
 from collections.abc import Callable, Iterable
 
 from attrs import define, field
 
+from dragonflyshift._internal.carried.fleet.evacuation_rows import (
+    RemovalRow,
+    encode_evacuations,
+    split_removals,
+)
 from dragonflyshift._internal.carried.fleet.peers import PeerTable
 from dragonflyshift._internal.carried.fleet.puller import ViewPuller
 from dragonflyshift._internal.carried.fleet.status_recipients import (
@@ -94,8 +100,12 @@
             self.recipients.for_statuses(now, is_reading=is_reading), now
         )
 
-    def publish(self, now: float, removed: tuple[str, ...] = ()) -> None:
-        """Send a change of the view to its recipients."""
+    def publish(self, now: float, removed: tuple[RemovalRow, ...] = ()) -> None:
+        """Send a change of the view to its recipients.
+
+        ``removed`` are removals, and evacuations that have ended, that
+        may be older than what the recipients hold.
+        """
         is_reading = self.callbacks.is_reading()
         for address in self.recipients.for_changes(is_reading=is_reading):
             self._send_changes(now, address, removed)
@@ -119,7 +129,7 @@
             # Earlier notices may be lost, so the peer's own revision counts.
             peer.sent_revision = status.revision
             self._send_changes(now, address)
-        elif status.digest != self.view.checksum and status.revision:
+        elif status.digest != _digest(self.view) and status.revision:
             self._puller.pull_all(now, address)
 
     def on_notice(
@@ -129,7 +139,10 @@
         changed = False
         for record in notice.records:
             changed = self.view.merge(record) or changed
-        for name, revision in notice.removed:
+        removed, evacuations = split_removals(notice.removed)
+        for evacuation in evacuations:
+            changed = self.view.evacuations.merge(evacuation) or changed
+        for name, revision in removed:
             changed = self.view.remove(name, revision) or changed
         if notice.base <= self.view.revision < notice.revision:
             self.view.revision = notice.revision
@@ -151,7 +164,7 @@
             data_center=self.recipients.data_center,
             revision=self.view.revision,
             version=self.view.routes.version,
-            digest=self.view.checksum,
+            digest=_digest(self.view),
             age_ms=int(age_s * MS_PER_S),
             is_leaving=self.is_leaving,
             wants_reply=wants_reply,
@@ -195,7 +208,7 @@
         self,
         now: float,
         address: SocketAddress,
-        removed: tuple[str, ...] = (),
+        removed: tuple[RemovalRow, ...] = (),
     ) -> None:
         """Send a peer the changes since the revision that it holds.
 
@@ -219,10 +232,10 @@
         self,
         now: float,
         base: int,
-        removed: tuple[str, ...],
+        removed: tuple[RemovalRow, ...],
     ) -> bytes | None:
         update = self.view.since(base)
-        extra = tuple((name, self.view.removed[name]) for name in removed)
+        evacuations = encode_evacuations(update.evacuations)
         age_s = min(self.age_s(now), MAX_AGE_S)
         notice = ChangeNotice(
             base=base,
@@ -230,7 +243,7 @@
             version=self.view.routes.version,
             age_ms=int(age_s * MS_PER_S),
             records=update.records,
-            removed=update.removed + extra,
+            removed=update.removed + evacuations + removed,
         )
         datagram = notice.encode()
         return datagram if len(datagram) <= MAX_NOTICE_BYTES else None
@@ -272,6 +285,18 @@
         self.publish(now)
 
 
+def _digest(view: FleetView) -> int:
+    """Return the checksum by which peers compare views of one revision.
+
+    Without an evacuation it is that of the endpoints, which the build before
+    sends.
+    """
+    digest = view.checksum
+    for data_center in view.evacuations.evacuated:
+        digest ^= zlib.crc32(f'evacuated:{data_center}'.encode())
+    return digest
+
+
 def _is_behind(view: FleetView, revision: int, version: int) -> bool:
     return version > view.routes.version or revision > view.revision
 
--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -9,6 +9,9 @@
 
 from attrs import define
 
+from dragonflyshift._internal.carried.fleet.evacuation_rows import (
+    encode_evacuations,
+)
 from dragonflyshift._internal.carried.fleet.gossip import (
     Gossip,
     GossipCallbacks,
@@ -61,6 +64,8 @@
         self._callbacks = callbacks
         self._sidecar_port = settings.peers[1]
         self._version = 0
+        self._data_centers = frozenset(settings.regions)
+        self._evacuated: frozenset[str] = frozenset()
         self._sidecars: dict[SocketAddress, str] = {}
         self._sidecars_checksum = 0
         recipients = StatusRecipients(
@@ -111,9 +116,11 @@
         if self.reader is None:
             return
         names = self.reader.confirm_removals(now)
-        if names:
+        ended = self.reader.confirm_evacuations(now)
+        if names or ended:
             self._on_view_changed()
-            self.gossip.publish(now, names)
+            removed = tuple((name, self.view.removed[name]) for name in names)
+            self.gossip.publish(now, removed + encode_evacuations(ended))
 
     def request_reader_statuses(self) -> None:
         """Request the statuses of the readers of the store."""
@@ -174,4 +181,22 @@
                 extra={'version': version, 'before': self._version},
             )
             self._version = version
+        self._log_evacuations()
         self._callbacks.changed(time.monotonic())
+
+    def _log_evacuations(self) -> None:
+        evacuated = self.view.evacuations.evacuated
+        for data_center in evacuated ^ self._evacuated:
+            event = 'data-center-in-service'
+            if data_center in evacuated:
+                event = 'data-center-evacuated'
+            record = self.view.evacuations.find(data_center)
+            logger.warning(
+                event,
+                extra={
+                    'evacuated': data_center,
+                    'at': None if record is None else record.revision,
+                    'is_known': data_center in self._data_centers,
+                },
+            )
+        self._evacuated = evacuated
--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -16,6 +16,9 @@
     ViewSource,
 )
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
+from dragonflyshift._internal.carried.policies.evacuation import (
+    EvacuationRecord,
+)
 from dragonflyshift._internal.exceptions import PlatformError
 
 logger = logging.getLogger(__name__)
@@ -75,6 +78,15 @@
         logger.info('removals-confirmed', extra={'endpoints': names})
         return names
 
+    def confirm_evacuations(self, now: float) -> tuple[EvacuationRecord, ...]:
+        """End the evacuations whose entries did not return after an outage.
+
+        Returns the ends; empty until the grace period has passed.
+        """
+        if not self.view.evacuations.tentative or now < self._grace_until:
+            return ()
+        return self.view.evacuations.confirm()
+
     def on_pause(self, now: float) -> None:
         """Treat removals as tentative right after a pause of this process."""
         self._grace_until = max(self._grace_until, now + REMOVAL_GRACE_S)
--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -17,6 +17,10 @@
 
 from dragonflyshift._internal.carried.fleet.revisions import epoch_of
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
+from dragonflyshift._internal.carried.policies.evacuation import (
+    EvacuationRecord,
+    EvacuationTable,
+)
 from dragonflyshift._internal.carried.policies.owner_search import (
     RouteHistory,
 )
@@ -43,6 +47,8 @@
     ``removed`` the names of removed endpoints with the revisions of their
     removal. With ``base`` zero it is the complete state: endpoints that it
     doesn't list are removed. ``routes`` is None if they didn't change.
+    ``lists_evacuations`` is set on a complete state of the store, in which a
+    missing evacuation has ended; a peer may not have it yet.
     """
 
     base: int
@@ -50,6 +56,8 @@
     records: tuple[EndpointRecord, ...] = ()
     removed: tuple[tuple[str, int], ...] = ()
     routes: RouteTable | None = None
+    evacuations: tuple[EvacuationRecord, ...] = ()
+    lists_evacuations: bool = False
 
 
 @define(eq=False, repr=False)
@@ -59,6 +67,7 @@
     ``records`` holds the endpoints by name, ``removed`` the revisions of
     removals by name. Removals around an outage of the store are tentative:
     these endpoints stay usable until ``confirm_removals`` is called.
+    ``evacuations`` holds which data centres take no new flows.
     ``clock()`` returns monotonic seconds.
     """
 
@@ -67,11 +76,16 @@
     records: dict[str, EndpointRecord] = field(factory=dict)
     removed: dict[str, int] = field(factory=dict)
     tentative_removals: dict[str, int] = field(factory=dict)
+    evacuations: EvacuationTable = field(factory=EvacuationTable)
     clock: Callable[[], float] = field(default=time.monotonic)
     _route_history: RouteHistory = field(
         factory=lambda: RouteHistory(ROUTE_HISTORY_S),
     )
     _by_service: dict[str, tuple[EndpointRecord, ...]] = field(factory=dict)
+    # The endpoints that aren't evacuated, with the evacuations at that time.
+    _placeable_by_service: dict[
+        str, tuple[frozenset[str], tuple[EndpointRecord, ...]]
+    ] = field(factory=dict)
     _newest_by_host: dict[str, EndpointRecord] | None = field(default=None)
     _checksum: int | None = field(default=None)
 
@@ -103,6 +117,26 @@
             self._by_service[service] = cached
         return cached
 
+    def placeable_endpoints(self, service: str) -> tuple[EndpointRecord, ...]:
+        """Return the endpoints of a service that aren't in an evacuation.
+
+        Endpoints that are leaving are included.
+        """
+        endpoints = self.endpoints(service)
+        if not self.evacuations.evacuated:
+            return endpoints
+        evacuated = self.evacuations.evacuated
+        cached = self._placeable_by_service.get(service)
+        if cached is None or cached[0] is not evacuated:
+            placeable = tuple(
+                record
+                for record in endpoints
+                if record.data_center not in evacuated
+            )
+            cached = (evacuated, placeable)
+            self._placeable_by_service[service] = cached
+        return cached[1]
+
     def newest_by_host(self) -> Mapping[str, EndpointRecord]:
         """Return the newest endpoint of each host."""
         if self._newest_by_host is None:
@@ -149,6 +183,15 @@
         ``revision`` as it is, because the changes between are missing.
         """
         changed = self._merge_routes(update.routes)
+        for evacuation in update.evacuations:
+            changed = self.evacuations.merge(evacuation) or changed
+        if update.lists_evacuations:
+            has_ended = self.evacuations.merge_listing(
+                update.evacuations,
+                update.revision,
+                is_tentative=is_tentative,
+            )
+            changed = changed or has_ended
         for record in update.records:
             changed = self.merge(record) or changed
         for name, revision in self._removals(update):
@@ -181,10 +224,12 @@
                 if record.revision > base
             ),
             removed=removed,
+            evacuations=self.evacuations.since(base),
         )
 
     def _invalidate(self) -> None:
         self._by_service.clear()
+        self._placeable_by_service.clear()
         self._newest_by_host = None
         self._checksum = None
 
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -7,9 +7,13 @@
 
 from attrs import define
 
+from dragonflyshift._internal.carried.fleet.evacuation_rows import (
+    encode_evacuations,
+)
 from dragonflyshift._internal.carried.load import BackendState
 from dragonflyshift._internal.carried.messages import (
     AdmissionRequest,
+    ChangeNotice,
     FlowReply,
     FlowStatus,
 )
@@ -34,6 +38,9 @@
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1000
+# An hour; views that were confirmed earlier are not distinguished.
+MAX_NOTICE_AGE_MS = 3_600_000
+_EVACUATED = 'evacuated'
 # Time since the first transmission, by the copy's number: clients retransmit
 # a first packet at these ages and number the copies.
 RETRANSMISSION_AGES_MS = (0, 200, 600)
@@ -78,6 +85,8 @@
             self._repeat_reply(now, packet, flow, balancer)
             return
         reason = self._refusal_reason(now, message, packet)
+        if reason == _EVACUATED:
+            self._send_evacuation(balancer)
         if reason:
             self._send_refusal(now, packet.key, balancer, reason)
             return
@@ -211,9 +220,30 @@
             services = () if route is None else route.services
             if not any(service.name == backend.service for service in services):
                 return 'route-changed'
+        if backend.is_evacuated:
+            return _EVACUATED
         state = backend.state(now)
         return '' if state is BackendState.SERVING else state.name.lower()
 
+    def _send_evacuation(self, balancer: SocketAddress) -> None:
+        """Send the evacuation to a balancer that doesn't know of it.
+
+        The notice confirms nothing else: it has the greatest age.
+        """
+        view = self.backend.view
+        record = view.evacuations.find(self.backend.data_center)
+        if record is not None:
+            notice = ChangeNotice(
+                base=record.revision,
+                revision=record.revision,
+                version=view.routes.version,
+                age_ms=MAX_NOTICE_AGE_MS,
+                records=(),
+                removed=encode_evacuations((record,)),
+            )
+            self.counters.incr('refused_evacuated')
+            self.senders.to_balancer(notice.encode(), balancer)
+
     def _admit(self, now: float, new_flow: NewFlow, packet: Packet) -> None:
         backend = self.backend
         busy = backend.table.busy_slots(now)
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -38,6 +38,7 @@
     view: FleetView
     policy: AdmissionPolicy
     knows_all: bool
+    data_center: str = field(default='')
     listening_since_ms: float = field(default=float('inf'))
     table: FlowTable = field(factory=FlowTable)
     service_time: ServiceTimeEstimator = field(factory=ServiceTimeEstimator)
@@ -52,11 +53,16 @@
     _was_listed: bool = field(default=False)
     _is_listed_leaving: bool = field(default=False)
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the server's data centre takes no new flows."""
+        return self.view.evacuations.is_evacuated(self.data_center)
+
     def state(self, now: float) -> BackendState:
         """Return whether new flows are accepted, or why they are not."""
         if self.is_down:
             return BackendState.DOWN
-        if self.is_stopping or self._is_listed_leaving:
+        if self.is_stopping or self._is_listed_leaving or self.is_evacuated:
             return BackendState.LEAVING
         if now < self._backoff_until:
             return BackendState.FULL
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from typing import TYPE_CHECKING
 
 from dragonflyshift._internal.carried.fleet.source import ViewSource
 from dragonflyshift._internal.carried.load import LoadReport
@@ -35,15 +36,16 @@
     UNRESPONSIVE_AFTER_S,
     BackendHealthCheck,
 )
-from dragonflyshift._internal.carried.sidecar.lookup_delegate import (
-    LookupDelegate,
-    LookupDelegateCallbacks,
-)
 from dragonflyshift._internal.exceptions import SettingsError
 from dragonflyshift._internal.kernel.registry import find_plugin
 from dragonflyshift._internal.utils.datagrams import PlainUdpSocket
 from dragonflyshift._internal.utils.early_binding import BoundSockets
 
+if TYPE_CHECKING:
+    from dragonflyshift._internal.carried.sidecar.lookup_delegate import (
+        LookupDelegate,
+    )
+
 logger = logging.getLogger(__name__)
 
 STOP_MARGIN_S = 0.8
@@ -81,6 +83,7 @@
             view=self.view,
             policy=find_plugin(AdmissionPolicy, policy_name)(),
             knows_all=settings.is_first_start,
+            data_center=settings.data_center,
             listening_since_ms=(time.time() - sockets.age_s()) * MS_PER_S,
         )
         senders = PacketSenders(
@@ -94,24 +97,16 @@
             senders,
             self.counters,
         )
-        self.lookup_delegate = LookupDelegate(
-            self.view,
-            codec,
-            LookupDelegateCallbacks(
-                self.send_to_peer,
-                self.member.sidecar_address,
-                self.member.request_reader_statuses,
-                self.flow_handler.admission.record_malformed,
-            ),
-        )
+        # Created at the first request, as small fleets have none.
+        self.lookup_delegate: LookupDelegate | None = None
         self._backend_address = settings.backend
         self._outbound: PlainUdpSocket | None = None
         self._started_at = time.monotonic()
         self._health_check = BackendHealthCheck(
             settings.backend,
             self._is_backend_unresponsive,
-            self._on_backend_lost,
-            self._on_backend_found,
+            lambda: self.flow_handler.on_backend_lost(time.monotonic()),
+            lambda: self.flow_handler.on_backend_found(time.monotonic()),
         )
 
     def open_role_sockets(self) -> None:
@@ -174,10 +169,22 @@
         elif isinstance(message, OwnershipQuery):
             self.flow_handler.on_ownership_query(now, message, address)
         elif isinstance(message, LookupRequest | FlowReply):
-            self.lookup_delegate.on_message(now, message, address)
+            self._on_lookup_message(now, message, address)
         else:
             self.counters.incr('dropped_misdirected')
 
+    def _on_lookup_message(
+        self,
+        now: float,
+        message: LookupRequest | FlowReply,
+        address: SocketAddress,
+    ) -> None:
+        if self.lookup_delegate is None:
+            if isinstance(message, FlowReply):
+                return
+            self.lookup_delegate = _create_lookup_delegate(self)
+        self.lookup_delegate.on_message(now, message, address)
+
     def on_status(
         self,
         now: float,
@@ -193,13 +200,15 @@
     def tick(self, now: float) -> None:
         """Continue waiting flows and lookups in progress."""
         self.flow_handler.tick(now)
-        self.lookup_delegate.tick(now)
+        if self.lookup_delegate is not None:
+            self.lookup_delegate.tick(now)
 
     def has_waiting(self) -> bool:
         """Return whether a new flow waits or a lookup is in progress."""
         if self.backend.policy.waiting:
             return True
-        return self.lookup_delegate.has_waiting()
+        delegate = self.lookup_delegate
+        return delegate is not None and delegate.has_waiting()
 
     def sweep(self, now: float) -> None:
         """Remove old flows, probes and report recipients.
@@ -237,8 +246,24 @@
             and silent_s > UNRESPONSIVE_AFTER_S
         )
 
-    def _on_backend_lost(self) -> None:
-        self.flow_handler.on_backend_lost(time.monotonic())
 
-    def _on_backend_found(self) -> None:
-        self.flow_handler.on_backend_found(time.monotonic())
+def _create_lookup_delegate(node: SidecarNode) -> 'LookupDelegate':
+    """Return the lookup delegate of a sidecar.
+
+    Its modules are imported here because they would prolong each start.
+    """
+    from dragonflyshift._internal.carried.sidecar.lookup_delegate import (
+        LookupDelegate,
+        LookupDelegateCallbacks,
+    )
+
+    return LookupDelegate(
+        node.view,
+        node.codec,
+        LookupDelegateCallbacks(
+            node.send_to_peer,
+            node.member.sidecar_address,
+            node.member.request_reader_statuses,
+            node.flow_handler.admission.record_malformed,
+        ),
+    )
--- a/src/dragonflyshift/platform/documents.py
+++ b/src/dragonflyshift/platform/documents.py
@@ -3,6 +3,7 @@
 __all__ = (
     'CONFIGURATION_KEY',
     'ENDPOINT_PREFIX',
+    'EVACUATION_PREFIX',
     'decode_endpoint',
     'decode_routes',
 )
@@ -24,6 +25,9 @@
 
 CONFIGURATION_KEY = 'op/config'
 ENDPOINT_PREFIX = 'servers/'
+# The operator writes a key for each data centre ("zone") that is evacuated, and
+# deletes it afterwards. The value has no meaning.
+EVACUATION_PREFIX = 'op/evacuate/'
 _ENDPOINT_STATES = frozenset(('ready', 'draining'))
 _PORT = struct.Struct('!H')
 MAX_PORT = 65535
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -8,6 +8,9 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from dragonflyshift._internal.carried.fleet.evacuation_rows import (
+    is_reserved_name,
+)
 from dragonflyshift._internal.carried.fleet.revisions import (
     epoch_of,
     join_revision,
@@ -19,6 +22,9 @@
 )
 from dragonflyshift._internal.carried.fleet.view import ViewUpdate
 from dragonflyshift._internal.carried.packet import SocketAddress
+from dragonflyshift._internal.carried.policies.evacuation import (
+    EvacuationRecord,
+)
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.routes import RouteTable
 from dragonflyshift._internal.exceptions import (
@@ -28,6 +34,7 @@
 from dragonflyshift.platform.documents import (
     CONFIGURATION_KEY,
     ENDPOINT_PREFIX,
+    EVACUATION_PREFIX,
     decode_endpoint,
     decode_routes,
 )
@@ -123,6 +130,7 @@
         # Of several changes of one key only the last one counts.
         newest = {entry.get('key'): entry for entry in items}
         configuration = newest.pop(CONFIGURATION_KEY, {})
+        evacuations = _pop_evacuations(newest)
         records: list[EndpointRecord] = []
         removed: list[tuple[str, int]] = []
         for key, entry in newest.items():
@@ -140,6 +148,8 @@
             records=tuple(records),
             removed=tuple(removed),
             routes=self._decode_routes(configuration),
+            evacuations=evacuations,
+            lists_evacuations=not base,
         )
 
     def _decode_routes(self, entry: Any) -> RouteTable | None:
@@ -156,7 +166,7 @@
 
         The caller treats both as the removal of the endpoint.
         """
-        if 'value' not in entry or entry.get('deleted') is True:
+        if _is_deleted(entry) or is_reserved_name(name):
             return None
         revision = _revision(entry, 'revision')
         try:
@@ -200,6 +210,29 @@
         return await connection.get(target)
 
 
+def _pop_evacuations(
+    newest: dict[Any, dict[str, Any]],
+) -> tuple[EvacuationRecord, ...]:
+    """Remove the evacuations from the entries by key and return them."""
+    keys = [
+        key
+        for key in newest
+        if isinstance(key, str) and key.startswith(EVACUATION_PREFIX)
+    ]
+    return tuple(
+        EvacuationRecord(
+            data_center=key.removeprefix(EVACUATION_PREFIX),
+            revision=_revision(newest[key], 'revision'),
+            is_evacuated=not _is_deleted(newest.pop(key)),
+        )
+        for key in keys
+    )
+
+
+def _is_deleted(entry: dict[str, Any]) -> bool:
+    return 'value' not in entry or entry.get('deleted') is True
+
+
 def _encode_query(query: dict[str, Any]) -> str:
     values = [str(parameter) for parameter in query.values()]
     if all(not value or value.isalnum() for value in values):
