--- a/tests/lib/carried.py
+++ b/tests/lib/carried.py
@@ -24,6 +24,9 @@
     InTimeOnly,
     NewFlow,
 )
+from dragonflyshift._internal.carried.policies.evacuation import (
+    EvacuationRecord,
+)
 from dragonflyshift._internal.carried.policies.placement import (
     FastestEstimate,
 )
@@ -120,6 +123,13 @@
     return EndpointRecord(**attributes)
 
 
+def build_evacuation(
+    revision: int, *, is_evacuated: bool = True
+) -> EvacuationRecord:
+    """Return a request to evacuate the data centre, or to restore it."""
+    return EvacuationRecord(DATA_CENTER, revision, is_evacuated)
+
+
 def build_route(**changes: Any) -> Route:
     """Return a route from the service's address to the service."""
     address = socket.inet_aton(SERVICE_HOST) + SERVICE_PORT.to_bytes(2, 'big')
@@ -240,6 +250,7 @@
         view=view or build_view(),
         policy=InTimeOnly(),
         knows_all=knows_all,
+        data_center=DATA_CENTER,
     )
     tracker.apply_endpoint_record()
     senders = PacketSenders(
--- a/tests/unit/carried/test_reader.py
+++ b/tests/unit/carried/test_reader.py
@@ -4,6 +4,8 @@
 import unittest
 from collections.abc import Callable, Sequence
 
+from attrs import evolve
+
 from dragonflyshift._internal.carried.fleet.reader import (
     REMOVAL_GRACE_S,
     StoreReader,
@@ -16,7 +18,12 @@
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.exceptions import PlatformError
-from tests.lib.carried import SERVICE, build_record, build_routes
+from tests.lib.carried import (
+    SERVICE,
+    build_evacuation,
+    build_record,
+    build_routes,
+)
 
 _COMPLETE_STATE = ViewUpdate(
     0,
@@ -86,6 +93,24 @@
         self.assertEqual(dropped, ('instance-1',))
         self.assertEqual(len(reader.view.endpoints(SERVICE)), 1)
 
+    async def test_evacuation_outlives_a_listing_right_after_an_outage(self):
+        """Its entry may be missing although the request stands."""
+        evacuated = evolve(_COMPLETE_STATE, evacuations=(build_evacuation(4),))
+        listing = ViewUpdate(
+            0, 7, _COMPLETE_STATE.records, lists_evacuations=True
+        )
+        source = _ScriptedSource(
+            [evacuated, PlatformError('down'), HistoryLostError(''), listing]
+        )
+        reader = await self._run(source, 1.0)
+        self.assertEqual(source.calls[-1], 'all')
+        now = time.monotonic()
+        self.assertEqual(reader.confirm_evacuations(now), ())
+        self.assertTrue(reader.view.evacuations.evacuated)
+        ended = reader.confirm_evacuations(now + REMOVAL_GRACE_S)
+        self.assertEqual(len(ended), 1)
+        self.assertFalse(reader.view.evacuations.evacuated)
+
     async def test_failing_store_is_retried_with_backoff(self) -> None:
         failures = [PlatformError('down') for _ in range(50)]
         source = _ScriptedSource(failures)
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -2,6 +2,9 @@
 
 from dragonflyshift._internal.carried.fleet.revisions import split_revision
 from dragonflyshift._internal.carried.fleet.source import HistoryLostError
+from dragonflyshift._internal.carried.policies.evacuation import (
+    EvacuationRecord,
+)
 from dragonflyshift._internal.exceptions import PlatformError
 from dragonflyshift.platform.store import PlatformStore
 from tests.lib.kvstore import (
@@ -57,6 +60,31 @@
         self.assertEqual(update.removed, (('i-1', 12),))
         self.assertEqual((update.base, update.revision), (9, 12))
 
+    async def test_evacuations_are_keys_below_their_prefix(self) -> None:
+        self.fake_store.items.append(build_item('op/evacuate/klang', 2, {}))
+        update = await self.store.read_all()
+        self.assertEqual(
+            update.evacuations, (EvacuationRecord('klang', 2, True),)
+        )
+        self.assertTrue(update.lists_evacuations)
+
+    async def test_deleted_evacuation_puts_a_data_center_in_service(self):
+        self.fake_store.revision = 12
+        self.fake_store.events = [
+            build_item('op/evacuate/klang', 10, {}),
+            {'key': 'op/evacuate/klang', 'revision': 11, 'deleted': True},
+        ]
+        update = await self.store.wait(9)
+        self.assertEqual(
+            update.evacuations, (EvacuationRecord('klang', 11, False),)
+        )
+        self.assertFalse(update.lists_evacuations)
+
+    async def test_entry_with_a_reserved_name_is_no_endpoint(self) -> None:
+        self.fake_store.items.append(build_entry_item('\x01evacuated:ipoh', 2))
+        update = await self.store.read_all()
+        self.assertEqual(update.records, ())
+
     async def test_lost_history_is_distinguished_from_an_outage(self) -> None:
         self.fake_store.oldest_revision = 50
         with self.assertRaises(HistoryLostError):
