--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -99,6 +99,10 @@
         )
         # Created at the first request, as small fleets have none.
         self.lookup_delegate: LookupDelegate | None = None
+        self.counters.gauge(
+            'open_flows', lambda: len(self.backend.table.live_flows())
+        )
+        self.counters.gauge('evacuated', lambda: self.backend.is_evacuated)
         self._backend_address = settings.backend
         self._outbound: PlainUdpSocket | None = None
         self._started_at = time.monotonic()
--- a/tests/functional/test_carried_path.py
+++ b/tests/functional/test_carried_path.py
@@ -18,6 +18,12 @@
     PacketClient,
     fetch_metrics,
 )
+from tests.lib.kvstore import build_item
+
+
+_EVACUATION = 'op/evacuate/klang'
+# The time within which a request of the operator must be in force.
+_EVACUATION_BOUND_S = 5
 
 
 def _ignores_sighup(pid: int) -> bool:
@@ -117,6 +123,27 @@
         await self.harness.wait_ready()
         self.assertIsNone(process.returncode)
 
+    async def test_evacuation_stops_new_flows_and_keeps_open_ones(self) -> None:
+        """New flows must not reach a data centre that operators work on."""
+        await self._open_flow()
+        self.harness.store.publish(build_item(_EVACUATION, 3, {}))
+        await self._wait_for_answer(is_refused=True)
+        await self._exchange_packets()
+        end = {'key': _EVACUATION, 'revision': 4, 'deleted': True}
+        self.harness.store.publish(end)
+        await self._wait_for_answer(is_refused=False)
+
+    async def _wait_for_answer(self, *, is_refused: bool) -> None:
+        """Open new flows until they are refused, or until they aren't."""
+        async with asyncio.timeout(_EVACUATION_BOUND_S):
+            for port in range(50_000, 50_200):
+                key = self.key[:4] + port.to_bytes(2, 'big') + self.key[6:]
+                answer = await self.client.request(build_packet(key, SYN))
+                if answer.is_rst is is_refused:
+                    return
+                await asyncio.sleep(0.05)
+        self.fail('the evacuation had no effect')
+
     async def _wait_until_sighup_is_ignored(self, pid: int) -> None:
         """Wait until the program ignores SIGHUP, which it does first."""
         for _ in range(500):
--- a/tests/lib/kvstore.py
+++ b/tests/lib/kvstore.py
@@ -95,6 +95,16 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return (host, port)
 
+    def publish(self, event: dict[str, Any]) -> None:
+        """Add a change of one key, at the revision that it has."""
+        self.events.append(event)
+        self.revision = event['revision']
+        self.items = [
+            item for item in self.items if item['key'] != event['key']
+        ]
+        if not event.get('deleted'):
+            self.items.append(event)
+
     def restore(self, copy: list[dict[str, Any]], revision: int) -> None:
         """Continue from a copy of the items; later changes are lost."""
         self.items = list(copy)
