--- a/tests/unit/carried/test_evacuation.py
+++ b/tests/unit/carried/test_evacuation.py
@@ -243,12 +243,7 @@
             update = ViewUpdate(revision - 1, revision, evacuations=(request,))
             self.first.view.apply(update)
             self.first.gossip.publish(time.monotonic())
-            members = self.harness.members.values()
-            is_known = await self.harness.run_until(
-                lambda: all(_knows(member, request) for member in members),
-                _BOUND_S,
-            )
-            self.assertTrue(is_known)
+            await self._wait_until_known(request, self.first, self.second)
 
     async def test_lost_end_of_an_evacuation_is_pulled(self) -> None:
         """The end may be no newer than the revision that the peer holds."""
@@ -256,10 +251,7 @@
             member.view.evacuations.merge(build_evacuation(4))
         end = build_evacuation(5, is_evacuated=False)
         self.first.view.evacuations.merge(end)
-        is_known = await self.harness.run_until(
-            lambda: _knows(self.second, end), _BOUND_S
-        )
-        self.assertTrue(is_known)
+        await self._wait_until_known(end, self.second)
 
     async def test_daemon_that_starts_receives_it_with_its_view(self) -> None:
         self.first.view.apply(
@@ -271,9 +263,17 @@
         self.assertTrue(late.view.is_usable)
         self.assertTrue(late.view.evacuations.is_evacuated(DATA_CENTER))
 
-
-def _knows(member: FleetMember, request: EvacuationRecord) -> bool:
-    return member.view.evacuations.find(DATA_CENTER) == request
+    async def _wait_until_known(
+        self, request: EvacuationRecord, *members: FleetMember
+    ) -> None:
+        is_known = await self.harness.run_until(
+            lambda: all(
+                member.view.evacuations.find(DATA_CENTER) == request
+                for member in members
+            ),
+            _BOUND_S,
+        )
+        self.assertTrue(is_known)
 
 
 def _evacuated_view() -> FleetView:
