Choose delegates of lookups among the endpoints that the placer uses

Cause: the ring of candidates is cached for one list of endpoints a service, and during an evacuation placement and lookups would have replaced it in turn.

--- a/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
+++ b/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
@@ -137,10 +137,12 @@
         """Return the first candidate for the flow that is not suspect.
 
         Candidates in the own data centre come first. If all are suspect, the
-        first one is returned. For a service without endpoints any sidecar may
-        be the delegate.
+        first one is returned. For a service without endpoints that take new
+        flows any sidecar may be the delegate.
         """
-        endpoints = self.view.endpoints(service) or tuple(
+        # The placer's endpoints, as the ring of candidates is cached for one
+        # list of endpoints a service.
+        endpoints = self.view.placeable_endpoints(service) or tuple(
             self.view.records.values()
         )
         candidates = [
