Decode the warm-up rates of services and propagate them with the routes

Cause: the configuration says how many requests per second a cold server can take, and no daemon read it.

Change: the list "services" is decoded to RouteTable.warmups. On the wire a rate is a route row whose address is longer than that of any packet, which builds without warm-up rates keep and propagate. A rate that is no number is logged once. A table of the version in force is merged if it adds the rates, since a reader of the build before may have sent the version without them. The settings hold the bounds warmupOverage and warmupSlack; negative ones are refused.

--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -189,8 +189,12 @@
         self._checksum = None
 
     def _merge_routes(self, routes: RouteTable | None) -> bool:
-        if routes is None or routes.version <= self.routes.version:
+        if routes is None or routes.version < self.routes.version:
             return False
+        if routes.version == self.routes.version:
+            # A build without warm-up rates may have sent this version first.
+            if not routes.warmups or self.routes.warmups:
+                return False
         self._route_history.record_change(self.clock(), self.routes, routes)
         self.routes = routes
         return True
--- a/src/dragonflyshift/_internal/carried/node_settings.py
+++ b/src/dragonflyshift/_internal/carried/node_settings.py
@@ -23,6 +23,8 @@
 
     ``stop_grace_s`` is the time from the stop signal until the process is
     killed. ``flow_lifetime_s`` is the age at which flows may be discarded.
+    In any second a cold server gets at most ``warmup_overage`` times its
+    warm-up rate and ``warmup_slack`` new flows more.
     """
 
     name: str
@@ -41,6 +43,8 @@
     store: SocketAddress | None = None
     stop_grace_s: float = 6.0
     flow_lifetime_s: float = 60.0
+    warmup_overage: float = 1.5
+    warmup_slack: float = 5.0
     is_first_start: bool = False
     log_level: str = 'info'
     plugins: dict[str, str] = field(factory=dict)
--- a/src/dragonflyshift/_internal/carried/routes.py
+++ b/src/dragonflyshift/_internal/carried/routes.py
@@ -5,10 +5,12 @@
     'Route',
     'RouteTable',
     'TransferKind',
+    'Warmup',
     'WeightedService',
 )
 
 import enum
+import struct
 
 import msgpack
 from attrs import field, frozen
@@ -22,6 +24,11 @@
 DEFAULT_IDLE_TIMEOUT_MS = 15_000  # if the configuration has no such limit
 _HASH_MULTIPLIER = 2654435761  # Knuth's multiplicative hash
 _HASH_MASK = 0xFFFFFFFF
+# The address of a route row that carries a warm-up rate: this mark, the values
+# and the service's name. It is longer than the six bytes of a service address,
+# so builds without warm-up rates keep the row and propagate it.
+_WARMUP_MARK = b'warmup:'
+_WARMUP_VALUES = struct.Struct('!dd')
 
 
 class TransferKind(enum.IntEnum):
@@ -75,16 +82,55 @@
         return self.services[-1].name
 
 
+@frozen(repr=False)
+class Warmup:
+    """The slow start of a service's cold servers.
+
+    A server is cold for ``seconds`` after a start. Meanwhile it can take
+    ``per_s`` requests per second, which is finite and above zero.
+    """
+
+    service: str
+    seconds: float
+    per_s: float
+
+    def to_route(self) -> Route:
+        """Return a route at an address that no packet has, for the wire."""
+        address = b''.join(
+            (
+                _WARMUP_MARK,
+                _WARMUP_VALUES.pack(self.seconds, self.per_s),
+                self.service.encode(errors='surrogatepass'),
+            )
+        )
+        kind = TransferKind.IDEMPOTENT
+        return Route('warmup', address, (), kind, 0, 0, 0)
+
+    @classmethod
+    def from_route(cls, route: Route) -> 'Warmup | None':
+        """Return the warm-up rate that a route row carries, if any."""
+        if not route.address.startswith(_WARMUP_MARK):
+            return None
+        values = route.address[len(_WARMUP_MARK) :]
+        if len(values) < _WARMUP_VALUES.size:
+            return None
+        seconds, per_s = _WARMUP_VALUES.unpack_from(values)
+        name = values[_WARMUP_VALUES.size :]
+        return cls(name.decode(errors='surrogatepass'), seconds, per_s)
+
+
 @frozen(eq=False, repr=False)
 class RouteTable:
     """All routes of one configuration version, by service address.
 
     ``idle_timeout_ms`` is the time after which an idle flow expires.
+    ``warmups`` holds the warm-up rates by service.
     """
 
     version: int = 0
     routes: dict[bytes, Route] = field(factory=dict)
     idle_timeout_ms: int = DEFAULT_IDLE_TIMEOUT_MS
+    warmups: dict[str, Warmup] = field(factory=dict)
 
     def find(self, key: FlowKey) -> Route | None:
         """Return the route of a flow, or None if this version has none."""
@@ -93,6 +139,7 @@
     def encode(self) -> bytes:
         """Return the table as msgpack, for other processes."""
         rows = [encode_row(route) for route in self.routes.values()]
+        rows += [encode_row(warm.to_route()) for warm in self.warmups.values()]
         return bytes(msgpack.packb((self.version, self.idle_timeout_ms, rows)))
 
     @classmethod
@@ -101,9 +148,15 @@
         try:
             version, idle_timeout_ms, rows = msgpack.unpackb(raw)
             routes = [decode_row(Route, row) for row in rows]
+            warmups = [Warmup.from_route(route) for route in routes]
         except (ValueError, TypeError, msgpack.UnpackException) as exc:
             raise ConfigurationError(
                 f'route table is malformed: {exc}'
             ) from exc
-        table = {route.address: route for route in routes}
-        return cls(int(version), table, int(idle_timeout_ms))
+        table = cls(int(version), idle_timeout_ms=int(idle_timeout_ms))
+        for route, warmup in zip(routes, warmups, strict=True):
+            if warmup is None:
+                table.routes[route.address] = route
+            else:
+                table.warmups[warmup.service] = warmup
+        return table
--- a/src/dragonflyshift/platform/documents.py
+++ b/src/dragonflyshift/platform/documents.py
@@ -8,6 +8,7 @@
 )
 
 import json
+import logging
 import socket
 import struct
 from typing import Any
@@ -18,16 +19,20 @@
     Route,
     RouteTable,
     TransferKind,
+    Warmup,
     WeightedService,
 )
 from dragonflyshift._internal.exceptions import ConfigurationError
 
+logger = logging.getLogger(__name__)
+
 CONFIGURATION_KEY = 'op/config'
 ENDPOINT_PREFIX = 'servers/'
 _ENDPOINT_STATES = frozenset(('ready', 'draining'))
 _PORT = struct.Struct('!H')
 MAX_PORT = 65535
 MAX_SLOTS = 100_000
+_INFINITY = float('inf')
 _DECODE_ERRORS = (
     ValueError,
     TypeError,
@@ -56,6 +61,7 @@
             idle_timeout_ms=_non_negative_int(
                 limits.get('idleTimeoutMs', DEFAULT_IDLE_TIMEOUT_MS)
             ),
+            warmups=_warmups(body.get('services')),
         )
     except _DECODE_ERRORS as exc:
         raise ConfigurationError(
@@ -138,6 +144,54 @@
     return (WeightedService(_string(row['service']), 1),)
 
 
+def _warmups(rows: Any) -> dict[str, Warmup]:
+    """Decode the warm-up rates by service; log those that are no number.
+
+    Earlier builds did not read this list, so nothing in it makes the
+    configuration malformed.
+    """
+    warmups = {}
+    invalid = []
+    for row in _named_rows(rows):
+        name = row['name']
+        per_s = _float(row.get('warmupPerS'))
+        if per_s is None:
+            invalid.append(name)
+        elif 0 < per_s < _INFINITY:
+            seconds = _float(row.get('warmupS')) or 0
+            warmups[name] = Warmup(name, max(0, seconds), per_s)
+    if invalid:
+        logger.warning('warmup-rate-invalid', extra={'services': invalid})
+    return warmups
+
+
+def _named_rows(rows: Any) -> list[dict[str, Any]]:
+    if not isinstance(rows, list):
+        return []
+    return [
+        row
+        for row in rows
+        if isinstance(row, dict) and isinstance(row.get('name'), str)
+    ]
+
+
+def _float(value: Any) -> float | None:
+    """Return a number, zero if it is absent, or None if it is no number.
+
+    Integers beyond the range of floating point are infinite.
+    """
+    if value is None:
+        return 0
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    if value != value:
+        return None
+    try:
+        return float(value)
+    except OverflowError:
+        return _INFINITY
+
+
 def _string(value: Any) -> str:
     if not isinstance(value, str):
         raise TypeError(f'expected a string instead of {type(value).__name__}')
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -64,6 +64,8 @@
         store=_parse_optional_address(platform.get('address')),
         stop_grace_s=float(bounds.get('graceS', 6)),
         flow_lifetime_s=float(bounds.get('flowMaxS', 60)),
+        warmup_overage=_non_negative(bounds.get('warmupOverage', 1.5)),
+        warmup_slack=_non_negative(bounds.get('warmupSlack', 5)),
         is_first_start=body.get('bootstrap') is True,
     )
 
@@ -78,6 +80,14 @@
     return tuple((host, peer_port) for host in hosts if host != own)
 
 
+def _non_negative(value: Any) -> float:
+    number = float(value)
+    # A comparison with a value that is not a number is false.
+    if number >= 0:
+        return number
+    raise ValueError(f'bound {value!r} is negative or not a number')
+
+
 def _parse_optional_address(text: Any) -> SocketAddress | None:
     return _parse_address(text) if text else None
 
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -66,6 +66,7 @@
         self._address = address
         self._connection: HttpConnection | None = None
         self._ignored_entries: set[str] = set()
+        self._decoded: tuple[bytes, RouteTable] | None = None
 
     async def read_all(self) -> ViewUpdate:
         """Return the complete state, read page by page.
@@ -146,10 +147,15 @@
         if 'value' not in entry:
             return None
         try:
-            return decode_routes(_decode_value(entry))
+            raw = _decode_value(entry)
+            # Each full read returns the configuration again, and decoding it
+            # again would repeat its log lines.
+            if self._decoded is None or self._decoded[0] != raw:
+                self._decoded = (raw, decode_routes(raw))
         except (ConfigurationError, ValueError) as exc:
             logger.error('configuration-refused', extra={'reason': str(exc)})
             return None
+        return self._decoded[1]
 
     def _decode_record(self, name: str, entry: Any) -> EndpointRecord | None:
         """Decode an entry; return None if deleted or no valid endpoint.
--- a/tests/lib/kvstore.py
+++ b/tests/lib/kvstore.py
@@ -41,9 +41,9 @@
     }
 
 
-def build_config_item(revision: int = 1) -> dict[str, Any]:
+def build_config_item(revision: int = 1, **changes: Any) -> dict[str, Any]:
     """Return the item of the configuration."""
-    return build_item('op/config', revision, _CONFIGURATION)
+    return build_item('op/config', revision, {**_CONFIGURATION, **changes})
 
 
 def build_entry_item(
--- a/tests/unit/carried/test_view.py
+++ b/tests/unit/carried/test_view.py
@@ -9,6 +9,7 @@
 )
 from dragonflyshift._internal.carried.fleet.revisions import join_revision
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
+from dragonflyshift._internal.carried.routes import Warmup
 from dragonflyshift._internal.exceptions import ConfigurationError
 from tests.lib.carried import (
     SERVICE,
@@ -30,6 +31,15 @@
         self.assertFalse(view.apply(older))
         self.assertEqual(view.routes.version, 5)
 
+    def test_warmup_rates_of_the_same_version_are_added(self) -> None:
+        """A reader of the build before sends the version without them."""
+        view = build_view(version=5)
+        complete = build_routes(5)
+        complete.warmups[SERVICE] = Warmup(SERVICE, 3, 2)
+        self.assertTrue(view.apply(ViewUpdate(3, 4, routes=complete)))
+        self.assertFalse(view.apply(ViewUpdate(3, 4, routes=build_routes(5))))
+        self.assertEqual(view.routes.warmups, complete.warmups)
+
     def test_older_record_of_an_endpoint_is_ignored(self) -> None:
         view = build_view()
         view.merge(build_record(1, revision=9, is_leaving=True))
--- a/tests/unit/platform/test_documents.py
+++ b/tests/unit/platform/test_documents.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dragonflyshift._internal.carried.routes import TransferKind
+from dragonflyshift._internal.carried.routes import TransferKind, Warmup
 from dragonflyshift._internal.exceptions import ConfigurationError
 from dragonflyshift.platform.documents import decode_endpoint, decode_routes
 from tests.lib.carried import build_key
@@ -64,7 +64,7 @@
     lambda inner: (
         st.lists(inner, max_size=3)
         | st.dictionaries(
-            st.sampled_from(sorted((*_ENTRY, *_CONFIG))),
+            st.sampled_from(sorted((*_ENTRY, *_CONFIG, 'name', 'warmupPerS'))),
             inner,
             max_size=8,
         )
@@ -133,6 +133,40 @@
         again = [route.choose_service(key) for key in keys]
         self.assertEqual(chosen, again)
 
+    def test_warmup_rates_by_service(self) -> None:
+        services = [
+            {'name': 'lists', 'warmupS': 2.5, 'warmupPerS': 0.75},
+            {'name': 'exports', 'warmupS': 'long', 'warmupPerS': 3},
+        ]
+        with self.assertNoLogs():
+            table = decode_routes(_encode({**_CONFIG, 'services': services}))
+        self.assertEqual(
+            table.warmups,
+            {
+                'lists': Warmup('lists', 2.5, 0.75),
+                'exports': Warmup('exports', 0, 3),
+            },
+        )
+
+    def test_unusable_warmup_rate_is_no_limit(self) -> None:
+        """A limit of zero would refuse all flows of a cold server."""
+        rates = (0, -1, None, 10**400, float('inf'))
+        others: tuple[Any, ...] = ({}, 7, [4], [{'warmupPerS': 3}], None)
+        lists = [[{'name': 'lists', 'warmupPerS': rate}] for rate in rates]
+        for services in (*lists, [{'name': 'lists'}], *others):
+            raw = _encode({**_CONFIG, 'services': services})
+            with self.subTest(services=services), self.assertNoLogs():
+                self.assertEqual(decode_routes(raw).warmups, {})
+
+    def test_warmup_rate_that_is_no_number_is_logged(self) -> None:
+        for rate in ('3', True, [], float('nan')):
+            row = {'name': 'lists', 'warmupPerS': rate}
+            services = [row, row]
+            raw = _encode({**_CONFIG, 'services': services})
+            with self.subTest(rate=rate), self.assertLogs() as logs:
+                self.assertEqual(decode_routes(raw).warmups, {})
+            self.assertEqual(len(logs.records), 1)
+
     @settings(derandomize=True, max_examples=300)
     @given(st.binary(max_size=60) | _JSON.map(_encode))
     def test_any_bytes_decode_or_raise_a_configuration_error(
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -62,6 +62,19 @@
         self.assertEqual(settings.outbound, ('127.0.0.1', 8162))
         self.assertEqual(settings.client_port, 8172)
 
+    def test_bounds_of_cold_servers(self) -> None:
+        settings = self._read(_SIDECAR_SETTINGS)
+        bounds = (settings.warmup_overage, settings.warmup_slack)
+        self.assertEqual(bounds, (1.5, 5))
+        changes: dict[str, Any] = {'warmupOverage': 1.25, 'warmupSlack': 2}
+        settings = self._read({**_SIDECAR_SETTINGS, 'bounds': changes})
+        bounds = (settings.warmup_overage, settings.warmup_slack)
+        self.assertEqual(bounds, (1.25, 2))
+        for value in (-1, float('nan'), 'much'):
+            bad = {**_SIDECAR_SETTINGS, 'bounds': {'warmupSlack': value}}
+            with self.subTest(value=value), self.assertRaises(SettingsError):
+                self._read(bad)
+
     def test_error_names_the_missing_field(self) -> None:
         for name in ('node', 'ip', 'zone', 'listenAddrs', 'internalPorts'):
             incomplete = {
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -45,6 +45,17 @@
         update = await self.store.read_all()
         self.assertEqual([rec.name for rec in update.records], ['i-1'])
 
+    async def test_invalid_warmup_rate_is_logged_once(self) -> None:
+        """Each full read returns the configuration again."""
+        services = [{'name': 'lists', 'warmupPerS': 'fast'}]
+        self.fake_store.items = [build_config_item(services=services)]
+        with self.assertLogs(level='WARNING') as logs:
+            first = await self.store.read_all()
+            again = await self.store.read_all()
+        self.assertEqual(len(logs.records), 1)
+        assert first.routes is not None and again.routes is not None
+        self.assertEqual((first.routes.version, again.routes.version), (3, 3))
+
     async def test_watch_returns_changes_and_removals(self) -> None:
         self.fake_store.revision = 12
         self.fake_store.events = [
