Limit the new flows of cold servers to the warm-up rate

Cause: a server that returns cold during a burst looks idle and gets more new flows in a second than the configuration says that it can take.

While a cold server has had warmupPerS x warmupOverage + warmupSlack of them, new flows are refused with the state FULL, waiting flows don't start, and those that would start too late are returned to their balancers. Retransmissions that the server has not answered and adopted new flows count. The policy is imported when the configuration has a rate for the service.

--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -27,13 +27,17 @@
 from dragonflyshift._internal.carried.sidecar.backend_tracker import (
     BackendTracker,
 )
-from dragonflyshift._internal.carried.sidecar.flows import BackendFlow
+from dragonflyshift._internal.carried.sidecar.flows import (
+    BackendFlow,
+    FlowPhase,
+)
 from dragonflyshift._internal.carried.telemetry import Counters
 from dragonflyshift._internal.exceptions import WireError
 
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1000
+WARMUP_REFUSAL = 'warmup-limit'
 # Time since the first transmission, by the copy's number: clients retransmit
 # a first packet at these ages and number the copies.
 RETRANSMISSION_AGES_MS = (0, 200, 600)
@@ -98,6 +102,9 @@
         """Deliver waiting flows while slots are free."""
         backend = self.backend
         while backend.policy.waiting:
+            if not backend.may_start(now):
+                self._return_late_flows(now)
+                return
             busy = backend.table.busy_slots(now)
             new_flow = backend.policy.next_ready(
                 now,
@@ -125,15 +132,7 @@
 
     def return_waiting_flows(self, now: float) -> None:
         """Refuse all waiting flows and return them to their balancers."""
-        for new_flow in self.backend.policy.clear():
-            packet = self.codec.from_client(new_flow.raw)
-            self.send_flow_status(
-                now,
-                new_flow.key,
-                FlowStatus.REFUSED,
-                new_flow.sender,
-                packet,
-            )
+        self._return_flows(now, self.backend.policy.clear())
 
     def return_new_flow(self, now: float, flow: BackendFlow) -> None:
         """Return the first packet of a flow whose server was lost.
@@ -212,6 +211,9 @@
             if not any(service.name == backend.service for service in services):
                 return 'route-changed'
         state = backend.state(now)
+        if state is BackendState.FULL and not backend.may_start(now):
+            self.counters.incr('refused_warmup')
+            return WARMUP_REFUSAL
         return '' if state is BackendState.SERVING else state.name.lower()
 
     def _admit(self, now: float, new_flow: NewFlow, packet: Packet) -> None:
@@ -244,6 +246,7 @@
 
     def _start(self, now: float, new_flow: NewFlow, packet: Packet) -> None:
         self.backend.table.add_new(now, packet, new_flow.sender)
+        self.backend.record_start(now)
         self.counters.observe('wait', new_flow.age_ms(now) / MS_PER_S)
         self.deliver(packet)
 
@@ -256,9 +259,47 @@
     ) -> None:
         if flow is not None:
             flow.balancer = balancer
-            self.deliver(packet)
+            if self._may_deliver_copy(now, flow):
+                self.deliver(packet)
         self.send_flow_status(now, packet.key, FlowStatus.ACCEPTED, balancer)
 
+    def _may_deliver_copy(self, now: float, flow: BackendFlow) -> bool:
+        """Return whether a retransmitted first packet may be delivered.
+
+        To a server that has not answered it, or that has ended the flow, the
+        copy may be a new flow.
+        """
+        is_answered = flow.first_sequence is not None
+        if flow.phase is FlowPhase.OPEN:
+            return True
+        if flow.phase is FlowPhase.HANDSHAKE and is_answered:
+            return True
+        if not self.backend.may_start(now):
+            return False
+        self.backend.record_start(now)
+        return True
+
+    def _return_late_flows(self, now: float) -> None:
+        """Return waiting flows that the warm-up rate would start too late."""
+        backend = self.backend
+        opens_at = backend.next_start_at(now)
+        late = backend.policy.expire(opens_at, backend.service_ms(now))
+        self._return_flows(now, late)
+        for new_flow in late:
+            self.counters.incr('returned_warmup')
+            self._log(now, 'returned', new_flow, backend.table.busy_slots(now))
+
+    def _return_flows(self, now: float, new_flows: list[NewFlow]) -> None:
+        for new_flow in new_flows:
+            packet = self.codec.from_client(new_flow.raw)
+            self.send_flow_status(
+                now,
+                new_flow.key,
+                FlowStatus.REFUSED,
+                new_flow.sender,
+                packet,
+            )
+
     def _send_refusal(
         self,
         now: float,
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -2,17 +2,27 @@
 
 __all__ = ('BackendTracker',)
 
+import logging
+from typing import TYPE_CHECKING
+
 from attrs import define, field
 
 from dragonflyshift._internal.carried.fleet.view import FleetView
 from dragonflyshift._internal.carried.load import BackendState, LoadReport
 from dragonflyshift._internal.carried.packet import SocketAddress
 from dragonflyshift._internal.carried.policies.admission import AdmissionPolicy
+from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.sidecar.flows import FlowTable
 from dragonflyshift._internal.carried.sidecar.service_time import (
     ServiceTimeEstimator,
 )
 
+if TYPE_CHECKING:
+    from dragonflyshift._internal.carried.policies.cold_pace import ColdPace
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1000
 # After a bounced first packet the server counts as full for the minimum, and
 # for twice the previous time after each further bounce, up to the maximum. A
 # server that is shutting down bounces every first packet.
@@ -31,6 +41,7 @@
     is False after a restart of this process, until no flow from before the
     restart can be missing. ``listening_since_ms`` is the time
     at which this process began to receive packets, in Unix milliseconds.
+    ``is_first_start`` means that the whole system starts for the first time.
     """
 
     service: str
@@ -51,6 +62,23 @@
     _sequence: int = field(default=0)
     _was_listed: bool = field(default=False)
     _is_listed_leaving: bool = field(default=False)
+    is_first_start: bool = field(default=False)
+    # Bounds of the new flows of a cold server, see ``NodeSettings``.
+    warmup_overage: float = field(default=1.5)
+    warmup_slack: float = field(default=5.0)
+    # Monotonic time from which on this process sees all flows of the server.
+    _created_at: float = field(init=False)
+    # Name and start time of the newest record of the server, and the end of
+    # the warm-up time that the record states.
+    _listed_start: tuple[str, int] | None = field(default=None)
+    _listed_cold_until: float = field(default=float('-inf'))
+    _found_at: float = field(default=float('-inf'))
+    # None until the configuration has a warm-up rate for the service.
+    _pace: 'ColdPace | None' = field(default=None)
+
+    def __attrs_post_init__(self) -> None:
+        """Record the time of the creation."""
+        self._created_at = self.view.clock()
 
     def state(self, now: float) -> BackendState:
         """Return whether new flows are accepted, or why they are not."""
@@ -58,7 +86,7 @@
             return BackendState.DOWN
         if self.is_stopping or self._is_listed_leaving:
             return BackendState.LEAVING
-        if now < self._backoff_until:
+        if now < self._backoff_until or not self.may_start(now):
             return BackendState.FULL
         return BackendState.SERVING
 
@@ -73,6 +101,7 @@
             # A server without a record accepts flows if it has never had one
             # and has left if it had one before.
             self._is_listed_leaving = self._was_listed
+            self._update_pace()
             return
         self._is_listed_leaving = listed.is_leaving
         if listed.service == self.service:
@@ -80,6 +109,26 @@
             self.slots = max(1, listed.slots)
             if listed.started_ms > self.listening_since_ms - MAX_START_LEAD_MS:
                 self.knows_all = True
+            self._record_listed(listed)
+        self._update_pace()
+
+    def may_start(self, now: float) -> bool:
+        """Return whether the warm-up rate permits one more flow now."""
+        return self._pace is None or self._pace.is_open(now)
+
+    def next_start_at(self, now: float) -> float:
+        """Return when the warm-up rate permits the next flow."""
+        return now if self._pace is None else self._pace.opens_at(now)
+
+    def record_start(self, now: float) -> None:
+        """Count a first packet that the server gets or has got."""
+        if self._pace is not None:
+            self._pace.record_start(now)
+
+    def record_found(self, now: float) -> None:
+        """Treat the server as cold, since it was lost and has restarted."""
+        self._found_at = now
+        self._update_pace()
 
     def record_bounce(self, now: float) -> None:
         """Refuse new flows for a while: the server bounced a first packet."""
@@ -120,3 +169,57 @@
             knows_all=self.knows_all,
             sequence=self._sequence,
         )
+
+    def _record_listed(self, listed: EndpointRecord) -> None:
+        start = (listed.name, listed.started_ms)
+        if start != self._listed_start:
+            self._listed_start = start
+            warmup_s = listed.warmup_ms / MS_PER_S
+            self._listed_cold_until = self.view.clock() + warmup_s
+
+    def _update_pace(self) -> None:
+        """Apply the warm-up rate of the service and the server's cold time."""
+        warmup = self.view.routes.warmups.get(self.service)
+        if warmup is None:
+            if self._pace is not None:
+                self._pace.limit = float('inf')
+            return
+        pace = self._pace or self._create_pace()
+        self._pace = pace
+        before = (pace.limit, pace.cold_until)
+        pace.limit = warmup.per_s * self.warmup_overage + self.warmup_slack
+        pace.cold_until = max(
+            self._listed_cold_until,
+            self._found_at + warmup.seconds,
+        )
+        if self._listed_start is None and not self.is_first_start:
+            pace.cold_until = float('inf')
+        if self.knows_all:
+            pace.closed_until = float('-inf')
+        if before != (pace.limit, pace.cold_until):
+            self._log_pace(pace)
+
+    def _log_pace(self, pace: 'ColdPace') -> None:
+        left_s = pace.cold_until - self.view.clock()
+        if left_s > 0:
+            is_listed = self._listed_start is not None
+            logger.info(
+                'warmup-limited',
+                extra={
+                    'limit': pace.limit,
+                    'left_ms': int(left_s * MS_PER_S) if is_listed else None,
+                },
+            )
+
+    def _create_pace(self) -> 'ColdPace':
+        from dragonflyshift._internal.carried.policies.cold_pace import (
+            ColdPace,
+        )
+
+        # Adopted flows have no first packet: the server got it before.
+        starts = (flow.added_at for flow in self.table if flow.first_packet_raw)
+        return ColdPace.after_starts(
+            self.view.clock(),
+            starts,
+            self._created_at,
+        )
--- a/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
@@ -208,6 +208,7 @@
         """
         self.backend.is_down = False
         self.backend.service_time = ServiceTimeEstimator()
+        self.backend.record_found(now)
         logger.info('backend-found')
         self.reporter.report_change(now)
 
@@ -242,6 +243,9 @@
         # The client may accept another server's answer to a first packet.
         phase = FlowPhase.HANDSHAKE if packet.is_syn else FlowPhase.OPEN
         flow = self.backend.table.adopt(now, packet.key, balancer, phase)
+        if packet.is_syn:
+            # It reached the server through an earlier process of this sidecar.
+            self.backend.record_start(now)
         self.counters.incr('adopted')
         if probe is not None:
             self.admission.send_flow_status(
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -82,6 +82,9 @@
             policy=find_plugin(AdmissionPolicy, policy_name)(),
             knows_all=settings.is_first_start,
             listening_since_ms=(time.time() - sockets.age_s()) * MS_PER_S,
+            is_first_start=settings.is_first_start,
+            warmup_overage=settings.warmup_overage,
+            warmup_slack=settings.warmup_slack,
         )
         senders = PacketSenders(
             self._send_backend,
@@ -199,6 +202,9 @@
         """Return whether a new flow waits or a lookup is in progress."""
         if self.backend.policy.waiting:
             return True
+        if not self.backend.may_start(time.monotonic()):
+            # A tick reports that the server accepts flows again.
+            return True
         return self.lookup_delegate.has_waiting()
 
     def sweep(self, now: float) -> None:
