--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -5,6 +5,8 @@
 import sys
 from collections.abc import Sequence
 
+from attrs import evolve
+
 from bench.emulator.scenario import ScenarioError, load_scenario
 from bench.emulator.simulation import run_scenario
 from bench.emulator.statistics import WINDOW_S, Statistics, Window
@@ -23,6 +25,11 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=1, help='how many')
     parser.add_argument('--windows', action='store_true')
+    parser.add_argument(
+        '--no-warmup-limit',
+        action='store_true',
+        help='drop the warm-up rate from the configuration',
+    )
     options = parser.parse_args(arguments)
     logging.disable(logging.CRITICAL)
     try:
@@ -30,6 +37,9 @@
     except ScenarioError as exc:
         sys.stderr.write(f'error: {exc}\n')
         return USAGE_STATUS
+    if options.no_warmup_limit:
+        fleet = evolve(scenario.fleet, warmup_per_s=0)
+        scenario = evolve(scenario, fleet=fleet)
     broken = False
     for seed in range(options.seed, options.seed + options.seeds):
         statistics = run_scenario(scenario, seed)
@@ -43,7 +53,8 @@
 ) -> None:
     print(
         f'seed {seed}: {_format_window(statistics.total())}, '
-        f'worst {statistics.worst_worth():.3f}'
+        f'worst {statistics.worst_worth():.3f}, cold flows '
+        f'{statistics.cold_flows}, peak {statistics.cold_peak}'
     )
     if with_windows:
         for number in sorted(statistics.windows):
--- a/bench/emulator/backend.py
+++ b/bench/emulator/backend.py
@@ -3,6 +3,7 @@
 __all__ = ('EmulatedBackend',)
 
 import random
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 
@@ -41,7 +42,8 @@
     Further requests wait in a queue; a full queue sheds them. The payload of
     a request is the mean service time in microseconds and its spread in
     percent. ``outbound(raw)`` sends a packet to the sidecar. Service times are
-    multiplied by ``slowdown``.
+    multiplied by ``slowdown``. ``cold_flows`` counts the new flows while the
+    server was cold, ``cold_peak`` is the highest number in any second.
     """
 
     clock: VirtualClock
@@ -51,6 +53,9 @@
     slowdown: float = 1.0
     is_down: bool = False
     started_requests: int = 0
+    cold_flows: int = 0
+    cold_peak: int = 0
+    _last_cold_flows: deque[float] = field(factory=deque)
     # Long before the run, so that the server isn't cold when the run begins.
     _started_at: float = -1000
     _flows: dict[FlowKey, _ServerFlow] = field(factory=dict)
@@ -95,12 +100,30 @@
             self._handle_request(packet, raw)
 
     def _accept_flow(self, key: FlowKey) -> None:
+        if key not in self._flows and self._is_cold():
+            self._count_cold_flow()
         flow = self._flows.setdefault(
             key,
             _ServerFlow(self.rng.randrange(MAX_FIRST_SEQUENCE)),
         )
         self._send(key, SYN | ACK, sequence=flow.sequence)
 
+    def _count_cold_flow(self) -> None:
+        flows = self._last_cold_flows
+        flows.append(self.clock.now)
+        while self.clock.now - flows[0] >= 1:
+            flows.popleft()
+        self.cold_flows += 1
+        self.cold_peak = max(self.cold_peak, len(flows))
+
+    def _cold_factor(self) -> float:
+        plan = self.plan
+        excess = len(self._last_cold_flows) / (plan.cold_per_s or float('inf'))
+        return plan.cold_factor * max(1, excess)
+
+    def _is_cold(self) -> bool:
+        return self.clock.now - self._started_at < self.plan.cold_s
+
     def _handle_request(self, packet: Packet, raw: bytes) -> None:
         flow = self._flows[packet.key]
         if packet.sequence <= flow.last_request_sequence:
@@ -120,8 +143,7 @@
     def _start_request(self, key: FlowKey, service_time_s: float) -> None:
         self._running += 1
         self.started_requests += 1
-        is_cold = self.clock.now - self._started_at < self.plan.cold_s
-        cold = self.plan.cold_factor if is_cold else 1
+        cold = self._cold_factor() if self._is_cold() else 1
         self.clock.after(
             service_time_s * self.slowdown * cold,
             partial(self._on_finished, key, self._generation),
--- a/bench/emulator/daemons.py
+++ b/bench/emulator/daemons.py
@@ -81,6 +81,7 @@
     load_s: float
     packet_ms: float
     is_bound: bool = False
+    bound_at: float = 0
     is_loaded: bool = False
     # Counts stops, so that events scheduled before one are ignored.
     _generation: int = 0
@@ -101,6 +102,7 @@
         Datagrams that arrive before that are buffered.
         """
         self.is_bound = True
+        self.bound_at = self.network.clock.now
         self.network.clock.after(
             self.load_s if load_s is None else load_s,
             partial(self._on_loaded, self._generation),
@@ -231,6 +233,7 @@
             view=self.view,
             policy=self.policy(),
             knows_all=self.knows_all,
+            listening_since_ms=self.bound_at * MS_PER_S,
         )
         tracker.apply_endpoint_record()
         senders = PacketSenders(
--- a/bench/emulator/faults.py
+++ b/bench/emulator/faults.py
@@ -32,6 +32,9 @@
     def route_to(self, service: int) -> None:
         """Publish routes that lead to the service with that index."""
 
+    def list_server(self, sidecar: EmulatedSidecar, *, is_up: bool) -> None:
+        """Publish a new start of a server, or its end."""
+
 
 @define(eq=False)
 class FaultInjector:
@@ -86,6 +89,22 @@
         sidecar.backend.start()
         sidecar.flow_handler.on_backend_found(self.targets.clock.now)
 
+    def _begin_machines(self, fault: Fault) -> None:
+        for sidecar in self.rng.sample(self.targets.sidecars, fault.count):
+            sidecar.stop()
+            sidecar.backend.crash()
+            self.targets.list_server(sidecar, is_up=False)
+            self.targets.clock.after(
+                fault.for_s,
+                partial(self._restart_machine, sidecar),
+            )
+
+    def _restart_machine(self, sidecar: EmulatedSidecar) -> None:
+        sidecar.backend.start()
+        sidecar.knows_all = False
+        sidecar.start()
+        self.targets.list_server(sidecar, is_up=True)
+
     def _begin_slow(self, fault: Fault) -> None:
         chosen = self.rng.sample(self.targets.sidecars, fault.count)
         _set_slowdown(chosen, fault.factor)
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -17,7 +17,7 @@
 from cattrs.errors import BaseValidationError
 
 FAULT_KINDS = frozenset(
-    ('balancers', 'burst', 'crash', 'power', 'routes', 'slow')
+    ('balancers', 'burst', 'crash', 'machines', 'power', 'routes', 'slow')
 )
 DIRECTORY = Path(__file__).resolve().parent / 'scenarios'
 MS_PER_S = 1000
@@ -36,8 +36,11 @@
     ``crossing_ms`` is the one-way delay between data centres and ``client_ms``
     the one between clients and the fleet. ``balancer_load_s`` and
     ``sidecar_load_s`` are the times from a start to the first packet. A server
-    is ``cold_factor`` times slower for ``cold_s`` seconds after its start. The
-    servers are divided among ``services``; routes lead to the first of them.
+    is ``cold_factor`` times slower for ``cold_s`` seconds after its start, and
+    the more so the more its new flows of the last second exceed ``cold_per_s``,
+    unless that is zero. The configuration has the warm-up rate
+    ``warmup_per_s``, none if it is zero. The servers are divided among
+    ``services``; routes lead to the first of them.
     """
 
     data_centers: int = 3
@@ -53,6 +56,8 @@
     sidecar_load_s: float = 0.25
     cold_s: float = 2.0
     cold_factor: float = 1.6
+    cold_per_s: float = 0
+    warmup_per_s: float = 0
 
 
 @frozen
@@ -87,6 +92,8 @@
 
     - power: all machines lose power.
     - crash: ``count`` backend servers crash.
+    - machines: ``count`` servers lose power together with their sidecars, and
+      return cold with new records.
     - slow: ``count`` backend servers are ``factor`` times slower.
     - burst: the load is ``factor`` times as high.
     - balancers: ``count`` balancers are killed and start again.
--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -22,7 +22,12 @@
     Network,
 )
 from bench.emulator.faults import FaultInjector
-from bench.emulator.scenario import MS_PER_S, LoadKind, Scenario
+from bench.emulator.scenario import (
+    MS_PER_S,
+    FleetPlan,
+    LoadKind,
+    Scenario,
+)
 from bench.emulator.statistics import Statistics
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
@@ -34,10 +39,12 @@
     FastestEstimate,
     FlowPlacement,
 )
+from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.routes import (
     Route,
     RouteTable,
     TransferKind,
+    Warmup,
     WeightedService,
 )
 from tests.lib.carried import (
@@ -53,6 +60,9 @@
 FIRST_SERVICE_PORT = 8000
 INTRA_DATA_CENTER_MS = 0.1
 DRAIN_TIME_S = 4.0
+# The bounds of new flows at a cold server in the platform's settings.
+WARMUP_OVERAGE = 1.5
+WARMUP_SLACK = 5
 
 
 @define(eq=False)
@@ -75,6 +85,7 @@
     load_factor: float = 1
     _rng: random.Random = field(init=False)
     _routes: list[Route] = field(init=False)
+    _records: list[EndpointRecord] = field(factory=list)
     # The balancers that the fabric sends packets to.
     _rotation: list[EmulatedBalancer] = field(factory=list)
     _missed_checks: dict[SocketAddress, int] = field(factory=dict)
@@ -117,6 +128,7 @@
         self.clock.every(TICK_S, self._tick)
         self.clock.every(READINESS_PERIOD_S, self._check_readiness)
         self.clock.run_until(self.scenario.seconds + DRAIN_TIME_S)
+        self._record_cold_flows()
         return self.statistics
 
     def route_to(self, service: int) -> None:
@@ -128,10 +140,39 @@
                 route.address: evolve(route, services=services)
                 for route in self._routes
             },
+            warmups=_warmups(self.scenario.fleet),
         )
         revision = self.view.revision
         self.view.apply(ViewUpdate(revision or 1, revision, routes=table))
 
+    def list_server(self, sidecar: EmulatedSidecar, *, is_up: bool) -> None:
+        """Publish a new start of a server, or its end."""
+        base = self.view.revision
+        number = self.sidecars.index(sidecar) + 1
+        record = evolve(
+            self._records[number - 1],
+            revision=base + 1,
+            warmup_ms=int(self.scenario.fleet.cold_s * MS_PER_S),
+            started_ms=int(self.clock.now * MS_PER_S),
+        )
+        records = (record,) if is_up else ()
+        removed = () if is_up else ((record.name, base + 1),)
+        self.view.apply(ViewUpdate(base, base + 1, records, removed))
+
+    def _record_cold_flows(self) -> None:
+        backends = [sidecar.backend for sidecar in self.sidecars]
+        peak = max(backend.cold_peak for backend in backends)
+        self.statistics.cold_peak = peak
+        self.statistics.cold_flows = sum(
+            backend.cold_flows for backend in backends
+        )
+        per_s = self.scenario.fleet.warmup_per_s
+        bound = per_s * WARMUP_OVERAGE + WARMUP_SLACK
+        if per_s and peak > bound:
+            self.statistics.violations.append(
+                f'{peak} new flows in a second at a cold server, bound {bound}'
+            )
+
     def _is_held(self, key: FlowKey) -> bool:
         return any(sidecar.backend.holds_open(key) for sidecar in self.sidecars)
 
@@ -144,6 +185,7 @@
             slots=fleet.slots,
         )
         self.view.merge(record)
+        self._records.append(record)
         address = (record.host, PEER_PORT)
         backend = EmulatedBackend(
             self.clock,
@@ -273,6 +315,15 @@
     return Simulation(scenario, seed, placement, policy).run()
 
 
+def _warmups(fleet: FleetPlan) -> dict[str, Warmup]:
+    if not fleet.warmup_per_s:
+        return {}
+    names = [_service_name(index) for index in range(fleet.services)]
+    return {
+        name: Warmup(name, fleet.cold_s, fleet.warmup_per_s) for name in names
+    }
+
+
 def _data_center_name(number: int, count: int) -> str:
     return f'dc-{number % count}'
 
--- a/bench/emulator/statistics.py
+++ b/bench/emulator/statistics.py
@@ -47,11 +47,15 @@
     """Statistics of a run.
 
     ``windows`` holds the windows by number, ``violations`` descriptions of
-    the guarantees that the run broke.
+    the guarantees that the run broke. ``cold_flows`` is the number of new
+    flows at cold servers, ``cold_peak`` the highest one of a server in any
+    second.
     """
 
     windows: dict[int, Window] = field(factory=dict)
     violations: list[str] = field(factory=list)
+    cold_flows: int = 0
+    cold_peak: int = 0
 
     def record_request(self, req: Request) -> None:
         """Count a request at its first attempt."""
--- a/tests/unit/bench/test_emulator.py
+++ b/tests/unit/bench/test_emulator.py
@@ -58,6 +58,20 @@
         self.assertEqual(statistics.violations, [])
         self.assertGreater(statistics.total().worth, 0.95)
 
+    def test_cold_servers_get_no_more_than_the_warmup_rate(self) -> None:
+        """Without the rate the same run exceeds it, so that it is counted."""
+        fault = Fault('machines', at=1, for_s=1, count=1)
+        load = LoadKind('view', 200, 10, 250, 1200)
+        fleet = FleetPlan(balancers=3, servers=3, slots=1, cold_factor=1)
+        peaks = []
+        for per_s in (4, 0):
+            plan = evolve(fleet, warmup_per_s=per_s)
+            statistics = run_scenario(Scenario((load,), 4, plan, (fault,)), 1)
+            self.assertEqual(statistics.violations, [])
+            peaks.append(statistics.cold_peak)
+        self.assertEqual(peaks[0], 4 * 1.5 + 5)
+        self.assertGreater(peaks[1], peaks[0])
+
     def test_error_names_unknown_scenario(self) -> None:
         with self.assertRaisesRegex(ScenarioError, 'nowhere'):
             load_scenario('nowhere')
