Refuse new flows at a restarted sidecar until its first view

Cause: a sidecar that is killed while it limits a cold server has no view after its restart, thus no rate, and delivered the flows that arrived meanwhile: 13 within 3 ms, with a limit of 6 a second.

Change: where the settings state a bound of the warm-up rate, a sidecar without a view reports its server as full for at most 1.05 s after its start, except at the first start of the whole system.

--- a/src/dragonflyshift/_internal/carried/node_settings.py
+++ b/src/dragonflyshift/_internal/carried/node_settings.py
@@ -24,7 +24,9 @@
     ``stop_grace_s`` is the time from the stop signal until the process is
     killed. ``flow_lifetime_s`` is the age at which flows may be discarded.
     In any second a cold server gets at most ``warmup_overage`` times its
-    warm-up rate and ``warmup_slack`` new flows more.
+    warm-up rate and ``warmup_slack`` new flows more. ``has_warmup_bounds`` is
+    whether the settings state these bounds, so that the configuration is
+    expected to have warm-up rates.
     """
 
     name: str
@@ -45,6 +47,7 @@
     flow_lifetime_s: float = 60.0
     warmup_overage: float = 1.5
     warmup_slack: float = 5.0
+    has_warmup_bounds: bool = False
     is_first_start: bool = False
     log_level: str = 'info'
     plugins: dict[str, str] = field(factory=dict)
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -31,6 +31,9 @@
 # A server that started no earlier than this before its sidecar can't have had
 # another sidecar, since a restart of a sidecar takes longer.
 MAX_START_LEAD_MS = 250
+# The second before the start of this process counts as used up for a cold
+# server (``cold_pace``). Without a view for longer no limit is known.
+MAX_VIEW_WAIT_S = 1.05
 
 
 @define(eq=False, repr=False)
@@ -66,6 +69,8 @@
     # Bounds of the new flows of a cold server, see ``NodeSettings``.
     warmup_overage: float = field(default=1.5)
     warmup_slack: float = field(default=5.0)
+    # Whether new flows are refused until the view shows if there is a limit.
+    awaits_warmups: bool = field(default=False)
     # Monotonic time from which on this process sees all flows of the server.
     _created_at: float = field(init=False)
     # Name and start time of the newest record of the server, and the end of
@@ -114,7 +119,11 @@
 
     def may_start(self, now: float) -> bool:
         """Return whether the warm-up rate permits one more flow now."""
-        return self._pace is None or self._pace.is_open(now)
+        if self._pace is not None:
+            return self._pace.is_open(now)
+        if self.knows_all or self.view.is_usable or not self.awaits_warmups:
+            return True
+        return now >= self._created_at + MAX_VIEW_WAIT_S
 
     def next_start_at(self, now: float) -> float:
         """Return when the warm-up rate permits the next flow."""
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -85,6 +85,7 @@
             is_first_start=settings.is_first_start,
             warmup_overage=settings.warmup_overage,
             warmup_slack=settings.warmup_slack,
+            awaits_warmups=settings.has_warmup_bounds,
         )
         senders = PacketSenders(
             self._send_backend,
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -13,6 +13,7 @@
 # The port of the metrics address in deploy/system.toml.
 METRICS_PORT = 9464
 MAX_PORT = 65535
+_WARMUP_BOUNDS = frozenset(('warmupOverage', 'warmupSlack'))
 _DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError)
 
 
@@ -66,6 +67,7 @@
         flow_lifetime_s=float(bounds.get('flowMaxS', 60)),
         warmup_overage=_non_negative(bounds.get('warmupOverage', 1.5)),
         warmup_slack=_non_negative(bounds.get('warmupSlack', 5)),
+        has_warmup_bounds=not _WARMUP_BOUNDS.isdisjoint(bounds),
         is_first_start=body.get('bootstrap') is True,
     )
 
--- a/tests/lib/carried_harness.py
+++ b/tests/lib/carried_harness.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -75,6 +76,8 @@
     def __init__(self, address: SocketAddress, outbound: SocketAddress) -> None:
         """Listen at the server's address."""
         self.held_flows: set[FlowKey] = set()
+        # Monotonic times at which new flows arrived.
+        self.flow_times: list[float] = []
         self.received: list[Packet] = []
         self._outbound = outbound
         self._sock = PlainUdpSocket(
@@ -90,6 +93,8 @@
         self.received.append(packet)
         key = packet.key
         if packet.is_first:
+            if key not in self.held_flows:
+                self.flow_times.append(time.monotonic())
             self.held_flows.add(key)
             self._send_packet(
                 build_packet(
@@ -131,6 +136,10 @@
         """Stop listening."""
         self._sock.close()
 
+    def send(self, raw: bytes) -> None:
+        """Send a packet once."""
+        self._sock.send(raw, self._balancer)
+
     async def request(
         self,
         raw: bytes,
@@ -163,7 +172,9 @@
 class CarriedHarness:
     """Runs a store, a balancer and a sidecar, and holds their ports.
 
-    The daemons import the package from ``python_path``.
+    The daemons import the package from ``python_path``. ``configuration``,
+    ``entry`` and ``bounds`` hold fields of the configuration, of the server's
+    entry and of the bounds in the settings that differ from the default.
     """
 
     folder: Path
@@ -173,6 +184,9 @@
     ports: dict[str, int] = field(factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(factory=dict)
     store_address: SocketAddress = ('', 0)
+    configuration: dict[str, Any] = field(factory=dict)
+    entry: dict[str, Any] = field(factory=dict)
+    bounds: dict[str, Any] = field(factory=dict)
 
     async def start(self) -> None:
         """Start the store and the daemons; wait until the balancer is ready."""
@@ -181,8 +195,8 @@
         self.store_address = await self.store.start()
         app = f'{SIDECAR_HOST}:{self.ports["app"]}'
         self.store.items = [
-            build_config_item(1),
-            build_entry_item('i-1', 2, address=app),
+            build_config_item(1, **self.configuration),
+            build_entry_item('i-1', 2, address=app, **self.entry),
         ]
         self.store.revision = 2
         await self.start_process('sidecar')
@@ -268,7 +282,7 @@
             'internalPorts': [self.ports['peers'], self.ports['peers']],
             'seeds': [f'{BALANCER_HOST}:{self.ports["control"]}'],
             'bootstrap': False,
-            'bounds': {'graceS': 3, 'flowMaxS': 60},
+            'bounds': {'graceS': 3, 'flowMaxS': 60, **self.bounds},
             'service': '' if is_balancer else 'lists',
             'app': '' if is_balancer else f'{host}:{self.ports["app"]}',
             'platform': {'address': f'{store_host}:{store_port}'},
--- a/tests/unit/carried/test_warmup.py
+++ b/tests/unit/carried/test_warmup.py
@@ -116,6 +116,17 @@
         self._offer_all(1.6, range(20))
         self.assertEqual(len(self.outbox.to_backend), _LIMIT)
 
+    def test_restarted_sidecar_awaits_its_view(self) -> None:
+        """It would deliver whatever arrives before the rate is known."""
+        self.view = FleetView(clock=lambda: self.now)
+        self._start(knows_all=False)
+        self.handler.backend.awaits_warmups = True
+        self._offer_all(0.1, range(20))
+        self.assertEqual(self.outbox.to_backend, [])
+        # Without a view no limit is known, and the server must be used.
+        self._offer_all(1.1, range(20))
+        self.assertEqual(len(self.outbox.to_backend), 20)
+
     def test_server_that_started_with_its_sidecar_is_open(self) -> None:
         """No other process can have delivered flows to this server."""
         self._start(knows_all=False)
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -66,10 +66,12 @@
         settings = self._read(_SIDECAR_SETTINGS)
         bounds = (settings.warmup_overage, settings.warmup_slack)
         self.assertEqual(bounds, (1.5, 5))
+        self.assertFalse(settings.has_warmup_bounds)
         changes: dict[str, Any] = {'warmupOverage': 1.25, 'warmupSlack': 2}
         settings = self._read({**_SIDECAR_SETTINGS, 'bounds': changes})
         bounds = (settings.warmup_overage, settings.warmup_slack)
         self.assertEqual(bounds, (1.25, 2))
+        self.assertTrue(settings.has_warmup_bounds)
         for value in (-1, float('nan'), 'much'):
             bad = {**_SIDECAR_SETTINGS, 'bounds': {'warmupSlack': value}}
             with self.subTest(value=value), self.assertRaises(SettingsError):
