End the limit when its rate is removed; apply an endless cold time

Cause: a restarted sidecar stayed closed for up to 1.05 s after the rate had been removed from the configuration, and a cold time beyond floating point raised an OverflowError in the log line of the limit.

Change: without a rate the server is not cold; the log line has no remaining time if it is infinite.

Measured: both new tests of test_warmup fail before and pass after.

--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -3,6 +3,7 @@
 __all__ = ('BackendTracker',)
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -191,7 +192,7 @@
         warmup = self.view.routes.warmups.get(self.service)
         if warmup is None:
             if self._pace is not None:
-                self._pace.limit = float('inf')
+                self._pace.cold_until = float('-inf')
             return
         pace = self._pace or self._create_pace()
         self._pace = pace
@@ -211,12 +212,12 @@
     def _log_pace(self, pace: 'ColdPace') -> None:
         left_s = pace.cold_until - self.view.clock()
         if left_s > 0:
-            is_listed = self._listed_start is not None
+            is_bounded = math.isfinite(left_s)
             logger.info(
                 'warmup-limited',
                 extra={
                     'limit': pace.limit,
-                    'left_ms': int(left_s * MS_PER_S) if is_listed else None,
+                    'left_ms': int(left_s * MS_PER_S) if is_bounded else None,
                 },
             )
 
--- a/tests/unit/carried/test_warmup.py
+++ b/tests/unit/carried/test_warmup.py
@@ -116,6 +116,20 @@
         self._offer_all(1.6, range(20))
         self.assertEqual(len(self.outbox.to_backend), _LIMIT)
 
+    def test_removed_rate_ends_the_limit_of_a_restarted_sidecar(self) -> None:
+        self._start(knows_all=False)
+        self.assertFalse(self.handler.backend.may_start(0.1))
+        self._configure(2)
+        self.assertTrue(self.handler.backend.may_start(0.1))
+
+    def test_endless_cold_time_is_applied(self) -> None:
+        """The configuration may hold a number beyond floating point."""
+        self.view.routes.warmups[SERVICE] = Warmup(SERVICE, float('inf'), 2)
+        self.handler.on_backend_lost(1)
+        self.handler.on_backend_found(2)
+        self._offer_all(900, range(20))
+        self.assertEqual(len(self.outbox.to_backend), _LIMIT)
+
     def test_restarted_sidecar_awaits_its_view(self) -> None:
         """It would deliver whatever arrives before the rate is known."""
         self.view = FleetView(clock=lambda: self.now)
