--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -85,6 +85,10 @@
             knows_all=settings.is_first_start,
             data_center=settings.data_center,
             listening_since_ms=(time.time() - sockets.age_s()) * MS_PER_S,
+            is_first_start=settings.is_first_start,
+            warmup_overage=settings.warmup_overage,
+            warmup_slack=settings.warmup_slack,
+            awaits_warmups=settings.has_warmup_bounds,
         )
         senders = PacketSenders(
             self._send_backend,
@@ -211,6 +215,9 @@
         """Return whether a new flow waits or a lookup is in progress."""
         if self.backend.policy.waiting:
             return True
+        if not self.backend.may_start(time.monotonic()):
+            # A tick reports that the server accepts flows again.
+            return True
         delegate = self.lookup_delegate
         return delegate is not None and delegate.has_waiting()
 
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -13,6 +13,7 @@
 # The port of the metrics address in deploy/system.toml.
 METRICS_PORT = 9464
 MAX_PORT = 65535
+_WARMUP_BOUNDS = frozenset(('warmupOverage', 'warmupSlack'))
 _DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError)
 
 
@@ -64,6 +65,9 @@
         store=_parse_optional_address(platform.get('address')),
         stop_grace_s=float(bounds.get('graceS', 6)),
         flow_lifetime_s=float(bounds.get('flowMaxS', 60)),
+        warmup_overage=_non_negative(bounds.get('warmupOverage', 1.5)),
+        warmup_slack=_non_negative(bounds.get('warmupSlack', 5)),
+        has_warmup_bounds=not _WARMUP_BOUNDS.isdisjoint(bounds),
         is_first_start=body.get('bootstrap') is True,
     )
 
@@ -78,6 +82,14 @@
     return tuple((host, peer_port) for host in hosts if host != own)
 
 
+def _non_negative(value: Any) -> float:
+    number = float(value)
+    # A comparison with a value that is not a number is false.
+    if number >= 0:
+        return number
+    raise ValueError(f'bound {value!r} is negative or not a number')
+
+
 def _parse_optional_address(text: Any) -> SocketAddress | None:
     return _parse_address(text) if text else None
 
