Send CONNECTION_REFUSED when a sidecar refuses a flow

Cause: a refused flow was closed as by the application. Before the handshake is complete QUIC replaces the code of such a close, so clients received APPLICATION_ERROR (12) instead of the code that docs/OPERATIONS.md names.

Change: the close carries a frame type, which makes it one of the transport.

--- a/src/dragonflyshift/_internal/sidecar/flow.py
+++ b/src/dragonflyshift/_internal/sidecar/flow.py
@@ -16,6 +16,7 @@
     StopSendingReceived,
     StreamReset,
 )
+from aioquic.quic.packet import QuicErrorCode, QuicFrameType
 
 from dragonflyshift._internal.sidecar.quic import (
     ServerConnection,
@@ -119,6 +120,18 @@
         """
         self._send_goaway(MAX_STREAM_ID)
 
+    def refuse(self) -> None:
+        """Close a flow whose handshake is not complete.
+
+        The frame type makes it a close by the transport. The code of a close
+        by the application is not sent before the handshake is complete.
+        """
+        self._quic.close(
+            error_code=QuicErrorCode.CONNECTION_REFUSED,
+            frame_type=QuicFrameType.PADDING,
+        )
+        self.transmit()
+
     def close_gracefully(self, delay: float) -> None:
         """Reject further requests as not run, and close after ``delay`` s.
 
--- a/src/dragonflyshift/_internal/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/sidecar/flows.py
@@ -12,7 +12,6 @@
 from aioquic.buffer import Buffer  # type: ignore[attr-defined] # no __all__
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.packet import (
-    QuicErrorCode,
     QuicPacketType,
     encode_quic_version_negotiation,
     pull_quic_header,
@@ -255,7 +254,7 @@
         full = load.connections >= load.connection_limit
         if full or self._callbacks.refuses_new_flows():
             self._metrics.incr('refused-flows')
-            flow.close(QuicErrorCode.CONNECTION_REFUSED)
+            flow.refuse()
 
     def _add_flow(self, entry: _FlowEntry, original_id: bytes) -> None:
         flow = entry.flow
