Declare evacuated data centres and carry them in service documents

Cause: an evacuation could be declared only by setting each endpoint to leaving, and a service without endpoints elsewhere was a fault.

Change: [data_centers.NAME] takes evacuated = true. The plan lists evacuated and restored data centres.

--- a/src/dragonflyshift/_internal/config/declaration.py
+++ b/src/dragonflyshift/_internal/config/declaration.py
@@ -11,6 +11,10 @@
 
 from dragonflyshift._internal.config.conflicts import check_conflicts
 from dragonflyshift._internal.config.converter import structure
+from dragonflyshift._internal.config.evacuation import (
+    RESERVED_METHOD,
+    is_reserved_rule,
+)
 from dragonflyshift._internal.config.faults import (
     InvalidConfigurationError,
     raise_faults,
@@ -42,13 +46,18 @@
 _UNKNOWN_REGION = 'unknown'
 
 
-def load_declaration(directory: Path) -> Declaration:
+def load_declaration(
+    directory: Path,
+    inventory_text: str | None = None,
+) -> Declaration:
     """Read and validate a declaration.
 
+    ``inventory_text`` replaces the content of the inventory file.
+
     Raises InvalidConfigurationError. Each of its ``faults`` holds the file,
     the key, a message and a hint.
     """
-    inventory, faults = _load_inventory(directory)
+    inventory, faults = _load_inventory(directory, inventory_text)
     rules = _load_rules(directory, faults)
     if inventory is None:
         raise InvalidConfigurationError(str(directory), faults)
@@ -67,9 +76,10 @@
 
 def _load_inventory(
     directory: Path,
+    text: str | None,
 ) -> tuple[Inventory | None, list[Fault]]:
     try:
-        table = _read_toml(directory, INVENTORY_FILE)
+        table = _read_toml(directory, INVENTORY_FILE, text)
         return structure(table, Inventory), []
     except InvalidConfigurationError as exc:
         return None, [
@@ -90,9 +100,17 @@
     return reader
 
 
-def _read_toml(directory: Path, name: str) -> dict[str, Any]:
+def _read_toml(
+    directory: Path,
+    name: str,
+    text: str | None = None,
+) -> dict[str, Any]:
     try:
-        return tomllib.loads((directory / name).read_text(encoding='utf-8'))
+        return tomllib.loads(
+            (directory / name).read_text(encoding='utf-8')
+            if text is None
+            else text,
+        )
     except OSError as exc:
         fault = Fault(
             name,
@@ -169,6 +187,19 @@
         ),
         rules=rules,
         state=service.state,
+        evacuated=_evacuated_data_centers(inventory, service),
+    )
+
+
+def _evacuated_data_centers(
+    inventory: Inventory,
+    service: ServiceEntry,
+) -> tuple[str, ...]:
+    used = {endpoint.data_center for endpoint in service.endpoints}
+    return tuple(
+        name
+        for name, center in sorted(inventory.data_centers.items())
+        if center.evacuated and name in used
     )
 
 
@@ -198,6 +229,13 @@
             source = RULES_FILE
             key = key.removeprefix(_RULES_PREFIX)
         yield Fault(source, f'{key_path}.{key}', fault.message, fault.hint)
+    if any(map(is_reserved_rule, document.rules.idempotent)):
+        yield Fault(
+            RULES_FILE,
+            f'{key_path}.idempotent',
+            f'the method {RESERVED_METHOD} is reserved',
+            'declare an evacuation in the inventory',
+        )
 
 
 def _fault(key: str, message: str, hint: str) -> Fault:
--- a/src/dragonflyshift/_internal/config/documents.py
+++ b/src/dragonflyshift/_internal/config/documents.py
@@ -14,6 +14,10 @@
 from typing import Any, NoReturn, TypeVar
 
 from dragonflyshift._internal.config.converter import structure, unstructure
+from dragonflyshift._internal.config.evacuation import (
+    pack_evacuated,
+    unpack_evacuated,
+)
 from dragonflyshift._internal.config.faults import raise_faults
 from dragonflyshift._internal.config.validation import (
     check_index,
@@ -26,6 +30,7 @@
 )
 
 MAX_DOCUMENT_BYTES = 1_048_576
+_OPTIONAL_KEYS = ('bundles', 'evacuated')
 _COMPACT = (',', ':')
 
 _ModelT = TypeVar('_ModelT')
@@ -36,10 +41,13 @@
 
     Raises ConfigurationError if the result is larger than 1 MiB.
     """
+    if isinstance(document, ServiceDocument):
+        document = pack_evacuated(document)
     data = unstructure(document)
-    if not data.get('bundles', 1):
-        # Daemons without support for bundles reject this unknown key.
-        del data['bundles']
+    for key in _OPTIONAL_KEYS:
+        # Daemons that don't support an optional key reject it.
+        if not data.get(key, True):
+            del data[key]
     raw = json.dumps(data, separators=_COMPACT, sort_keys=True).encode()
     _check_size(raw)
     return raw
@@ -54,7 +62,7 @@
 
 def decode_service(raw: bytes) -> ServiceDocument:
     """Decode a service document; raise ConfigurationError if invalid."""
-    document = decode_json(raw, ServiceDocument)
+    document = unpack_evacuated(decode_json(raw, ServiceDocument))
     raise_faults('service document', check_service(document))
     return document
 
--- a/src/dragonflyshift/_internal/config/endpoint_planning.py
+++ b/src/dragonflyshift/_internal/config/endpoint_planning.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from dragonflyshift._internal.config.evacuation import serving_endpoints
 from dragonflyshift._internal.models.declaration import Declaration
 from dragonflyshift._internal.models.documents import ServiceDocument
 from dragonflyshift._internal.models.endpoint import Endpoint, EndpointState
@@ -11,19 +12,6 @@
 from dragonflyshift._internal.models.rules import Locality
 
 
-def serving_endpoints(
-    document: ServiceDocument | None,
-) -> tuple[Endpoint, ...]:
-    """Return the endpoints that accept new flows."""
-    if document is None:
-        return ()
-    return tuple(
-        endpoint
-        for endpoint in document.endpoints
-        if endpoint.state is EndpointState.SERVING
-    )
-
-
 def plan_endpoints(
     before: ServiceDocument,
     after: ServiceDocument,
@@ -154,7 +142,8 @@
         return
     old = {endpoint.data_center for endpoint in serving_endpoints(before)}
     new = {endpoint.data_center for endpoint in serving_endpoints(after)}
-    for name in sorted(old - new):
+    # The locality rule does not keep new flows in an evacuated data centre.
+    for name in sorted(old - new - set(after.evacuated)):
         yield PlannedChange(
             ChangeKind.CAPACITY_LOST,
             after.name,
--- a/src/dragonflyshift/_internal/config/planning.py
+++ b/src/dragonflyshift/_internal/config/planning.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterator
 
-from dragonflyshift._internal.config.endpoint_planning import (
-    plan_endpoints,
-    serving_endpoints,
+from dragonflyshift._internal.config.endpoint_planning import plan_endpoints
+from dragonflyshift._internal.config.evacuation import serving_endpoints
+from dragonflyshift._internal.config.evacuation_planning import (
+    plan_evacuations,
 )
 from dragonflyshift._internal.config.service_planning import (
     plan_addition,
@@ -63,6 +64,7 @@
             yield plan_removal(before)
         else:
             yield from plan_service(before, after, new)
+            yield from plan_evacuations(before, after)
             yield from plan_endpoints(before, after, new)
 
 
--- a/src/dragonflyshift/_internal/config/rendering.py
+++ b/src/dragonflyshift/_internal/config/rendering.py
@@ -21,6 +21,7 @@
     decode_service,
     encode_document,
 )
+from dragonflyshift._internal.config.evacuation import publish_evacuation
 from dragonflyshift._internal.exceptions import ConfigurationError
 from dragonflyshift._internal.models.declaration import Declaration
 from dragonflyshift._internal.models.documents import (
@@ -50,7 +51,10 @@
     """
     published = previous or Published()
     services = [
-        _keep_version(document, published.services.get(document.name))
+        _keep_version(
+            publish_evacuation(document),
+            published.services.get(document.name),
+        )
         for document in declaration.services
     ]
     index = IndexDocument(
--- a/src/dragonflyshift/_internal/config/validation.py
+++ b/src/dragonflyshift/_internal/config/validation.py
@@ -81,6 +81,8 @@
     yield from _check_range('version', document.version, 1, MAX_VERSION)
     yield from check_addresses('addresses', document.addresses)
     yield from check_rules(document.rules)
+    for name in document.evacuated:
+        yield from check_name('evacuated', name)
     if not document.endpoints:
         yield _fault(
             'endpoints',
--- a/src/dragonflyshift/_internal/models/declaration.py
+++ b/src/dragonflyshift/_internal/models/declaration.py
@@ -12,9 +12,13 @@
 
 @frozen
 class DataCenterEntry:
-    """A data centre of the inventory."""
+    """A data centre of the inventory.
+
+    No new flow is placed in an evacuated data centre.
+    """
 
     region: str
+    evacuated: bool = False
 
 
 @frozen
@@ -55,7 +59,8 @@
 class Declaration:
     """A valid declaration with the document of each service.
 
-    Every document has ``revision`` as its version.
+    Every document has ``revision`` as its version. Its states are the declared
+    ones; rendering applies the evacuations.
     """
 
     revision: int
--- a/src/dragonflyshift/_internal/models/documents.py
+++ b/src/dragonflyshift/_internal/models/documents.py
@@ -62,7 +62,12 @@
 
 @frozen
 class ServiceDocument:
-    """One service: its addresses, endpoints and rules."""
+    """One service: its addresses, endpoints and rules.
+
+    ``evacuated`` names the data centres with endpoints of the service in
+    which no new flow is placed. In the published form the states of the
+    service and its endpoints already express this.
+    """
 
     name: str
     organisation: str
@@ -72,3 +77,12 @@
     endpoints: tuple[Endpoint, ...]
     rules: ServiceRules = ServiceRules()
     state: ServiceState = ServiceState.SERVING
+    evacuated: tuple[str, ...] = ()
+
+    def is_evacuated(self, address: Address) -> bool:
+        """Return whether an endpoint is in an evacuated data centre."""
+        return any(
+            endpoint.address == address
+            and endpoint.data_center in self.evacuated
+            for endpoint in self.endpoints
+        )
--- a/src/dragonflyshift/_internal/models/plan.py
+++ b/src/dragonflyshift/_internal/models/plan.py
@@ -15,6 +15,8 @@
     SERVICE_CHANGED = 'service-changed'
     ADDRESS_ADDED = 'address-added'
     ADDRESS_REMOVED = 'address-removed'
+    DATA_CENTER_EVACUATED = 'data-center-evacuated'
+    DATA_CENTER_RESTORED = 'data-center-restored'
     ENDPOINT_JOINS = 'endpoint-joins'
     ENDPOINT_LEAVES = 'endpoint-leaves'
     ENDPOINT_RETURNS = 'endpoint-returns'
