--- a/src/dragonflyshift/_internal/cli/application.py
+++ b/src/dragonflyshift/_internal/cli/application.py
@@ -26,6 +26,8 @@
     'check': 'CheckCommand',
     'plan': 'PlanCommand',
     'render': 'RenderCommand',
+    'evacuate': 'EvacuateCommand',
+    'restore': 'RestoreCommand',
     'status': 'StatusCommand',
     'route': 'RouteCommand',
 }
--- a/src/dragonflyshift/_internal/cli/help.py
+++ b/src/dragonflyshift/_internal/cli/help.py
@@ -16,8 +16,9 @@
 {commands}
 
 A change goes through check, plan and render; then the rendered documents are
-published. status and route ask a running daemon. The help of a command tells
-its arguments, its options and its exit status.
+published. evacuate and restore make the change for a data centre. status and
+route ask a running daemon. The help of a command tells its arguments, its
+options and its exit status.
 
 Options of every command:
   -h, --help     Describe the command.
