Keep new flows out of evacuated data centres at sidecars and balancers

A sidecar in an evacuated data centre is leaving, with the reason "evacuated". It refuses slots to peers, hands over its own requests, and runs those that no peer takes, since an evacuation can leave the peers full while its server is idle. A new flow of a balancer with an older document is passed on to an endpoint elsewhere, because both of the balancer's candidates may be in the evacuated data centre. A sidecar applies its document before it opens its sockets, so that a start during an evacuation takes no flow. Both roles log evacuated and restored data centres, set gauges, and report the evacuations with the addresses of their sidecars.

--- a/src/dragonflyshift/_internal/balancer/reports.py
+++ b/src/dragonflyshift/_internal/balancer/reports.py
@@ -8,8 +8,12 @@
 )
 from dragonflyshift._internal.balancer.views import ServiceViews
 from dragonflyshift._internal.config import ConfigurationStore
+from dragonflyshift._internal.config.evacuation import EvacuationLog
 from dragonflyshift._internal.control import ReportProvider
-from dragonflyshift._internal.control.reporting import describe_members
+from dragonflyshift._internal.control.reporting import (
+    describe_evacuations,
+    describe_members,
+)
 from dragonflyshift._internal.exceptions import ConfigurationError
 from dragonflyshift._internal.kernel.settings import Settings
 from dragonflyshift._internal.models import Address, ServiceDocument
@@ -30,6 +34,7 @@
         views: ServiceViews,
         steering: Steering,
         metrics: Metrics,
+        evacuations: EvacuationLog,
     ) -> None:
         """Store the balancer's components, which are only read."""
         self._settings = settings
@@ -37,6 +42,7 @@
         self._views = views
         self._steering = steering
         self._metrics = metrics
+        self._evacuations = evacuations
 
     def status(self) -> dict[str, Any]:
         """Return the status report of this balancer."""
@@ -59,6 +65,7 @@
             'running': 0,
             'queued': 0,
             'counters': dict(self._metrics.snapshot()),
+            'evacuated': describe_evacuations(self._evacuations),
         }
 
     def route(self, request: RouteRequest) -> dict[str, Any]:
--- a/src/dragonflyshift/_internal/balancer/role.py
+++ b/src/dragonflyshift/_internal/balancer/role.py
@@ -17,6 +17,7 @@
 )
 from dragonflyshift._internal.balancer.views import ServiceViews
 from dragonflyshift._internal.config import ConfigurationChange, WatchScope
+from dragonflyshift._internal.config.evacuation import EvacuationLog
 from dragonflyshift._internal.control import ConfigurationFeed, ControlServer
 from dragonflyshift._internal.kernel.registry import find_plugin
 from dragonflyshift._internal.kernel.role import DaemonRole
@@ -54,6 +55,7 @@
         self._metrics = create_metrics(settings)
         self._tracing = create_tracing(settings)
         self._views = ServiceViews()
+        self._evacuations = EvacuationLog()
         self._steering = self._create_steering()
         self._sockets = ServiceSockets(
             settings.entry_ip, self._on_client_packet
@@ -69,6 +71,7 @@
                 self._views,
                 self._steering,
                 self._metrics,
+                self._evacuations,
             ),
         )
         self._datagrams: DatagramSocket | None = None
@@ -175,6 +178,15 @@
             service = self._feed.store.service(entry.name)
             if service is not None:
                 self._views.set_endpoints(service)
+        self._evacuations.update(
+            service
+            for service in self._feed.store.services
+            if not self._feed.store.is_retired(service.name)
+        )
+        self._metrics.gauge(
+            'evacuated-data-centers',
+            len(self._evacuations.data_centers),
+        )
         logger.info(
             'configuration-in-force',
             extra={'key': change.key, 'version': change.version},
--- a/src/dragonflyshift/_internal/control/reporting.py
+++ b/src/dragonflyshift/_internal/control/reporting.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from dragonflyshift._internal.config.evacuation import EvacuationLog
 from dragonflyshift._internal.models import MemberRecord
 
 
@@ -19,3 +20,11 @@
         }
         for record in records
     ]
+
+
+def describe_evacuations(evacuations: EvacuationLog) -> list[dict[str, Any]]:
+    """Return a JSON object for each evacuated data centre."""
+    return [
+        {'data_center': name, 'sidecars': sidecars}
+        for name, sidecars in sorted(evacuations.data_centers.items())
+    ]
--- a/src/dragonflyshift/_internal/models/reports.py
+++ b/src/dragonflyshift/_internal/models/reports.py
@@ -23,6 +23,20 @@
     queued: int = 0
 
 
+@frozen
+class EvacuationReport(Report):
+    """An evacuated data centre and its sidecars.
+
+    The command line adds ``flows``, the open flows that are left there, and
+    ``unreachable``, the number of sidecars that did not report theirs.
+    """
+
+    data_center: str
+    sidecars: tuple[str, ...] = ()
+    flows: int = 0
+    unreachable: int = 0
+
+
 @frozen
 class StatusReport(Report):
     """Status of a daemon; ``version`` maps each key to that in force."""
@@ -38,6 +52,7 @@
     running: int = 0
     queued: int = 0
     counters: dict[str, float] = field(factory=dict)
+    evacuated: tuple[EvacuationReport, ...] = ()
 
 
 @frozen
--- a/src/dragonflyshift/_internal/sidecar/components.py
+++ b/src/dragonflyshift/_internal/sidecar/components.py
@@ -18,8 +18,9 @@
     ServiceRules,
 )
 from dragonflyshift._internal.retries import RetryPolicy
-from dragonflyshift._internal.routing import PeerChoice
+from dragonflyshift._internal.routing import CandidateChoice, PeerChoice
 from dragonflyshift._internal.sidecar.backend import BackendClient
+from dragonflyshift._internal.sidecar.evacuation import SidecarEvacuation
 from dragonflyshift._internal.sidecar.identity import SidecarIdentity
 from dragonflyshift._internal.sidecar.keyed_base import KeyedRequests
 from dragonflyshift._internal.sidecar.lifecycle import Lifecycle
@@ -98,6 +99,17 @@
     return 1
 
 
+def create_evacuation(
+    settings: Settings,
+    service: Callable[[], ServiceDocument],
+    members: MemberTable,
+    metrics: Metrics,
+) -> SidecarEvacuation:
+    """Return the part that keeps new flows out of evacuated data centres."""
+    choice = find_plugin(CandidateChoice, settings.candidate_choice)
+    return SidecarEvacuation(settings, service, members, choice(), metrics)
+
+
 def create_request_components(
     settings: Settings,
     identity: SidecarIdentity,
@@ -130,6 +142,7 @@
         lambda: lifecycle.accepts_work,
         send_offer,
         metrics,
+        lambda: lifecycle.runs_own_requests,
     )
     retries = find_plugin(RetryPolicy, settings.retry_policy)
     runner = RequestRunner(
--- a/src/dragonflyshift/_internal/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/sidecar/flows.py
@@ -50,6 +50,10 @@
 RESET_BYTES = 42
 
 
+def _keep_second(_flow_key: bytes, second: Address | None) -> Address | None:
+    return second
+
+
 @frozen
 class FlowTableCallbacks:
     """The routing decision and the callbacks of a flow table.
@@ -58,8 +62,10 @@
     sidecar's current load for a number of flows, and ``member_record`` the
     latest record of another sidecar or None. ``relay`` passes a packet on to
     another sidecar. ``refuses_new_flows`` returns whether the service winds
-    down, and ``owns_address`` whether a service address belongs to the
-    service.
+    down or the data centre is evacuated, and ``owns_address`` whether a
+    service address belongs to the service. ``choose_second`` returns the
+    sidecar to which a new flow with a key may be passed on, given the second
+    candidate of the balancer.
     """
 
     decision: FlowDecision
@@ -68,6 +74,9 @@
     relay: Callable[[ForwardEnvelope, Address], None]
     refuses_new_flows: Callable[[], bool]
     owns_address: Callable[[Address], bool]
+    choose_second: Callable[[bytes, Address | None], Address | None] = (
+        _keep_second
+    )
 
 
 @define(eq=False)
@@ -189,9 +198,15 @@
         if not self._check_initial_packet(forward):
             return
         load = self._callbacks.load(len(self._flows))
-        # The second candidate that the balancer chose for a new flow.
-        second = forward.second_candidate
-        if forward.hops < MAX_HOPS and second is not None:
+        second = (
+            self._callbacks.choose_second(
+                header.destination,
+                forward.second_candidate,
+            )
+            if forward.hops < MAX_HOPS
+            else None
+        )
+        if second is not None:
             record = self._callbacks.member_record(second)
             if not self._callbacks.decision.accepts(load, record, forward.hops):
                 self._metrics.incr('passed-on')
--- a/src/dragonflyshift/_internal/sidecar/lifecycle.py
+++ b/src/dragonflyshift/_internal/sidecar/lifecycle.py
@@ -3,8 +3,9 @@
 The sidecar is leaving while the configuration marks its endpoint as leaving
 or no longer lists it, while the backend server drains, or after the process
 was asked to stop. A leaving sidecar accepts no new work; running requests
-continue. A service that winds down doesn't change the member state: its
-sidecars refuse new flows instead (see ``FlowTable``).
+continue. The endpoints of an evacuated data centre are marked as leaving. A
+service that winds down doesn't change the member state: its sidecars refuse
+new flows instead (see ``FlowTable``).
 """
 
 import enum
@@ -26,10 +27,16 @@
     """Why a sidecar is leaving."""
 
     CONFIGURATION = 'register'
+    EVACUATION = 'evacuated'
     BACKEND = 'backend'
     STOPPING = 'stopping'
 
 
+_CONFIGURED_REASONS = frozenset(
+    (LeaveReason.CONFIGURATION, LeaveReason.EVACUATION),
+)
+
+
 class Lifecycle:
     """Derives the member state from the configuration and the backend."""
 
@@ -50,6 +57,19 @@
         """Whether new flows and requests may start on this sidecar."""
         return not self._reasons and self._backend is BackendState.READY
 
+    @property
+    def runs_own_requests(self) -> bool:
+        """Whether requests of own flows may run here if no peer takes them.
+
+        An evacuation can leave the peers without free slots, while the
+        backend server here still runs.
+        """
+        return (
+            LeaveReason.EVACUATION in self._reasons
+            and self._reasons <= _CONFIGURED_REASONS
+            and self._backend is BackendState.READY
+        )
+
     def stop(self) -> None:
         """Leave permanently, because the process was asked to stop."""
         self._set_reason(LeaveReason.STOPPING, present=True)
@@ -58,9 +78,11 @@
         """Apply the configured state of this endpoint."""
         states = {item.address: item.state for item in service.endpoints}
         state = states.get(self._address, EndpointState.LEAVING)
+        is_leaving = state is EndpointState.LEAVING
+        self._set_reason(LeaveReason.CONFIGURATION, present=is_leaving)
         self._set_reason(
-            LeaveReason.CONFIGURATION,
-            present=state is EndpointState.LEAVING,
+            LeaveReason.EVACUATION,
+            present=is_leaving and service.is_evacuated(self._address),
         )
 
     def backend_changed(self, state: BackendState) -> None:
--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -34,6 +34,7 @@
 from dragonflyshift._internal.sidecar.components import (
     Telemetry,
     create_admission,
+    create_evacuation,
     create_members,
     create_request_components,
     own_slots,
@@ -106,6 +107,12 @@
             tasks,
         )
         self._directory = BalancerDirectory()
+        self._evacuation = create_evacuation(
+            settings,
+            lambda: self._service,
+            self._members,
+            self._metrics,
+        )
         self._flows = FlowTable(
             self._identity,
             quic_config,
@@ -145,6 +152,8 @@
 
     async def start(self) -> None:
         """Open the sockets and start the tasks."""
+        # No packet may arrive before the state of this endpoint is known.
+        self._apply_document()
         self._link.open(
             LinkHandlers(
                 self._handle_forward,
@@ -206,6 +215,7 @@
                 self._admission,
                 lambda: len(self._flows),
                 self._metrics,
+                self._evacuation.log,
             ),
         )
         control.add_handler(ClaimRequest, self._requests.claim_server.serve)
@@ -220,8 +230,12 @@
             self._load_snapshot,
             self._members.record,
             self._link.relay,
-            lambda: self._service.state is ServiceState.WINDING_DOWN,
+            lambda: (
+                self._service.state is ServiceState.WINDING_DOWN
+                or self._evacuation.applies
+            ),
             lambda address: address in self._service.addresses,
+            self._evacuation.choose_second,
         )
 
     def _handle_forward(self, forward: ForwardEnvelope) -> None:
@@ -279,6 +293,7 @@
             time.monotonic(),
         )
         self._lifecycle.document_changed(service)
+        self._evacuation.update()
 
     async def _run_dispatch(self) -> None:
         """Dispatch queued requests and publish the load, periodically."""
@@ -290,6 +305,7 @@
                 self._admission.free_slots(now),
                 self._admission.queued,
             )
+            self._evacuation.report_flows(len(self._flows))
             busy = self._admission.running or self._admission.queued
             await asyncio.sleep(
                 DISPATCH_PERIOD_SECONDS
--- a/src/dragonflyshift/_internal/sidecar/placing.py
+++ b/src/dragonflyshift/_internal/sidecar/placing.py
@@ -49,11 +49,13 @@
         accepts_work: Callable[[], bool],
         send_offer: OfferSender,
         metrics: Metrics,
+        runs_own_requests: Callable[[], bool] = bool,
     ) -> None:
         """Create a finder with an empty queue.
 
         ``accepts_work`` returns whether local slots may be used, and
-        ``send_offer`` offers a free slot to a peer.
+        ``send_offer`` offers a free slot to a peer. ``runs_own_requests``
+        returns whether local slots may be used if no peer grants one.
         """
         self._admission = admission
         self._runner = runner
@@ -61,6 +63,7 @@
         self._accepts_work = accepts_work
         self._send_offer = send_offer
         self._metrics = metrics
+        self._runs_own_requests = runs_own_requests
         self._queue = RequestQueue(admission, runner, metrics)
         self.offers = OfferQueue()
 
@@ -88,7 +91,7 @@
             return reservation
         if use_local:
             return await self._wait_in_queue(req)
-        return await self._retry_peers(req)
+        return await self._retry_peers(req, skip_local=skip_local)
 
     def dispatch(self) -> None:
         """Assign free slots to queued requests, or offer one to a peer."""
@@ -122,7 +125,7 @@
             if isinstance(wakeup, DeadlineExpired):
                 raise self._queue.expiry_error()
             if not isinstance(wakeup, SlotOffered):
-                return await self._retry_peers(req)
+                return await self._retry_peers(req, skip_local=False)
             reservation = await self._claims.claim_at(wakeup.peer, req)
             if reservation is not None:
                 self._metrics.incr('handed-over')
@@ -161,12 +164,22 @@
             self._metrics.incr('handed-over')
         return reservation
 
-    async def _retry_peers(self, req: Request) -> PeerReservation:
-        """Repeat claims a limited number of times, within the deadline."""
+    async def _retry_peers(
+        self,
+        req: Request,
+        *,
+        skip_local: bool,
+    ) -> LocalReservation | PeerReservation:
+        """Repeat claims a limited number of times, within the deadline.
+
+        Between two claims a local slot is taken if own requests may run here.
+        """
+        runs_own = bool if skip_local else self._runs_own_requests
         interval = CLAIM_RETRY_SECONDS
         for _ in range(MAX_CLAIM_ROUNDS):
-            in_time = time.monotonic() + interval < req.info.deadline
-            if not in_time or not self._claims.has_peers():
+            if runs_own() and self._admission.try_start(time.monotonic()):
+                return LocalReservation(self._runner, Slot(self._admission))
+            if not self._can_retry(req, interval, runs_own):
                 break
             await asyncio.sleep(interval)
             reservation = await self._claim_from_peers(req)
@@ -175,3 +188,12 @@
             interval = min(interval * 2, MAX_CLAIM_RETRY_SECONDS)
         self._metrics.incr('refused.no-peer')
         raise NotRunError('no instance has a free slot')
+
+    def _can_retry(
+        self,
+        req: Request,
+        interval: float,
+        runs_own: Callable[[], bool],
+    ) -> bool:
+        in_time = time.monotonic() + interval < req.info.deadline
+        return in_time and (runs_own() or self._claims.has_peers())
--- a/src/dragonflyshift/_internal/sidecar/reports.py
+++ b/src/dragonflyshift/_internal/sidecar/reports.py
@@ -5,8 +5,12 @@
 from typing import Any
 
 from dragonflyshift._internal.config import ConfigurationStore
+from dragonflyshift._internal.config.evacuation import EvacuationLog
 from dragonflyshift._internal.control import ReportProvider
-from dragonflyshift._internal.control.reporting import describe_members
+from dragonflyshift._internal.control.reporting import (
+    describe_evacuations,
+    describe_members,
+)
 from dragonflyshift._internal.kernel.settings import Settings
 from dragonflyshift._internal.limits import Admission
 from dragonflyshift._internal.membership import MemberTable
@@ -25,6 +29,7 @@
         admission: Admission,
         count_flows: Callable[[], int],
         metrics: Metrics,
+        evacuations: EvacuationLog,
     ) -> None:
         """Read from the given components without changing them."""
         self._settings = settings
@@ -33,6 +38,7 @@
         self._admission = admission
         self._count_flows = count_flows
         self._metrics = metrics
+        self._evacuations = evacuations
 
     def status(self) -> dict[str, Any]:
         """Return the status of the sidecar."""
@@ -48,6 +54,7 @@
             'running': self._admission.running,
             'queued': self._admission.queued,
             'counters': dict(self._metrics.snapshot()),
+            'evacuated': describe_evacuations(self._evacuations),
         }
 
     def route(self, request: RouteRequest) -> dict[str, Any]:
--- a/tests/lib/declarations.py
+++ b/tests/lib/declarations.py
@@ -5,6 +5,7 @@
 from attrs import evolve, frozen
 
 from dragonflyshift._internal.config.documents import encode_document
+from dragonflyshift._internal.config.evacuation import publish_evacuation
 from dragonflyshift._internal.config.validation import service_tag
 from dragonflyshift._internal.models import (
     Address,
@@ -122,7 +123,7 @@
         await self._platform.put_bytes(f'/control/keys/{key}', body)
 
     async def _publish_service(self, name: str) -> None:
-        body = encode_document(self.documents[name])
+        body = encode_document(publish_evacuation(self.documents[name]))
         await self.publish_raw(service_key(name), body)
 
     async def _publish_index(self) -> None:
--- a/tests/unit/sidecar/test_placing.py
+++ b/tests/unit/sidecar/test_placing.py
@@ -17,6 +17,7 @@
     Request,
     RequestInfo,
 )
+from dragonflyshift._internal.sidecar.request_queue import LocalReservation
 from dragonflyshift._internal.telemetry import NoMetrics
 
 IMMEDIATE_SECONDS = 0.05
@@ -76,3 +77,14 @@
         finder._accepts_work = bool
         finder.dispatch()
         self.assertIs(await queued, reservation)
+
+    async def test_evacuated_sidecar_runs_own_request_that_no_peer_takes(self):
+        # With the peers full, an evacuation would otherwise refuse requests
+        # of open flows although their own server is idle.
+        claim = AsyncMock(return_value=None)
+        finder = self.finder(has_peers=Mock(return_value=True), claim=claim)
+        finder._accepts_work = bool
+        finder._runs_own_requests = lambda: True
+        found = await finder.find(_request(), skip_local=False)
+        self.assertIsInstance(found, LocalReservation)
+        claim.assert_awaited_once()
