--- a/src/dragonflyshift/_internal/cli/daemon_command.py
+++ b/src/dragonflyshift/_internal/cli/daemon_command.py
@@ -1,8 +1,9 @@
 """Base of the commands that query a running daemon."""
 
 import asyncio
+import contextlib
 import os
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import TypeVar
 
 from cleo.helpers import option
@@ -13,6 +14,7 @@
 from dragonflyshift._internal.config.documents import decode_json
 from dragonflyshift._internal.exceptions import (
     ConfigurationError,
+    PeerError,
     SettingsError,
     WireError,
 )
@@ -20,6 +22,8 @@
 from dragonflyshift._internal.models.address import Address
 from dragonflyshift._internal.wire.keys import FleetKeys
 
+# Far below the number of files that a process may usually open.
+MAX_CONCURRENT_QUERIES = 64
 KEYS_VARIABLE = f'{PREFIX}FLEET_KEYS'
 DAEMON_OPTIONS = (
     option(
@@ -54,14 +58,25 @@
         invalid options.
         """
         client = self.build_client(self._address(), self._fleet_keys())
-        raw = asyncio.run(_await(query(client)))
-        try:
-            return decode_json(raw, model)
-        except ConfigurationError as exc:
-            raise WireError(
-                f"the daemon's report is invalid: {exc.message}",
-                hint='use a command line of the same version as the daemon',
-            ) from exc
+        return asyncio.run(_fetch(client, query, model))
+
+    def fetch_reports(
+        self,
+        addresses: Iterable[str],
+        query: Callable[[DaemonClient], Awaitable[bytes]],
+        model: type[_ReportT],
+    ) -> dict[str, _ReportT]:
+        """Send a query to several daemons; return the reports by address.
+
+        A daemon that can't be reached, or whose report is invalid, is left
+        out.
+        """
+        keys = self._fleet_keys()
+        clients = {
+            address: self.build_client(Address.parse(address), keys)
+            for address in addresses
+        }
+        return asyncio.run(_fetch_all(clients, query, model))
 
     def build_client(self, address: Address, keys: FleetKeys) -> DaemonClient:
         """Return a client for the daemon at an address."""
@@ -99,5 +114,33 @@
         return FleetKeys.parse(text)
 
 
-async def _await(report: Awaitable[bytes]) -> bytes:
-    return await report
+async def _fetch(
+    client: DaemonClient,
+    query: Callable[[DaemonClient], Awaitable[bytes]],
+    model: type[_ReportT],
+) -> _ReportT:
+    raw = await query(client)
+    try:
+        return decode_json(raw, model)
+    except ConfigurationError as exc:
+        raise WireError(
+            f"the daemon's report is invalid: {exc.message}",
+            hint='use a command line of the same version as the daemon',
+        ) from exc
+
+
+async def _fetch_all(
+    clients: Mapping[str, DaemonClient],
+    query: Callable[[DaemonClient], Awaitable[bytes]],
+    model: type[_ReportT],
+) -> dict[str, _ReportT]:
+    limit = asyncio.Semaphore(MAX_CONCURRENT_QUERIES)
+    reports: dict[str, _ReportT] = {}
+
+    async def fetch(address: str, client: DaemonClient) -> None:  # noqa: WPS430 -- shares the limit
+        async with limit:
+            with contextlib.suppress(PeerError, WireError):
+                reports[address] = await _fetch(client, query, model)
+
+    await asyncio.gather(*(fetch(*item) for item in clients.items()))
+    return reports
--- a/src/dragonflyshift/_internal/commands/status.py
+++ b/src/dragonflyshift/_internal/commands/status.py
@@ -2,6 +2,7 @@
 
 from typing import ClassVar
 
+from attrs import evolve
 from cleo.io.inputs.option import Option
 
 from dragonflyshift._internal.cli.daemon_command import (
@@ -9,7 +10,10 @@
     DaemonCommand,
 )
 from dragonflyshift._internal.cli.exit_codes import ExitCode
-from dragonflyshift._internal.models.reports import StatusReport
+from dragonflyshift._internal.models.reports import (
+    EvacuationReport,
+    StatusReport,
+)
 
 
 class StatusCommand(DaemonCommand):
@@ -19,7 +23,9 @@
     description = 'Show the status of a running daemon and its peers.'
     help = (
         'Asks the daemon at --address for its role, the versions of the '
-        'configuration in force, its members, flows, slots and counters.\n\n'
+        'configuration in force, its members, flows, slots and counters. If '
+        'data centres are evacuated, the sidecars there are asked how many '
+        'flows they have left.\n\n'
         'Exit status: 0 when it replied, 2 for invalid options, 3 when it can '
         'not be reached, 4 when its reply is invalid or the fleet keys '
         'differ.'
@@ -32,12 +38,42 @@
             lambda client: client.status(),
             StatusReport,
         )
+        if report.evacuated:
+            report = evolve(report, evacuated=self._count_flows(report))
         if self.wants_json:
             self.print_json(report)
         else:
             self._print_report(report)
         return ExitCode.OK
 
+    def _count_flows(
+        self,
+        report: StatusReport,
+    ) -> tuple[EvacuationReport, ...]:
+        """Return the evacuations with the flows that their sidecars report."""
+        addresses = {
+            sidecar for each in report.evacuated for sidecar in each.sidecars
+        }
+        reports = self.fetch_reports(
+            sorted(addresses),
+            lambda client: client.status(),
+            StatusReport,
+        )
+        return tuple(
+            evolve(
+                each,
+                flows=sum(
+                    reports[sidecar].flows
+                    for sidecar in each.sidecars
+                    if sidecar in reports
+                ),
+                unreachable=sum(
+                    sidecar not in reports for sidecar in each.sidecars
+                ),
+            )
+            for each in report.evacuated
+        )
+
     def _print_report(self, report: StatusReport) -> None:
         self.print_table(
             ('setting', 'value'),
@@ -51,6 +87,7 @@
                 ('queued', report.queued),
             ),
         )
+        self._print_evacuations(report)
         self._print_section('version', sorted(report.version.items()))
         if report.members:
             self.print_text('')
@@ -72,6 +109,23 @@
             'counter', [(name, f'{count:.15g}') for name, count in counters]
         )
 
+    def _print_evacuations(self, report: StatusReport) -> None:
+        if not report.evacuated:
+            return
+        self.print_text('')
+        self.print_table(
+            ('evacuated', 'sidecars', 'flows left', 'unreachable'),
+            (
+                (
+                    each.data_center,
+                    len(each.sidecars),
+                    each.flows,
+                    each.unreachable,
+                )
+                for each in report.evacuated
+            ),
+        )
+
     def _print_section(
         self,
         header: str,
--- a/tests/unit/commands/test_daemon_commands.py
+++ b/tests/unit/commands/test_daemon_commands.py
@@ -115,6 +115,35 @@
         self.assertEqual(result.status, 0)
 
 
+class EvacuationStatusTest(unittest.TestCase):
+    """Guards against flows that are left unseen in an evacuation."""
+
+    def test_flows_left_are_summed_over_the_sidecars(self) -> None:
+        sidecars = ['127.0.0.2:7000', '127.0.0.3:7000', '127.0.0.4:7000']
+        evacuation = {'data_center': 'klang', 'sidecars': sidecars}
+        unreachable = FakeDaemon(PeerError('refused'))
+        daemons = {
+            '127.0.0.1:7100': FakeDaemon({**STATUS, 'evacuated': [evacuation]}),
+            '127.0.0.2:7000': FakeDaemon(STATUS),
+            '127.0.0.3:7000': FakeDaemon({**STATUS, 'flows': 5}),
+            '127.0.0.4:7000': unreachable,
+        }
+        with patch.object(
+            DaemonCommand,
+            'build_client',
+            side_effect=lambda address, _keys: daemons[str(address)],
+        ):
+            table = run_command('status', *ADDRESS, *KEYS)
+            report = json.loads(
+                run_command('status', *ADDRESS, *KEYS, '--json').output,
+            )
+        self.assertRegex(table.output, r'klang +3 +17 +1')
+        self.assertEqual(
+            report['evacuated'],
+            [{**evacuation, 'flows': 17, 'unreachable': 1}],
+        )
+
+
 class RouteTest(unittest.TestCase):
     service = ('--service-address', '127.0.1.1:443')
 
