Keep the cost of evacuations off periodic and per-flow work

Cause: a sidecar compared all endpoints with the evacuated data centres each 50 ms and for each new flow, and a balancer formatted the addresses of all evacuated sidecars at each document that came into force.

Change: a sidecar keeps the evacuated addresses of the document in force, and the addresses for reports are built when they are requested.

--- a/src/dragonflyshift/_internal/config/evacuation.py
+++ b/src/dragonflyshift/_internal/config/evacuation.py
@@ -8,7 +8,7 @@
 """
 
 import logging
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 import attrs
 
@@ -94,31 +94,34 @@
 class EvacuationLog:
     """Logs the data centres that are evacuated and restored.
 
-    ``data_centers`` maps each evacuated data centre to the addresses of its
-    sidecars, in the service documents of the last update.
+    ``data_centers`` maps each evacuated data centre to the documents of the
+    last update that name it.
     """
 
     def __init__(self) -> None:
         """Start without an evacuated data centre."""
-        self.data_centers: dict[str, list[str]] = {}
+        self.data_centers: dict[str, list[ServiceDocument]] = {}
 
     def update(self, services: Iterable[ServiceDocument]) -> None:
         """Take over the evacuations of all services that are not retired."""
-        current: dict[str, list[str]] = {}
+        previous = self.data_centers
+        self.data_centers = {}
         for document in services:
             for name in document.evacuated:
-                current.setdefault(name, []).extend(_sidecars(document, name))
-        for name in sorted(current.keys() - self.data_centers.keys()):
-            _log_evacuated(name, len(current[name]))
-        for name in sorted(self.data_centers.keys() - current.keys()):
-            logger.info('data-center-restored', extra={'data_center': name})
-        self.data_centers = current
-
-
-def _sidecars(document: ServiceDocument, data_center: str) -> Iterator[str]:
-    for endpoint in document.endpoints:
-        if endpoint.data_center == data_center:
-            yield str(endpoint.address)
+                self.data_centers.setdefault(name, []).append(document)
+        for evacuated in sorted(self.data_centers.keys() - previous.keys()):
+            _log_evacuated(evacuated, len(self.sidecars(evacuated)))
+        for restored in sorted(previous.keys() - self.data_centers.keys()):
+            logger.info('data-center-restored', extra={'data_center': restored})
+
+    def sidecars(self, data_center: str) -> tuple[str, ...]:
+        """Return the addresses of the sidecars in an evacuated data centre."""
+        return tuple(
+            str(endpoint.address)
+            for document in self.data_centers[data_center]
+            for endpoint in document.endpoints
+            if endpoint.data_center == data_center
+        )
 
 
 def _log_evacuated(data_center: str, endpoints: int) -> None:
--- a/src/dragonflyshift/_internal/control/reporting.py
+++ b/src/dragonflyshift/_internal/control/reporting.py
@@ -25,6 +25,6 @@
 def describe_evacuations(evacuations: EvacuationLog) -> list[dict[str, Any]]:
     """Return a JSON object for each evacuated data centre."""
     return [
-        {'data_center': name, 'sidecars': sidecars}
-        for name, sidecars in sorted(evacuations.data_centers.items())
+        {'data_center': name, 'sidecars': evacuations.sidecars(name)}
+        for name in sorted(evacuations.data_centers)
     ]
--- a/src/dragonflyshift/_internal/models/documents.py
+++ b/src/dragonflyshift/_internal/models/documents.py
@@ -79,10 +79,10 @@
     state: ServiceState = ServiceState.SERVING
     evacuated: tuple[str, ...] = ()
 
-    def is_evacuated(self, address: Address) -> bool:
-        """Return whether an endpoint is in an evacuated data centre."""
-        return any(
-            endpoint.address == address
-            and endpoint.data_center in self.evacuated
+    def evacuated_addresses(self) -> frozenset[Address]:
+        """Return the addresses of the endpoints in evacuated data centres."""
+        return frozenset(
+            endpoint.address
             for endpoint in self.endpoints
+            if endpoint.data_center in self.evacuated
         )
--- a/src/dragonflyshift/_internal/sidecar/evacuation.py
+++ b/src/dragonflyshift/_internal/sidecar/evacuation.py
@@ -32,26 +32,29 @@
         choice: CandidateChoice,
         metrics: Metrics,
     ) -> None:
-        """Read the service document in force with ``service``."""
+        """Read the service document in force with ``service``.
+
+        No evacuation applies before the first update.
+        """
         self._settings = settings
         self._service = service
         self._members = members
         self._choice = choice
         self._metrics = metrics
         self._reported_flows = 0
+        self._evacuated: frozenset[Address] = frozenset()
         self.log = EvacuationLog()
 
     @property
     def applies(self) -> bool:
         """Whether this sidecar is in an evacuated data centre."""
-        service = self._service()
-        return bool(service.evacuated) and service.is_evacuated(
-            self._settings.listen,
-        )
+        return self._settings.listen in self._evacuated
 
     def update(self) -> None:
-        """Log and count the evacuations of the document in force."""
-        self.log.update((self._service(),))
+        """Apply the evacuations of the document in force."""
+        service = self._service()
+        self._evacuated = service.evacuated_addresses()
+        self.log.update((service,))
         self._metrics.gauge(
             'evacuated-data-centers',
             len(self.log.data_centers),
@@ -73,23 +76,17 @@
 
         Returns None if there is none, and the flow is refused or kept here.
         """
-        service = self._service()
-        if not service.evacuated:
-            return second
-        if second is not None and not service.is_evacuated(second):
+        if second is not None and second not in self._evacuated:
             return second
         if not self.applies:
             return None
-        chosen = self._choose_elsewhere(service, flow_key)
+        chosen = self._choose_elsewhere(flow_key)
         if chosen is not None:
             self._metrics.incr('evacuation-redirects')
         return chosen
 
-    def _choose_elsewhere(
-        self,
-        service: ServiceDocument,
-        flow_key: bytes,
-    ) -> Address | None:
+    def _choose_elsewhere(self, flow_key: bytes) -> Address | None:
+        service = self._service()
         # The ranking caches tuples, and this list is used once.
         candidates = [
             Candidate(endpoint, self._members.state_of(endpoint.address))
--- a/src/dragonflyshift/_internal/sidecar/lifecycle.py
+++ b/src/dragonflyshift/_internal/sidecar/lifecycle.py
@@ -82,7 +82,8 @@
         self._set_reason(LeaveReason.CONFIGURATION, present=is_leaving)
         self._set_reason(
             LeaveReason.EVACUATION,
-            present=is_leaving and service.is_evacuated(self._address),
+            present=is_leaving
+            and self._address in service.evacuated_addresses(),
         )
 
     def backend_changed(self, state: BackendState) -> None:
--- a/tests/functional/test_evacuation.py
+++ b/tests/functional/test_evacuation.py
@@ -69,7 +69,10 @@
         await self.wait_for_document()
         self.assertEqual(await self.open_flows(), {other})
         await self.assert_served(conn)
-        report = await self.status(self.cluster.balancers[0].address)
+        balancer = self.cluster.balancers[0]
+        logged = {event['message'] for event in balancer.program.events()}
+        self.assertIn('data-center-evacuated', logged)
+        report = await self.status(balancer.address)
         expected = {
             'data_center': 'one',
             'sidecars': [str(each.endpoint.address) for each in evacuated],
--- a/tests/unit/config/test_evacuation.py
+++ b/tests/unit/config/test_evacuation.py
@@ -72,7 +72,8 @@
         read = decode_service(encode_document(published))
         self.assertEqual(read, published)
         self.assertEqual(read.rules.idempotent, ('PUT /photos/',))
-        self.assertTrue(read.is_evacuated(build_endpoint(1).address))
+        own = build_endpoint(1).address
+        self.assertEqual(read.evacuated_addresses(), {own})
         self.assertEqual(_ranked(read), ['ipoh'])
 
     def test_previous_build_accepts_the_document(self) -> None:
--- a/tests/unit/sidecar/test_evacuation.py
+++ b/tests/unit/sidecar/test_evacuation.py
@@ -61,13 +61,15 @@
             data_center=DATA_CENTER,
             region=REGION,
         )
-        return SidecarEvacuation(
+        evacuation = SidecarEvacuation(
             settings,
             lambda: self.service,
             self.members,
             Rendezvous(),
             self.metrics,
         )
+        evacuation.update()
+        return evacuation
 
     def test_flow_of_an_older_balancer_goes_elsewhere(self) -> None:
         self.evacuate(DATA_CENTER)
@@ -99,9 +101,11 @@
         evacuation.report_flows(4)
         self.assertNotIn(name, self.metrics.snapshot())
         self.evacuate(DATA_CENTER)
+        evacuation.update()
         evacuation.report_flows(4)
         self.assertEqual(self.metrics.snapshot()[name], 4)
         self.evacuate()
+        evacuation.update()
         evacuation.report_flows(4)
         self.assertEqual(self.metrics.snapshot()[name], 0)
 
--- a/tests/unit/sidecar/test_flows.py
+++ b/tests/unit/sidecar/test_flows.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import unittest
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
@@ -37,6 +37,7 @@
 SERVICE = Address('198.51.100.1', 443)
 SHORT_HEADER = b'\x40'
 PADDING = bytes(60)
+_FLOWS_MODULE = 'dragonflyshift._internal.sidecar.flows'
 
 
 def _initial() -> bytes:
@@ -60,6 +61,7 @@
     def setUp(self) -> None:
         self.codec = ConnectionIdCodec(FleetKeys.parse(FLEET_KEYS_TEXT))
         self.state = MemberState.ALIVE
+        self.refuses_new_flows = False
         self.metrics = NoMetrics('sidecar')
         self.sender = Mock()
         self.relay = Mock()
@@ -69,7 +71,7 @@
             lambda open_flows: LoadSnapshot(self.state, open_flows, 9, 3, 0),
             lambda _address: None,
             self.relay,
-            bool,
+            lambda: self.refuses_new_flows,
             lambda address: address == SERVICE,
         )
         self.table = FlowTable(
@@ -129,6 +131,21 @@
         self.table.receive(evolve(_forward(_initial()), hops=1))
         self.relay.assert_not_called()
 
+    async def test_passed_on_flow_is_refused_at_once(self) -> None:
+        # A sidecar with an older document passes flows on into an evacuation.
+        self.table._accept_flow = self.original_accept  # type: ignore[method-assign] # restored
+        passed_on = evolve(_forward(_initial()), hops=1)
+        for refuses in (False, True):
+            self.refuses_new_flows = refuses
+            with (
+                self.subTest(refuses=refuses),
+                patch(f'{_FLOWS_MODULE}.ServerConnection'),
+                patch(f'{_FLOWS_MODULE}.Flow') as flow,
+            ):
+                self.table.receive(passed_on)
+                self.assertIs(flow.return_value.refuse.called, refuses)
+            self.table._by_id.clear()
+
     async def test_packet_of_an_unknown_flow_is_reset(self):
         cid = self.codec.issue(ConnectionIdContents(OWN, TAG, 1))
         packet = b''.join((SHORT_HEADER, cid, PADDING))
