--- a/tests/functional/test_evacuation.py
+++ b/tests/functional/test_evacuation.py
@@ -84,6 +84,18 @@
         await eventually(self.is_restored, what='new flows in "one" alone')
         await self.assert_served(conn)
 
+    async def test_load_while_evacuated_and_restored(self) -> None:
+        # One server takes the new flows, and requests of the others' flows.
+        async with self.load() as summary:
+            for data_centers in (('one',), ()):
+                await self.wait_for_requests(
+                    len(await self.cluster.journal()) + 20
+                )
+                await self.evacuate(*data_centers)
+                await self.wait_for_document()
+        await self.assert_guarantees(summary)
+        self.assert_counts(summary, failed_handshakes=0)
+
     async def test_daemons_that_start_during_an_evacuation(self) -> None:
         started, _evacuated, other = self.cluster.instances
         await self.evacuate('one')
