Refuse a status report with an invalid address of a sidecar

The addresses of evacuated sidecars are decoded with the report, so an invalid one is an unusable reply (exit status 4) and not an invalid declaration. The functional test reads the flows left with the command.

--- a/src/dragonflyshift/_internal/cli/daemon_command.py
+++ b/src/dragonflyshift/_internal/cli/daemon_command.py
@@ -62,10 +62,10 @@
 
     def fetch_reports(
         self,
-        addresses: Iterable[str],
+        addresses: Iterable[Address],
         query: Callable[[DaemonClient], Awaitable[bytes]],
         model: type[_ReportT],
-    ) -> dict[str, _ReportT]:
+    ) -> dict[Address, _ReportT]:
         """Send a query to several daemons; return the reports by address.
 
         A daemon that can't be reached, or whose report is invalid, is left
@@ -73,8 +73,7 @@
         """
         keys = self._fleet_keys()
         clients = {
-            address: self.build_client(Address.parse(address), keys)
-            for address in addresses
+            address: self.build_client(address, keys) for address in addresses
         }
         return asyncio.run(_fetch_all(clients, query, model))
 
@@ -130,14 +129,14 @@
 
 
 async def _fetch_all(
-    clients: Mapping[str, DaemonClient],
+    clients: Mapping[Address, DaemonClient],
     query: Callable[[DaemonClient], Awaitable[bytes]],
     model: type[_ReportT],
-) -> dict[str, _ReportT]:
+) -> dict[Address, _ReportT]:
     limit = asyncio.Semaphore(MAX_CONCURRENT_QUERIES)
-    reports: dict[str, _ReportT] = {}
+    reports: dict[Address, _ReportT] = {}
 
-    async def fetch(address: str, client: DaemonClient) -> None:  # noqa: WPS430 -- shares the limit
+    async def fetch(address: Address, client: DaemonClient) -> None:  # noqa: WPS430 -- shares the limit
         async with limit:
             with contextlib.suppress(PeerError, WireError):
                 reports[address] = await _fetch(client, query, model)
--- a/src/dragonflyshift/_internal/commands/status.py
+++ b/src/dragonflyshift/_internal/commands/status.py
@@ -55,7 +55,7 @@
             sidecar for each in report.evacuated for sidecar in each.sidecars
         }
         reports = self.fetch_reports(
-            sorted(addresses),
+            addresses,
             lambda client: client.status(),
             StatusReport,
         )
--- a/src/dragonflyshift/_internal/models/reports.py
+++ b/src/dragonflyshift/_internal/models/reports.py
@@ -2,6 +2,8 @@
 
 from attrs import field, frozen
 
+from dragonflyshift._internal.models.address import Address
+
 
 class Report:
     """Base of the reports.
@@ -32,7 +34,7 @@
     """
 
     data_center: str
-    sidecars: tuple[str, ...] = ()
+    sidecars: tuple[Address, ...] = ()
     flows: int = 0
     unreachable: int = 0
 
--- a/tests/functional/test_evacuation.py
+++ b/tests/functional/test_evacuation.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+import json
 import time
 
 from dragonflyshift._internal.models import Locality, ServiceRules
 from dragonflyshift._internal.models.documents import service_key
 from tests.lib.cases import ClusterTest
 from tests.lib.cluster import LISTS, ClusterPlan, Instance
+from tests.lib.commands import run_command
 from tests.lib.declarations import ServicePlan
 from tests.lib.h3 import H3Client
 from tests.lib.waiting import eventually
@@ -72,15 +74,23 @@
         balancer = self.cluster.balancers[0]
         logged = {event['message'] for event in balancer.program.events()}
         self.assertIn('data-center-evacuated', logged)
-        report = await self.status(balancer.address)
+        result = await asyncio.to_thread(
+            run_command,
+            'status',
+            '--json',
+            f'--address={balancer.address}',
+            f'--fleet-keys={self.plan.fleet_keys}',
+        )
         expected = {
             'data_center': 'one',
             'sidecars': [str(each.endpoint.address) for each in evacuated],
+            'flows': 1,
+            'unreachable': 0,
         }
-        self.assertEqual(report['evacuated'], [expected])
+        self.assertEqual(json.loads(result.output)['evacuated'], [expected])
         await self.evacuate()
         await self.wait_for_document()
-        # Balancers learn with replies that the sidecars are no longer leaving.
+        # The state of the restored sidecars reaches balancers with replies.
         await eventually(self.is_restored, what='new flows in "one" alone')
         await self.assert_served(conn)
 
--- a/tests/unit/commands/test_daemon_commands.py
+++ b/tests/unit/commands/test_daemon_commands.py
@@ -45,6 +45,7 @@
         },
     ],
 }
+_BAD_EVACUATION = {'data_center': 'klang', 'sidecars': ['here']}
 ADDRESS = ('--address', '127.0.0.1:7100')
 KEYS = ('--fleet-keys', FLEET_KEYS_TEXT)
 
@@ -86,6 +87,7 @@
         for report, status in (
             (PeerError('refused', hint='start it'), 3),
             ({'role': 'sidecar', 'flows': 'many'}, 4),
+            ({**STATUS, 'evacuated': [_BAD_EVACUATION]}, 4),
             ([], 4),
         ):
             with self.subTest(report):
