--- a/src/dragonflyshift/_internal/models/reports.py
+++ b/src/dragonflyshift/_internal/models/reports.py
@@ -2,6 +2,8 @@
 
 from attrs import field, frozen
 
+from dragonflyshift._internal.models.address import Address
+
 
 class Report:
     """Base of the reports.
@@ -23,6 +25,20 @@
     queued: int = 0
 
 
+@frozen
+class EvacuationReport(Report):
+    """An evacuated data centre and its sidecars.
+
+    The command line adds ``flows``, the open flows that are left there, and
+    ``unreachable``, the number of sidecars that did not report theirs.
+    """
+
+    data_center: str
+    sidecars: tuple[Address, ...] = ()
+    flows: int = 0
+    unreachable: int = 0
+
+
 @frozen
 class StatusReport(Report):
     """Status of a daemon; ``version`` maps each key to that in force."""
@@ -38,6 +54,7 @@
     running: int = 0
     queued: int = 0
     counters: dict[str, float] = field(factory=dict)
+    evacuated: tuple[EvacuationReport, ...] = ()
 
 
 @frozen
