Let emulated clients call from several addresses

Cause: all emulated clients shared one address, so a scenario could not show how callers compete.

Change: a load kind may have a number of caller addresses. The emulator reports results by caller (--accounts) and takes the admission policy as an option (--policy). Scenarios without callers draw the same random numbers as before.

--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -8,8 +8,11 @@
 from bench.emulator.scenario import ScenarioError, load_scenario
 from bench.emulator.simulation import run_scenario
 from bench.emulator.statistics import WINDOW_S, Statistics, Window
+from dragonflyshift._internal.carried.policies.admission import InTimeOnly
+from dragonflyshift._internal.carried.policies.target_first import TargetFirst
 
 USAGE_STATUS = 2
+POLICIES = {policy.plugin_name: policy for policy in (InTimeOnly, TargetFirst)}
 
 
 def main(arguments: Sequence[str]) -> int:
@@ -23,6 +26,10 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=1, help='how many')
     parser.add_argument('--windows', action='store_true')
+    parser.add_argument('--accounts', action='store_true')
+    parser.add_argument(
+        '--policy', choices=sorted(POLICIES), default='in-time-only'
+    )
     options = parser.parse_args(arguments)
     logging.disable(logging.CRITICAL)
     try:
@@ -32,8 +39,10 @@
         return USAGE_STATUS
     broken = False
     for seed in range(options.seed, options.seed + options.seeds):
-        statistics = run_scenario(scenario, seed)
+        statistics = run_scenario(scenario, seed, POLICIES[options.policy])
         _print_statistics(seed, statistics, with_windows=options.windows)
+        if options.accounts:
+            _print_accounts(statistics)
         broken = broken or bool(statistics.violations)
     return int(broken)
 
@@ -53,6 +62,11 @@
         print(f'  broken: {violation}')
 
 
+def _print_accounts(statistics: Statistics) -> None:
+    for (name, caller), window in sorted(statistics.accounts.items()):
+        print(f'  {name}-{caller}  {_format_window(window)}')
+
+
 def _format_window(window: Window) -> str:
     return (
         f'worth {window.worth:.3f}, sent {window.sent}, in time '
--- a/bench/emulator/clients.py
+++ b/bench/emulator/clients.py
@@ -25,6 +25,8 @@
 MAX_RETRANSMISSION_S = 1.6
 FIRST_PORT = 1024
 PORTS_PER_HOST = 60_000
+# Callers of a kind have addresses in a network below 100.64.0.0.
+CALLER_NETWORKS = 64
 _CODEC = PlatformCodec()
 
 
@@ -69,7 +71,8 @@
 
     def start_request(self, kind: LoadKind) -> None:
         """Send a request, and record a failure when its budget has passed."""
-        req = Request(kind, self.clock.now)
+        caller = self.rng.randrange(kind.callers) if kind.callers else 0
+        req = Request(kind, self.clock.now, caller)
         self.statistics.record_request(req)
         self.clock.after(
             kind.budget_ms / MS_PER_S,
@@ -106,9 +109,14 @@
     def _open_flow(self, req: Request, user: int) -> None:
         self._port_count += 1
         host, port = divmod(self._port_count, PORTS_PER_HOST)
+        address = f'100.64.{host}.7'
+        if req.kind.callers:
+            # Each kind has a service port, and its callers have a network.
+            network = self.services[req.kind.name] % CALLER_NETWORKS
+            address = f'100.{network}.{req.caller}.{host}'
         key = b''.join(
             (
-                socket.inet_aton(f'100.64.{host}.7'),
+                socket.inet_aton(address),
                 (FIRST_PORT + port).to_bytes(2, 'big'),
                 socket.inet_aton(SERVICE_HOST),
                 self.services[req.kind.name].to_bytes(2, 'big'),
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -64,6 +64,8 @@
     open for many requests; without users each request has its own flow. A
     request counts ``worth`` if it is answered within ``target_ms`` of the
     first attempt, ``late_worth`` if within ``budget_ms``, and otherwise 0.
+    The requests come from ``callers`` client addresses of this kind in equal
+    parts; without callers the address is of no account.
     """
 
     name: str
@@ -77,6 +79,7 @@
     users: int = 0
     retries: int = 2
     spread: float = 0.5
+    callers: int = 0
 
 
 @frozen
--- a/bench/emulator/statistics.py
+++ b/bench/emulator/statistics.py
@@ -11,10 +11,14 @@
 
 @define(eq=False)
 class Request:
-    """A request of a client, with all its attempts."""
+    """A request of a client, with all its attempts.
+
+    ``caller`` is the number of its client address among those of the kind.
+    """
 
     kind: LoadKind
     sent_at: float
+    caller: int = 0
     attempts: int = 0
     is_done: bool = False
 
@@ -46,32 +50,36 @@
 class Statistics:
     """Statistics of a run.
 
-    ``windows`` holds the windows by number, ``violations`` descriptions of
-    the guarantees that the run broke.
+    ``windows`` holds the windows by number, ``accounts`` the results of each
+    caller by load kind and number. ``violations`` holds descriptions of the
+    guarantees that the run broke.
     """
 
     windows: dict[int, Window] = field(factory=dict)
+    accounts: dict[tuple[str, int], Window] = field(factory=dict)
     violations: list[str] = field(factory=list)
 
     def record_request(self, req: Request) -> None:
         """Count a request at its first attempt."""
-        window = self._window(req)
-        window.sent += 1
-        window.offered_worth += req.kind.worth
+        for window in self._windows_of(req):
+            window.sent += 1
+            window.offered_worth += req.kind.worth
 
     def record_response(self, req: Request, now: float) -> None:
         """Count a response, as late if the target of the request has passed."""
-        window = self._window(req)
-        if req.age_ms(now) <= req.kind.target_ms:
-            window.in_time += 1
-            window.earned_worth += req.kind.worth
-        else:
-            window.late += 1
-            window.earned_worth += req.kind.late_worth
+        in_time = req.age_ms(now) <= req.kind.target_ms
+        for window in self._windows_of(req):
+            if in_time:
+                window.in_time += 1
+                window.earned_worth += req.kind.worth
+            else:
+                window.late += 1
+                window.earned_worth += req.kind.late_worth
 
     def record_failure(self, req: Request) -> None:
         """Count a request that used up its budget or its retries."""
-        self._window(req).failed += 1
+        for window in self._windows_of(req):
+            window.failed += 1
 
     def total(self) -> Window:
         """Return the sum of all windows."""
@@ -90,6 +98,11 @@
         window_worths = sorted(window.worth for window in self.windows.values())
         return sum(window_worths[:count]) / max(1, len(window_worths[:count]))
 
-    def _window(self, req: Request) -> Window:
+    def _windows_of(self, req: Request) -> list[Window]:
+        """Return the window in time of a request and that of its account."""
         number = int(req.sent_at / WINDOW_S)
-        return self.windows.setdefault(number, Window())
+        windows = [self.windows.setdefault(number, Window())]
+        if req.kind.callers:
+            account = (req.kind.name, req.caller)
+            windows.append(self.accounts.setdefault(account, Window()))
+        return windows
