Add the admission policy fair-share for carried flows

Cause: the queue of a sidecar is in order of priority and age, so the flows of a client that opens most of them displace those of all others.

Change: fair-share decides like in-time-only until a flow that may wait can't be served in time, and for 2 s after that puts flows of accounts below their shares first. At a full queue the youngest waiting flow of the account with the highest use gives way; the sidecar returns its first packet, which has not been delivered, to its balancer (take_displaced). An account is a client address with a priority, weighted 4, 2 and 1, so that the lowest priority keeps a share beside the same client's higher ones. The policy is chosen by plugins.opening-policy in the settings file and imported only then. Gauges show the shares in force, and the counter displaced what gave way.

--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -9,10 +9,14 @@
 from bench.emulator.simulation import run_scenario
 from bench.emulator.statistics import WINDOW_S, Statistics, Window
 from dragonflyshift._internal.carried.policies.admission import InTimeOnly
+from dragonflyshift._internal.carried.policies.fair_share import FairShare
 from dragonflyshift._internal.carried.policies.target_first import TargetFirst
 
 USAGE_STATUS = 2
-POLICIES = {policy.plugin_name: policy for policy in (InTimeOnly, TargetFirst)}
+POLICIES = {
+    policy.plugin_name: policy
+    for policy in (InTimeOnly, TargetFirst, FairShare)
+}
 
 
 def main(arguments: Sequence[str]) -> int:
--- a/src/dragonflyshift/_internal/carried/policies/admission.py
+++ b/src/dragonflyshift/_internal/carried/policies/admission.py
@@ -11,16 +11,22 @@
 """
 
 __all__ = (
+    'EXPIRY_MARGIN',
+    'LOWEST_PRIORITY',
     'MAX_START_AGE_MS',
     'OVERCOMMIT',
+    'START_MARGINS',
     'AdmissionDecision',
     'AdmissionPolicy',
     'InTimeOnly',
     'NewFlow',
+    'latest_start_ms',
+    'start_rank',
 )
 
 import enum
 from abc import abstractmethod
+from collections.abc import Callable
 
 from attrs import define, field
 
@@ -131,6 +137,18 @@
     def holds(self, key: bytes) -> bool:
         """Return whether a flow is waiting."""
 
+    def take_displaced(self) -> list[NewFlow]:
+        """Remove and return the waiting flows that gave way to a new one.
+
+        Their first packets have not been delivered. Only policies that
+        displace flows return any.
+        """
+        return []
+
+    def gauges(self) -> dict[str, Callable[[float], float]]:
+        """Return the gauges of the policy by name, as functions of the time."""
+        return {}
+
 
 class InTimeOnly(AdmissionPolicy, name='in-time-only'):
     """Queues only flows that can meet their latency target.
@@ -169,7 +187,7 @@
         )
         wait_ms = max(0, busy + older + 1 - slots) * service_ms / slots
         margin = START_MARGINS[min(flow.priority, LOWEST_PRIORITY)]
-        if age_ms + wait_ms > _latest_start_ms(flow, margin * service_ms):
+        if age_ms + wait_ms > latest_start_ms(flow, margin * service_ms):
             return AdmissionDecision.REFUSE
         self._waiting[flow.key] = flow
         return AdmissionDecision.WAIT
@@ -186,7 +204,7 @@
             return None
         chosen = min(
             self._waiting.values(),
-            key=lambda flow: _rank(now, flow, service_ms),
+            key=lambda flow: start_rank(now, flow, service_ms),
         )
         return self._waiting.pop(chosen.key)
 
@@ -196,7 +214,7 @@
             flow
             for flow in self._waiting.values()
             if flow.age_ms(now)
-            > _latest_start_ms(flow, EXPIRY_MARGIN * service_ms)
+            > latest_start_ms(flow, EXPIRY_MARGIN * service_ms)
         ]
         for flow in expired:
             self.discard(flow.key)
@@ -217,7 +235,7 @@
         return key in self._waiting
 
 
-def _rank(
+def start_rank(
     now: float,
     flow: NewFlow,
     service_ms: float,
@@ -234,6 +252,6 @@
     return (is_tight, flow.priority, age_ms if is_tight else -age_ms)
 
 
-def _latest_start_ms(flow: NewFlow, response_ms: float) -> float:
+def latest_start_ms(flow: NewFlow, response_ms: float) -> float:
     """Return the maximum age at which a flow may start."""
     return min(flow.target_ms - response_ms, MAX_START_AGE_MS)
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -126,14 +126,7 @@
     def return_waiting_flows(self, now: float) -> None:
         """Refuse all waiting flows and return them to their balancers."""
         for new_flow in self.backend.policy.clear():
-            packet = self.codec.from_client(new_flow.raw)
-            self.send_flow_status(
-                now,
-                new_flow.key,
-                FlowStatus.REFUSED,
-                new_flow.sender,
-                packet,
-            )
+            self._return_waiting_flow(now, new_flow)
 
     def return_new_flow(self, now: float, flow: BackendFlow) -> None:
         """Return the first packet of a flow whose server was lost.
@@ -224,6 +217,10 @@
             backend.slots,
             backend.service_ms(now),
         )
+        for displaced in backend.policy.take_displaced():
+            self.counters.incr('displaced')
+            self._return_waiting_flow(now, displaced)
+            self._log(now, 'displaced', displaced, busy)
         if decision is AdmissionDecision.REFUSE:
             self._send_refusal(
                 now,
@@ -242,6 +239,16 @@
         )
         self._log(now, decision.value, new_flow, busy)
 
+    def _return_waiting_flow(self, now: float, new_flow: NewFlow) -> None:
+        packet = self.codec.from_client(new_flow.raw)
+        self.send_flow_status(
+            now,
+            new_flow.key,
+            FlowStatus.REFUSED,
+            new_flow.sender,
+            packet,
+        )
+
     def _start(self, now: float, new_flow: NewFlow, packet: Packet) -> None:
         self.backend.table.add_new(now, packet, new_flow.sender)
         self.counters.observe('wait', new_flow.age_ms(now) / MS_PER_S)
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 
 from dragonflyshift._internal.carried.fleet.source import ViewSource
 from dragonflyshift._internal.carried.load import LoadReport
@@ -40,7 +41,7 @@
     LookupDelegateCallbacks,
 )
 from dragonflyshift._internal.exceptions import SettingsError
-from dragonflyshift._internal.kernel.registry import find_plugin
+from dragonflyshift._internal.kernel.registry import find_plugin, load_modules
 from dragonflyshift._internal.utils.datagrams import PlainUdpSocket
 from dragonflyshift._internal.utils.early_binding import BoundSockets
 
@@ -50,6 +51,13 @@
 MIN_DRAIN_S = 0.1
 DRAIN_CHECK_S = 0.02
 MS_PER_S = 1000
+# Modules of policies that are imported only when the settings name them, as
+# an import lengthens each start.
+_POLICIES = 'dragonflyshift._internal.carried.policies'
+_POLICY_MODULES = {
+    'fair-share': 'fair_share',
+    'target-first': 'target_first',
+}
 
 
 class SidecarNode(BaseNode):
@@ -79,7 +87,7 @@
             service=settings.service,
             address=settings.backend,
             view=self.view,
-            policy=find_plugin(AdmissionPolicy, policy_name)(),
+            policy=_load_policy(policy_name),
             knows_all=settings.is_first_start,
             listening_since_ms=(time.time() - sockets.age_s()) * MS_PER_S,
         )
@@ -94,6 +102,8 @@
             senders,
             self.counters,
         )
+        for name, read_value in self.backend.policy.gauges().items():
+            self.counters.gauge(name, _at_present(read_value))
         self.lookup_delegate = LookupDelegate(
             self.view,
             codec,
@@ -242,3 +252,17 @@
 
     def _on_backend_found(self) -> None:
         self.flow_handler.on_backend_found(time.monotonic())
+
+
+def _load_policy(name: str) -> AdmissionPolicy:
+    module = _POLICY_MODULES.get(name)
+    if module is not None:
+        load_modules((f'{_POLICIES}.{module}',))
+    return find_plugin(AdmissionPolicy, name)()
+
+
+def _at_present(
+    read_value: Callable[[float], float],
+) -> Callable[[], float]:
+    """Return a gauge that reads its value at the time of the request."""
+    return lambda: read_value(time.monotonic())
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -65,9 +65,16 @@
         stop_grace_s=float(bounds.get('graceS', 6)),
         flow_lifetime_s=float(bounds.get('flowMaxS', 60)),
         is_first_start=body.get('bootstrap') is True,
+        plugins=_plugins(body),
     )
 
 
+def _plugins(body: dict[str, Any]) -> dict[str, str]:
+    """Return the chosen plug-ins, by kind."""
+    plugins = body.get('plugins') or {}
+    return {str(kind): str(name) for kind, name in plugins.items()}
+
+
 def _seeds(body: dict[str, Any], peer_port: int) -> tuple[SocketAddress, ...]:
     """Return the seeds with the port at which daemons listen for each other.
 
--- a/tests/lib/carried.py
+++ b/tests/lib/carried.py
@@ -21,6 +21,7 @@
 )
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
 from dragonflyshift._internal.carried.policies.admission import (
+    AdmissionPolicy,
     InTimeOnly,
     NewFlow,
 )
@@ -231,6 +232,7 @@
     view: FleetView | None = None,
     *,
     knows_all: bool = True,
+    policy: AdmissionPolicy | None = None,
 ) -> tuple[FlowHandler, Outbox]:
     """Return the flow handler of the first endpoint, and its outbox."""
     outbox = Outbox()
@@ -238,7 +240,7 @@
         service=SERVICE,
         address=build_record().address,
         view=view or build_view(),
-        policy=InTimeOnly(),
+        policy=policy or InTimeOnly(),
         knows_all=knows_all,
     )
     tracker.apply_endpoint_record()
--- a/tests/unit/carried/test_flow_handler.py
+++ b/tests/unit/carried/test_flow_handler.py
@@ -15,6 +15,7 @@
     OwnershipQuery,
 )
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
+from dragonflyshift._internal.carried.policies.fair_share import FairShare
 from dragonflyshift.platform.packets import PlatformCodec
 from tests.lib.carried import (
     ACK,
@@ -131,6 +132,37 @@
         )
         self.assertEqual(outbox.to_backend, [])
 
+    def test_displaced_flow_is_returned_and_not_delivered(self) -> None:
+        """A flow that gives way must not run, nor be lost in silence."""
+        handler, outbox = build_flow_handler(policy=FairShare())
+        for number in range(20):
+            handler.on_admission_request(
+                0, build_admission_request(build_key(number)), _BALANCER
+            )
+        waiting = handler.backend.policy.waiting
+        outbox.clear()
+        light = b''.join((b'\x0a\x09\x09\x09', build_key()[4:]))
+        handler.on_admission_request(
+            0, build_admission_request(light), _OTHER_BALANCER
+        )
+        replies = {
+            message.key: (message.status, message.raw, address)
+            for message, address in outbox.to_daemon
+            if isinstance(message, FlowReply)
+        }
+        accepted = replies.pop(light)
+        self.assertEqual(accepted, (FlowStatus.ACCEPTED, b'', _OTHER_BALANCER))
+        ((displaced, returned),) = replies.items()
+        first_packet = build_packet(displaced, SYN)
+        self.assertEqual(
+            returned, (FlowStatus.REFUSED, first_packet, _BALANCER)
+        )
+        self.assertEqual(handler.backend.policy.waiting, waiting)
+        self.assertFalse(handler.backend.policy.holds(displaced))
+        self.assertIsNone(handler.backend.table.get(displaced))
+        self.assertEqual((outbox.to_client, outbox.to_backend), ([], []))
+        self.assertEqual(handler.counters.counts['displaced'], 1)
+
     def test_bounced_first_packet_is_returned_to_the_balancer(self) -> None:
         self.handler.on_admission_request(
             0,
--- /dev/null
+++ b/tests/unit/carried/test_sidecar_node.py
@@ -0,0 +1,48 @@
+"""Tests which admission policy a sidecar uses.
+
+A policy whose module is imported only by name would be unknown to a sidecar
+that is set to it, and its gauges would be missing from the metrics page.
+"""
+
+import unittest
+
+from dragonflyshift._internal.carried.node_settings import NodeSettings
+from dragonflyshift._internal.carried.policies.admission import InTimeOnly
+from dragonflyshift._internal.carried.policies.fair_share import FairShare
+from dragonflyshift._internal.carried.sidecar.node import SidecarNode
+from dragonflyshift._internal.exceptions import KernelError
+from dragonflyshift._internal.utils.early_binding import BoundSockets
+from dragonflyshift.platform.packets import PlatformCodec
+
+
+def _node(**plugins: str) -> SidecarNode:
+    settings = NodeSettings(
+        name='side-1',
+        data_center='klang',
+        regions={'klang': 'selangor'},
+        peers=('127.0.0.1', 7720),
+        readiness=('127.0.0.1', 8167),
+        client_port=8172,
+        service='lists',
+        backend=('127.0.0.1', 8165),
+        plugins={
+            kind.replace('_', '-'): name for kind, name in plugins.items()
+        },
+    )
+    return SidecarNode(settings, PlatformCodec(), None, BoundSockets())
+
+
+class SidecarNodeTest(unittest.TestCase):
+    def test_default_policy_stays(self) -> None:
+        self.assertIs(type(_node().backend.policy), InTimeOnly)
+
+    def test_policy_is_chosen_by_name(self) -> None:
+        node = _node(opening_policy='fair-share')
+        self.assertIs(type(node.backend.policy), FairShare)
+        page = node.counters.exposition().decode()
+        self.assertIn('dragonflyshift_share_accounts 0.0', page)
+        self.assertIn('dragonflyshift_share_level_per_s +Inf', page)
+
+    def test_unknown_policy_is_an_error(self) -> None:
+        with self.assertRaisesRegex(KernelError, 'first-come'):
+            _node(opening_policy='first-come')
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -61,6 +61,12 @@
         self.assertEqual(settings.backend, ('127.0.0.1', 8165))
         self.assertEqual(settings.outbound, ('127.0.0.1', 8162))
         self.assertEqual(settings.client_port, 8172)
+        self.assertEqual(settings.plugins, {})
+
+    def test_plugins_are_chosen_by_kind(self) -> None:
+        plugins = {'opening-policy': 'fair-share'}
+        settings = self._read({**_SIDECAR_SETTINGS, 'plugins': plugins})
+        self.assertEqual(settings.plugins, plugins)
 
     def test_error_names_the_missing_field(self) -> None:
         for name in ('node', 'ip', 'zone', 'listenAddrs', 'internalPorts'):
