Add the admission plug-in fair-share for requests of QUIC flows

Cause: the queue of adaptive limits a flow, not a client, so a client with many flows keeps it full.

For 2 s after that, requests of client addresses below their shares go first, and one of them displaces a request of the address with the highest use where the queue would refuse it. The displaced request is refused as not run. Gauges show the shares in force.

Load on real processes is not measured.

--- a/src/dragonflyshift/_internal/limits/__init__.py
+++ b/src/dragonflyshift/_internal/limits/__init__.py
@@ -6,5 +6,12 @@
     QueueFullError,
     Ticket,
 )
+from dragonflyshift._internal.limits.fair_share import FairShareAdmission
 
-__all__ = ('AdaptiveAdmission', 'Admission', 'QueueFullError', 'Ticket')
+__all__ = (
+    'AdaptiveAdmission',
+    'Admission',
+    'FairShareAdmission',
+    'QueueFullError',
+    'Ticket',
+)
--- a/src/dragonflyshift/_internal/limits/base.py
+++ b/src/dragonflyshift/_internal/limits/base.py
@@ -27,14 +27,17 @@
 class Ticket:
     """A queued request; times are seconds of the monotonic clock.
 
-    ``client`` identifies the flow of the request. ``waiter`` belongs to the
-    caller.
+    ``client`` identifies the flow of the request: the four bytes of the
+    client's address and an id. ``waiter`` belongs to the caller.
+    ``displaces`` holds the requests that gave way to this one: they are no
+    longer queued and have not run.
     """
 
     deadline: float
     enqueued_at: float
     client: bytes = b''
     waiter: object = field(default=None)
+    displaces: 'tuple[Ticket, ...]' = ()
 
 
 class Admission(Plugin, kind='admission'):
@@ -72,6 +75,9 @@
     def try_start(self, now: float) -> bool:
         """Take a slot if one is free and no request waits; return success."""
 
+    def record_start(self, now: float, client: bytes) -> None:
+        """Record whose request took a slot by ``try_start``."""
+
     @abstractmethod
     def finish(self, now: float, held: float) -> None:
         """Release a slot that was held for ``held`` seconds."""
@@ -113,6 +119,10 @@
     def retry_after(self, now: float) -> float:
         """Return the estimated seconds until a slot is free."""
 
+    def gauges(self, now: float) -> dict[str, float]:
+        """Return the levels of the plug-in's own gauges by name."""
+        return {}
+
     @abstractmethod
     def resize(self, slots: int, queue_limit: int) -> None:
         """Change the limits; keep running and queued requests."""
--- a/src/dragonflyshift/_internal/sidecar/flow.py
+++ b/src/dragonflyshift/_internal/sidecar/flow.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import logging
+import socket
 import time
 from collections.abc import Awaitable, Callable
 
@@ -55,15 +56,18 @@
         quic: ServerConnection,
         handler: RequestHandler,
         original_id: bytes,
+        client_host: str,
         idle_timeout: float,
     ) -> None:
         """Create the server's end of a connection.
 
         ``original_id`` is the destination id that the client chose for its
-        first packet; it identifies the flow in traces.
+        first packet; it identifies the flow in traces. ``client_host`` is
+        the client's address, with which ``client_id`` begins.
         """
         super().__init__(quic)
         self.original_id = original_id
+        self.client_id = socket.inet_aton(client_host) + original_id
         self._handler = handler
         self._keepalive_period = idle_timeout / KEEPALIVES_PER_IDLE_TIMEOUT
         self._http: H3Connection | None = None
--- a/src/dragonflyshift/_internal/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/sidecar/flows.py
@@ -245,6 +245,7 @@
             quic,
             self._handler,
             header.destination,
+            forward.client.host,
             self._configuration.idle_timeout,
         )
         path = self._sender.open_path(forward)
--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -290,6 +290,7 @@
                 self._admission.free_slots(now),
                 self._admission.queued,
             )
+            self._requests.finder.publish_gauges(now)
             busy = self._admission.running or self._admission.queued
             await asyncio.sleep(
                 DISPATCH_PERIOD_SECONDS
--- a/src/dragonflyshift/_internal/sidecar/placing.py
+++ b/src/dragonflyshift/_internal/sidecar/placing.py
@@ -19,6 +19,7 @@
 from dragonflyshift._internal.sidecar.request import Request
 from dragonflyshift._internal.sidecar.request_queue import (
     DeadlineExpired,
+    Displaced,
     LocalReservation,
     QueuedRequest,
     RequestQueue,
@@ -61,6 +62,7 @@
         self._accepts_work = accepts_work
         self._send_offer = send_offer
         self._metrics = metrics
+        self._gauges: dict[str, float] = {}
         self._queue = RequestQueue(admission, runner, metrics)
         self.offers = OfferQueue()
 
@@ -81,7 +83,9 @@
             reservation = await self._claim_less_loaded(req)
             if reservation is not None:
                 return reservation
-        if use_local and self._admission.try_start(time.monotonic()):
+        now = time.monotonic()
+        if use_local and self._admission.try_start(now):
+            self._admission.record_start(now, req.info.client)
             return LocalReservation(self._runner, Slot(self._admission))
         reservation = await self._claim_from_peers(req)
         if reservation is not None:
@@ -103,6 +107,14 @@
                 self._metrics.incr('offers')
                 self._send_offer(requester)
 
+    def publish_gauges(self, now: float) -> None:
+        """Send the gauges of the admission that have changed."""
+        gauges = self._admission.gauges(now)
+        for name, level in gauges.items():
+            if self._gauges.get(name) != level:
+                self._metrics.gauge(name, level)
+        self._gauges = gauges
+
     def handle_offer(self, peer: Address) -> None:
         """Wake the next queued request to claim the offered slot."""
         self._queue.wake_next(SlotOffered(peer))
@@ -119,8 +131,8 @@
                 raise
             if isinstance(wakeup, LocalReservation | PeerReservation):
                 return wakeup
-            if isinstance(wakeup, DeadlineExpired):
-                raise self._queue.expiry_error()
+            if isinstance(wakeup, DeadlineExpired | Displaced):
+                raise self._queue.refusal_error(wakeup)
             if not isinstance(wakeup, SlotOffered):
                 return await self._retry_peers(req)
             reservation = await self._claims.claim_at(wakeup.peer, req)
--- a/src/dragonflyshift/_internal/sidecar/request_queue.py
+++ b/src/dragonflyshift/_internal/sidecar/request_queue.py
@@ -51,7 +51,14 @@
     """The deadline of the request passed."""
 
 
-Wakeup = LocalReservation | SlotOffered | MoveToPeers | DeadlineExpired
+@frozen
+class Displaced:
+    """The request gave way to one of a client below its share."""
+
+
+Wakeup = (
+    LocalReservation | SlotOffered | MoveToPeers | DeadlineExpired | Displaced
+)
 
 
 @define(eq=False)
@@ -89,6 +96,8 @@
             raise NotRunError('all slots are busy', exc.retry_after) from exc
         future = asyncio.get_running_loop().create_future()
         ticket.waiter = future
+        for displaced in ticket.displaces:
+            _wake(displaced, Displaced())
         return QueuedRequest(ticket, future)
 
     def remove(self, queued: QueuedRequest) -> None:
@@ -129,10 +138,13 @@
         _wake(ticket, wakeup)
         return True
 
-    def expiry_error(self) -> NotRunError:
-        """Count and return the error of a request that expired in the queue."""
-        self._metrics.incr('refused.expired')
+    def refusal_error(self, wakeup: DeadlineExpired | Displaced) -> NotRunError:
+        """Count and return the error of a request that left the queue."""
         retry_after = self._admission.retry_after(time.monotonic())
+        if isinstance(wakeup, Displaced):
+            self._metrics.incr('refused.displaced')
+            return NotRunError('the client used up its share', retry_after)
+        self._metrics.incr('refused.expired')
         return NotRunError('no slot before the deadline', retry_after)
 
 
--- a/src/dragonflyshift/_internal/sidecar/requests.py
+++ b/src/dragonflyshift/_internal/sidecar/requests.py
@@ -157,7 +157,7 @@
         """Handle one request; every failure is also sent to the client."""
         self._metrics.incr('requests')
         try:
-            info = classify(headers, self._rules(), flow.original_id, b'')
+            info = classify(headers, self._rules(), flow.client_id, b'')
         except BadRequestError as exc:
             text = f'{exc.message}\n'
             await send_text(sink, STATUS_BAD_REQUEST, text, (_NOT_RUN_HEADER,))
--- a/src/dragonflyshift/_internal/sidecar/serving.py
+++ b/src/dragonflyshift/_internal/sidecar/serving.py
@@ -119,6 +119,7 @@
                     stream, NotRunError('the lease ended')
                 )
             else:
+                self._admission.record_start(time.monotonic(), head.client)
                 run = functools.partial(self._run_traced, slot)
                 await run_for_peer(stream, head, run)
         finally:
--- a/tests/unit/sidecar/test_placing.py
+++ b/tests/unit/sidecar/test_placing.py
@@ -9,7 +9,11 @@
 import unittest
 from unittest.mock import AsyncMock, Mock
 
-from dragonflyshift._internal.limits import AdaptiveAdmission
+from dragonflyshift._internal.limits import (
+    AdaptiveAdmission,
+    Admission,
+    FairShareAdmission,
+)
 from dragonflyshift._internal.sidecar.failures import NotRunError
 from dragonflyshift._internal.sidecar.placing import SlotFinder
 from dragonflyshift._internal.sidecar.request import (
@@ -23,7 +27,7 @@
 TIMEOUT_SECONDS = 30
 
 
-def _request() -> Request:
+def _request(client: bytes = b'flow') -> Request:
     info = RequestInfo(
         method=b'GET',
         target=b'/lists/1',
@@ -31,15 +35,19 @@
         deadline=time.monotonic() + TIMEOUT_SECONDS,
         idempotent=True,
         streaming=False,
-        client=b'flow',
+        client=client,
     )
     return Request(info, ReplayBody())
 
 
 class SlotFinderTest(unittest.IsolatedAsyncioTestCase):
-    def finder(self, **claims: object) -> SlotFinder:
+    def finder(
+        self,
+        plugin: type[Admission] = AdaptiveAdmission,
+        **claims: object,
+    ) -> SlotFinder:
         return SlotFinder(
-            AdaptiveAdmission(1, 8, 0, time.monotonic()),
+            plugin(1, 8, 0, time.monotonic()),
             Mock(),
             Mock(**{'claim': AsyncMock(return_value=None), **claims}),
             lambda: True,
@@ -76,3 +84,28 @@
         finder._accepts_work = bool
         finder.dispatch()
         self.assertIs(await queued, reservation)
+
+    async def test_displaced_request_is_refused_at_once(self) -> None:
+        """It has not run, and must not wait for its deadline."""
+        finder = self.finder(FairShareAdmission)
+        await finder.find(_request(), skip_local=False)
+        heavy = [
+            asyncio.create_task(
+                finder.find(_request(b'hostflow%d' % flow), skip_local=False)
+            )
+            for flow in range(8)
+        ]
+        await asyncio.sleep(0)
+        light = asyncio.create_task(
+            finder.find(_request(b'lonely'), skip_local=False)
+        )
+        async with asyncio.timeout(IMMEDIATE_SECONDS):
+            done, queued = await asyncio.wait(
+                heavy, return_when=asyncio.FIRST_COMPLETED
+            )
+        self.assertEqual((len(done), len(queued)), (1, 7))
+        with self.assertRaisesRegex(NotRunError, 'share'):
+            await done.pop()
+        self.assertFalse(light.done())
+        for task in (light, *queued):
+            task.cancel()
