Test shares of client addresses with real processes

Cause: the stand-in of the fabric forwarded all datagrams from its own address, so balancers and sidecars saw one address for all clients, and the first run of the new functional test failed with a refusal of the other client.

--- a/tests/lib/fabric.py
+++ b/tests/lib/fabric.py
@@ -140,9 +140,10 @@
 
     async def _connect(self, upstream: _Upstream) -> None:
         loop = asyncio.get_running_loop()
+        # Balancers see the address of the client, as behind a real fabric.
         await loop.create_datagram_endpoint(
             lambda: upstream,
-            local_addr=(self._address.host, 0),
+            local_addr=(upstream.client[0], 0),
         )
 
 
