Test that urgent flows displace none of their own client

Cause: the rule had no test; without it, fleets whose clients share an address lose worth to returned flows.

--- a/tests/unit/carried/test_fair_share.py
+++ b/tests/unit/carried/test_fair_share.py
@@ -57,6 +57,16 @@
         self.assertIs(self._offer(self._flow(_HEAVY)), AdmissionDecision.REFUSE)
         self.assertEqual(self.policy.take_displaced(), [])
 
+    def test_urgent_flow_displaces_none_of_its_own_client(self) -> None:
+        """Behind one address that costs offers and retries for nothing."""
+        self._fill()
+        for client in (_HEAVY, _LIGHT):
+            for _ in range(3):
+                self._offer(self._flow(client, priority=1))
+            displaced = self.policy.take_displaced()
+            with self.subTest(client=client):
+                self.assertEqual(bool(displaced), client == _LIGHT)
+
     def test_flow_that_would_be_late_is_refused_below_its_share(self) -> None:
         self._fill()
         late = self._flow(_LIGHT, waited_ms=170)
