Run a real sidecar with the policy fair-share

Cause: the policy is imported by name after a start that blocks modules, which only a real process shows.

Change: the harness of the carried path takes plug-ins; a test opens a flow at a sidecar with fair-share and reads its gauges.

--- a/tests/functional/test_carried_path.py
+++ b/tests/functional/test_carried_path.py
@@ -86,6 +86,17 @@
             'dragonflyshift_service_seconds_bucket{le="+Inf"}', metrics
         )
 
+    async def test_sidecar_runs_with_fair_shares(self) -> None:
+        """Its policy is imported by name, while a start blocks modules."""
+        self.harness.plugins['opening-policy'] = 'fair-share'
+        await self.harness.stop_process('sidecar', signal.SIGKILL)
+        await self.harness.start_process('sidecar')
+        await self._open_flow()
+        await self._exchange_packets()
+        metrics = await fetch_metrics(SIDECAR_HOST)
+        self.assertEqual(metrics['dragonflyshift_share_accounts'], 1)
+        self.assertEqual(metrics['dragonflyshift_shares_in_force'], 0)
+
     async def test_sigterm_stops_both_daemons_with_exit_status_0(self) -> None:
         await self._open_flow()
         self.assertEqual(
--- a/tests/lib/carried_harness.py
+++ b/tests/lib/carried_harness.py
@@ -163,12 +163,14 @@
 class CarriedHarness:
     """Runs a store, a balancer and a sidecar, and holds their ports.
 
-    The daemons import the package from ``python_path``.
+    The daemons import the package from ``python_path`` and use ``plugins``,
+    by kind.
     """
 
     folder: Path
     interpreter_options: tuple[str, ...] = ()
     python_path: Path = ROOT / 'src'
+    plugins: dict[str, str] = field(factory=dict)
     store: FakeStore = field(factory=FakeStore)
     ports: dict[str, int] = field(factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(factory=dict)
@@ -272,4 +274,5 @@
             'service': '' if is_balancer else 'lists',
             'app': '' if is_balancer else f'{host}:{self.ports["app"]}',
             'platform': {'address': f'{store_host}:{store_port}'},
+            'plugins': self.plugins,
         }
