--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -10,8 +10,15 @@
 from bench.emulator.scenario import ScenarioError, load_scenario
 from bench.emulator.simulation import run_scenario
 from bench.emulator.statistics import WINDOW_S, Statistics, Window
+from dragonflyshift._internal.carried.policies.admission import InTimeOnly
+from dragonflyshift._internal.carried.policies.fair_share import FairShare
+from dragonflyshift._internal.carried.policies.target_first import TargetFirst
 
 USAGE_STATUS = 2
+POLICIES = {
+    policy.plugin_name: policy
+    for policy in (InTimeOnly, TargetFirst, FairShare)
+}
 
 
 def main(arguments: Sequence[str]) -> int:
@@ -30,6 +37,10 @@
         action='store_true',
         help='drop the warm-up rate from the configuration',
     )
+    parser.add_argument('--accounts', action='store_true')
+    parser.add_argument(
+        '--policy', choices=sorted(POLICIES), default='in-time-only'
+    )
     options = parser.parse_args(arguments)
     logging.disable(logging.CRITICAL)
     try:
@@ -42,8 +53,10 @@
         scenario = evolve(scenario, fleet=fleet)
     broken = False
     for seed in range(options.seed, options.seed + options.seeds):
-        statistics = run_scenario(scenario, seed)
+        statistics = run_scenario(scenario, seed, POLICIES[options.policy])
         _print_statistics(seed, statistics, with_windows=options.windows)
+        if options.accounts:
+            _print_accounts(statistics)
         broken = broken or bool(statistics.violations)
     return int(broken)
 
@@ -64,6 +77,11 @@
         print(f'  broken: {violation}')
 
 
+def _print_accounts(statistics: Statistics) -> None:
+    for (name, caller), window in sorted(statistics.accounts.items()):
+        print(f'  {name}-{caller}  {_format_window(window)}')
+
+
 def _format_window(window: Window) -> str:
     return (
         f'worth {window.worth:.3f}, sent {window.sent}, in time '
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -256,6 +256,10 @@
             backend.slots,
             backend.service_ms(now),
         )
+        for displaced in backend.policy.take_displaced():
+            self.counters.incr('displaced')
+            self._return_flows(now, [displaced])
+            self._log(now, 'displaced', displaced, busy)
         if decision is AdmissionDecision.REFUSE:
             self._send_refusal(
                 now,
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from dragonflyshift._internal.carried.fleet.source import ViewSource
@@ -37,7 +38,7 @@
     BackendHealthCheck,
 )
 from dragonflyshift._internal.exceptions import SettingsError
-from dragonflyshift._internal.kernel.registry import find_plugin
+from dragonflyshift._internal.kernel.registry import find_plugin, load_modules
 from dragonflyshift._internal.utils.datagrams import PlainUdpSocket
 from dragonflyshift._internal.utils.early_binding import BoundSockets
 
@@ -52,6 +53,13 @@
 MIN_DRAIN_S = 0.1
 DRAIN_CHECK_S = 0.02
 MS_PER_S = 1000
+# Modules of policies that are imported only when the settings name them, as
+# an import lengthens each start.
+_POLICIES = 'dragonflyshift._internal.carried.policies'
+_POLICY_MODULES = {
+    'fair-share': 'fair_share',
+    'target-first': 'target_first',
+}
 
 
 class SidecarNode(BaseNode):
@@ -81,7 +89,7 @@
             service=settings.service,
             address=settings.backend,
             view=self.view,
-            policy=find_plugin(AdmissionPolicy, policy_name)(),
+            policy=_load_policy(policy_name),
             knows_all=settings.is_first_start,
             data_center=settings.data_center,
             listening_since_ms=(time.time() - sockets.age_s()) * MS_PER_S,
@@ -103,6 +111,8 @@
         )
         # Created at the first request, as small fleets have none.
         self.lookup_delegate: LookupDelegate | None = None
+        for name, read_value in self.backend.policy.gauges().items():
+            self.counters.gauge(name, _at_present(read_value))
         self.counters.gauge(
             'open_flows', lambda: len(self.backend.table.live_flows())
         )
@@ -278,3 +288,17 @@
             node.flow_handler.admission.record_malformed,
         ),
     )
+
+
+def _load_policy(name: str) -> AdmissionPolicy:
+    module = _POLICY_MODULES.get(name)
+    if module is not None:
+        load_modules((f'{_POLICIES}.{module}',))
+    return find_plugin(AdmissionPolicy, name)()
+
+
+def _at_present(
+    read_value: Callable[[float], float],
+) -> Callable[[], float]:
+    """Return a gauge that reads its value at the time of the request."""
+    return lambda: read_value(time.monotonic())
--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -306,6 +306,7 @@
                 self._admission.queued,
             )
             self._evacuation.report_flows(len(self._flows))
+            self._requests.finder.publish_gauges(now)
             busy = self._admission.running or self._admission.queued
             await asyncio.sleep(
                 DISPATCH_PERIOD_SECONDS
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -69,9 +69,16 @@
         warmup_slack=_non_negative(bounds.get('warmupSlack', 5)),
         has_warmup_bounds=not _WARMUP_BOUNDS.isdisjoint(bounds),
         is_first_start=body.get('bootstrap') is True,
+        plugins=_plugins(body),
     )
 
 
+def _plugins(body: dict[str, Any]) -> dict[str, str]:
+    """Return the chosen plug-ins, by kind."""
+    plugins = body.get('plugins') or {}
+    return {str(kind): str(name) for kind, name in plugins.items()}
+
+
 def _seeds(body: dict[str, Any], peer_port: int) -> tuple[SocketAddress, ...]:
     """Return the seeds with the port at which daemons listen for each other.
 
