--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -90,7 +90,9 @@
             return
         reason = self._refusal_reason(now, message, packet)
         if reason == _EVACUATED:
-            self._send_evacuation(balancer)
+            self.counters.incr('refused_evacuated')
+            notice = _evacuation_notice(self.backend)
+            self.senders.to_balancer(notice.encode(), balancer)
         if reason:
             self._send_refusal(now, packet.key, balancer, reason)
             return
@@ -227,25 +229,6 @@
             return WARMUP_REFUSAL
         return '' if state is BackendState.SERVING else state.name.lower()
 
-    def _send_evacuation(self, balancer: SocketAddress) -> None:
-        """Send the evacuation to a balancer that doesn't know of it.
-
-        The notice confirms nothing else: it has the greatest age.
-        """
-        view = self.backend.view
-        record = view.evacuations.find(self.backend.data_center)
-        if record is not None:
-            notice = ChangeNotice(
-                base=record.revision,
-                revision=record.revision,
-                version=view.routes.version,
-                age_ms=MAX_NOTICE_AGE_MS,
-                records=(),
-                removed=encode_evacuations((record,)),
-            )
-            self.counters.incr('refused_evacuated')
-            self.senders.to_balancer(notice.encode(), balancer)
-
     def _admit(self, now: float, new_flow: NewFlow, packet: Packet) -> None:
         backend = self.backend
         busy = backend.table.busy_slots(now)
@@ -389,3 +372,21 @@
     """
     copies = min(packet.acknowledged, len(RETRANSMISSION_AGES_MS) - 1)
     return RETRANSMISSION_AGES_MS[copies]
+
+
+def _evacuation_notice(backend: BackendTracker) -> ChangeNotice:
+    """Return a notice for a balancer that doesn't know of an evacuation.
+
+    It confirms nothing else, so it has the greatest age.
+    """
+    evacuations = backend.view.evacuations
+    record = evacuations.find(backend.data_center)
+    revision = 0 if record is None else record.revision
+    return ChangeNotice(
+        base=revision,
+        revision=revision,
+        version=backend.view.routes.version,
+        age_ms=MAX_NOTICE_AGE_MS,
+        records=(),
+        removed=encode_evacuations(() if record is None else (record,)),
+    )
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -75,9 +75,9 @@
     awaits_warmups: bool = field(default=False)
     # Monotonic time from which on this process sees all flows of the server.
     _created_at: float = field(init=False)
-    # Name and start time of the newest record of the server, and the end of
-    # the warm-up time that the record states.
-    _listed_start: tuple[str, int] | None = field(default=None)
+    # Revision of the newest record of the server, and the end of the warm-up
+    # time that the record states.
+    _listed_revision: int | None = field(default=None)
     _listed_cold_until: float = field(default=float('-inf'))
     _found_at: float = field(default=float('-inf'))
     # None until the configuration has a warm-up rate for the service.
@@ -187,9 +187,10 @@
         )
 
     def _record_listed(self, listed: EndpointRecord) -> None:
-        start = (listed.name, listed.started_ms)
-        if start != self._listed_start:
-            self._listed_start = start
+        # A server may become cold without a restart, and then writes how long
+        # it stays so. Each record states an upper bound.
+        if listed.revision != self._listed_revision:
+            self._listed_revision = listed.revision
             warmup_s = listed.warmup_ms / MS_PER_S
             self._listed_cold_until = self.view.clock() + warmup_s
 
@@ -208,7 +209,7 @@
             self._listed_cold_until,
             self._found_at + warmup.seconds,
         )
-        if self._listed_start is None and not self.is_first_start:
+        if self._listed_revision is None and not self.is_first_start:
             pace.cold_until = float('inf')
         if self.knows_all:
             pace.closed_until = float('-inf')
--- a/tests/unit/carried/test_warmup.py
+++ b/tests/unit/carried/test_warmup.py
@@ -60,14 +60,21 @@
         self._offer_all(0, range(40))
         self.assertEqual(len(self.outbox.to_backend), 40)
 
-    def test_further_record_of_a_start_does_not_extend_the_limit(self) -> None:
-        """Endpoints renew their records with what was left at first."""
-        self.now = 3
+    def test_server_that_becomes_cold_without_a_restart_is_limited(self):
+        """Servers of a data centre may be cold at the end of an evacuation."""
+        self.now = 10
         self._list(warmup_ms=4000, revision=9)
-        self.assertTrue(self.handler.backend.may_start(_COLD_S))
-        self._list(warmup_ms=4000, revision=10, started_ms=2000)
-        self._offer_all(_COLD_S, range(20))
+        self._offer_all(10, range(20))
         self.assertEqual(len(self.outbox.to_backend), _LIMIT)
+        self.assertTrue(self.handler.backend.may_start(10 + _COLD_S))
+
+    def test_newest_record_says_how_long_a_start_is_cold(self) -> None:
+        self.now = 1
+        self._list(warmup_ms=0, revision=9)
+        self._offer_all(1, range(40))
+        self.assertEqual(len(self.outbox.to_backend), 40)
+        self._list(warmup_ms=4000, revision=10, started_ms=2000)
+        self.assertFalse(self.handler.backend.may_start(1))
 
     def test_waiting_flows_start_within_the_limit_or_are_returned(self) -> None:
         self.handler.backend.slots = 1
