--- a/src/dragonflyshift/_internal/carried/balancer/forwarder.py
+++ b/src/dragonflyshift/_internal/carried/balancer/forwarder.py
@@ -113,6 +113,7 @@
             ),
             rng,
             candidates,
+            counters,
         )
         self.owner_lookup = OwnerLookup(
             view,
--- a/src/dragonflyshift/_internal/carried/packet.py
+++ b/src/dragonflyshift/_internal/carried/packet.py
@@ -7,6 +7,7 @@
     'PacketCodec',
     'SocketAddress',
     'client_host',
+    'first_packet_age_ms',
     'flow_name',
 )
 
@@ -20,6 +21,9 @@
 FLOW_KEY_BYTES = 12
 # Host and port, as the functions of the socket module take them.
 SocketAddress = tuple[str, int]
+# Time since the first transmission, by the copy's number: clients retransmit
+# a first packet at these ages and number the copies.
+RETRANSMISSION_AGES_MS = (0, 200, 600)
 
 
 def client_host(key: FlowKey) -> str:
@@ -66,6 +70,16 @@
         return self.is_syn and not self.is_ack
 
 
+def first_packet_age_ms(packet: Packet) -> int:
+    """Return the age of a flow in ms, from the number of its packet's copy.
+
+    A client writes the number of the copy into the acknowledgement field of
+    a first packet.
+    """
+    copies = min(packet.acknowledged, len(RETRANSMISSION_AGES_MS) - 1)
+    return RETRANSMISSION_AGES_MS[copies]
+
+
 class PacketCodec(ABC):
     """Decodes and builds packets of one wire layout."""
 
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -18,6 +18,7 @@
     Packet,
     PacketCodec,
     SocketAddress,
+    first_packet_age_ms,
     flow_name,
 )
 from dragonflyshift._internal.carried.policies.admission import (
@@ -34,9 +35,6 @@
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1000
-# Time since the first transmission, by the copy's number: clients retransmit
-# a first packet at these ages and number the copies.
-RETRANSMISSION_AGES_MS = (0, 200, 600)
 
 
 @define(eq=False, repr=False)
@@ -88,7 +86,7 @@
             target_ms=message.target_ms,
             timeout_ms=message.timeout_ms,
             priority=message.priority,
-            waited_ms=max(message.waited_ms, _retransmission_age_ms(packet)),
+            waited_ms=max(message.waited_ms, first_packet_age_ms(packet)),
             is_last=message.is_last,
             sender=balancer,
         )
@@ -304,13 +302,3 @@
                 'revision': backend.view.revision,
             },
         )
-
-
-def _retransmission_age_ms(packet: Packet) -> int:
-    """Return the age of a flow in ms, from the number of its packet's copy.
-
-    A client writes the number of the copy into the acknowledgement field of
-    a first packet.
-    """
-    copies = min(packet.acknowledged, len(RETRANSMISSION_AGES_MS) - 1)
-    return RETRANSMISSION_AGES_MS[copies]
