--- a/bench/emulator/backend.py
+++ b/bench/emulator/backend.py
@@ -42,14 +42,16 @@
     Further requests wait in a queue; a full queue sheds them. The payload of
     a request is the mean service time in microseconds and its spread in
     percent. ``outbound(raw)`` sends a packet to the sidecar. Service times are
-    multiplied by ``slowdown``. ``cold_flows`` counts the new flows while the
-    server was cold, ``cold_peak`` is the highest number in any second.
+    multiplied by ``slowdown`` and divided by ``speed``. ``cold_flows`` counts
+    the new flows while the server was cold, ``cold_peak`` is the highest number
+    in any second.
     """
 
     clock: VirtualClock
     plan: FleetPlan
     rng: random.Random
     outbound: Callable[[bytes], None]
+    speed: float = 1.0
     slowdown: float = 1.0
     is_down: bool = False
     started_requests: int = 0
@@ -133,6 +135,8 @@
         sigma = int(spread) / 100
         noise = self.rng.lognormvariate(-sigma * sigma / 2, sigma)
         service_time_s = int(mean_us) * noise / MS_PER_S / MS_PER_S
+        if self.plan.slow_share and self.rng.random() < self.plan.slow_share:
+            service_time_s *= self.plan.slow_factor
         if self._running < self.plan.slots:
             self._start_request(packet.key, service_time_s)
         elif len(self._queue) < self.plan.queue:
@@ -145,7 +149,7 @@
         self.started_requests += 1
         cold = self._cold_factor() if self._is_cold() else 1
         self.clock.after(
-            service_time_s * self.slowdown * cold,
+            service_time_s * self.slowdown * cold / self.speed,
             partial(self._on_finished, key, self._generation),
         )
 
--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -2,9 +2,10 @@
 
 __all__ = ('Simulation', 'run_scenario')
 
+import math
 import random
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 import xxhash
@@ -85,10 +86,12 @@
     load_factor: float = 1
     _rng: random.Random = field(init=False)
     _routes: list[Route] = field(init=False)
-    _records: list[EndpointRecord] = field(factory=list)
     # The balancers that the fabric sends packets to.
     _rotation: list[EmulatedBalancer] = field(factory=list)
     _missed_checks: dict[SocketAddress, int] = field(factory=dict)
+    _daemons: dict[SocketAddress, EmulatedBalancer | EmulatedSidecar] = field(
+        factory=dict,
+    )
 
     def __attrs_post_init__(self) -> None:
         """Create the fleet and its clients."""
@@ -124,11 +127,11 @@
             self._schedule_request(kind)
         injector = FaultInjector(self, self._rng)
         for fault in self.scenario.faults:
-            self.clock.after(fault.at, partial(injector.begin, fault))
+            injector.schedule(fault)
         self.clock.every(TICK_S, self._tick)
         self.clock.every(READINESS_PERIOD_S, self._check_readiness)
         self.clock.run_until(self.scenario.seconds + DRAIN_TIME_S)
-        self._record_cold_flows()
+        _record_cold_flows(self)
         return self.statistics
 
     def route_to(self, service: int) -> None:
@@ -145,53 +148,43 @@
         revision = self.view.revision
         self.view.apply(ViewUpdate(revision or 1, revision, routes=table))
 
-    def list_server(self, sidecar: EmulatedSidecar, *, is_up: bool) -> None:
-        """Publish a new start of a server, or its end."""
-        base = self.view.revision
+    def unregister(self, sidecar: EmulatedSidecar) -> None:
+        """Remove the server of a sidecar from the view."""
         number = self.sidecars.index(sidecar) + 1
-        record = evolve(
-            self._records[number - 1],
-            revision=base + 1,
-            warmup_ms=int(self.scenario.fleet.cold_s * MS_PER_S),
-            started_ms=int(self.clock.now * MS_PER_S),
-        )
-        records = (record,) if is_up else ()
-        removed = () if is_up else ((record.name, base + 1),)
-        self.view.apply(ViewUpdate(base, base + 1, records, removed))
-
-    def _record_cold_flows(self) -> None:
-        backends = [sidecar.backend for sidecar in self.sidecars]
-        peak = max(backend.cold_peak for backend in backends)
-        self.statistics.cold_peak = peak
-        self.statistics.cold_flows = sum(
-            backend.cold_flows for backend in backends
+        self.view.revision += 1
+        self.view.remove(
+            _build_record(self.scenario.fleet, number).name, self.view.revision
         )
-        per_s = self.scenario.fleet.warmup_per_s
-        bound = per_s * WARMUP_OVERAGE + WARMUP_SLACK
-        if per_s and peak > bound:
-            self.statistics.violations.append(
-                f'{peak} new flows in a second at a cold server, bound {bound}'
+        _notify_daemons(self._daemons.values())
+
+    def register(self, sidecar: EmulatedSidecar, started_at: float) -> None:
+        """List the server of a sidecar, with the time of its start."""
+        number = self.sidecars.index(sidecar) + 1
+        self.view.revision += 1
+        self.view.merge(
+            evolve(
+                _build_record(self.scenario.fleet, number),
+                revision=self.view.revision,
+                started_ms=int(started_at * MS_PER_S),
+                warmup_ms=int(self.scenario.fleet.cold_s * MS_PER_S),
             )
+        )
+        _notify_daemons(self._daemons.values())
 
     def _is_held(self, key: FlowKey) -> bool:
         return any(sidecar.backend.holds_open(key) for sidecar in self.sidecars)
 
     def _add_server(self, number: int, network: Network) -> None:
         fleet = self.scenario.fleet
-        record = build_record(
-            number,
-            service=_service_name(number % fleet.services),
-            data_center=_data_center_name(number, fleet.data_centers),
-            slots=fleet.slots,
-        )
+        record = _build_record(self.scenario.fleet, number)
         self.view.merge(record)
-        self._records.append(record)
         address = (record.host, PEER_PORT)
         backend = EmulatedBackend(
             self.clock,
             fleet,
             self._rng,
             lambda raw: self._to_sidecar(number - 1, raw),
+            speed=fleet.speeds[number % len(fleet.speeds)],
         )
         sidecar = EmulatedSidecar(
             address,
@@ -206,6 +199,7 @@
         )
         sidecar.start(load_s=0)
         self.sidecars.append(sidecar)
+        self._daemons[address] = sidecar
 
     def _add_balancer(self, number: int, network: Network) -> None:
         fleet = self.scenario.fleet
@@ -221,10 +215,13 @@
         )
         balancer.start(load_s=0)
         self.balancers.append(balancer)
+        self._daemons[balancer.address] = balancer
         self._rotation.append(balancer)
 
     def _schedule_request(self, kind: LoadKind) -> None:
-        rate = kind.per_s * self.load_factor
+        phase = math.tau * self.clock.now / self.scenario.wave_s
+        wave = 1 + self.scenario.wave * math.sin(phase)
+        rate = kind.per_s * self.load_factor * wave
         self.clock.after(
             self._rng.expovariate(rate),
             partial(self._send_request, kind),
@@ -275,11 +272,7 @@
     def _to_peer(
         self, source: SocketAddress, raw: bytes, target: SocketAddress
     ) -> None:
-        daemon = next(
-            candidate
-            for candidate in (*self.sidecars, *self.balancers)
-            if candidate.address == target
-        )
+        daemon = self._daemons[target]
         is_local = self._data_center_of(source) == self._data_center_of(target)
         crossing = self.scenario.fleet.crossing_ms
         self._after_ms(
@@ -328,6 +321,37 @@
     return f'dc-{number % count}'
 
 
+def _record_cold_flows(simulation: Simulation) -> None:
+    backends = [sidecar.backend for sidecar in simulation.sidecars]
+    peak = max(backend.cold_peak for backend in backends)
+    simulation.statistics.cold_peak = peak
+    simulation.statistics.cold_flows = sum(
+        backend.cold_flows for backend in backends
+    )
+    per_s = simulation.scenario.fleet.warmup_per_s
+    bound = per_s * WARMUP_OVERAGE + WARMUP_SLACK
+    if per_s and peak > bound:
+        simulation.statistics.violations.append(
+            f'{peak} new flows in a second at a cold server, bound {bound}'
+        )
+
+
+def _build_record(fleet: FleetPlan, number: int) -> EndpointRecord:
+    return build_record(
+        number,
+        service=_service_name(number % fleet.services),
+        data_center=_data_center_name(number, fleet.data_centers),
+        slots=fleet.slots,
+    )
+
+
+def _notify_daemons(
+    daemons: Iterable[EmulatedBalancer | EmulatedSidecar],
+) -> None:
+    for daemon in daemons:
+        daemon.on_view_changed()
+
+
 def _service_name(index: int) -> str:
     return f'{SERVICE}-{index}' if index else SERVICE
 
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -22,6 +22,7 @@
     Packet,
     PacketCodec,
     SocketAddress,
+    first_packet_age_ms,
     flow_name,
 )
 from dragonflyshift._internal.carried.policies.admission import (
@@ -45,9 +46,6 @@
 MAX_NOTICE_AGE_MS = 3_600_000
 _EVACUATED = 'evacuated'
 WARMUP_REFUSAL = 'warmup-limit'
-# Time since the first transmission, by the copy's number: clients retransmit
-# a first packet at these ages and number the copies.
-RETRANSMISSION_AGES_MS = (0, 200, 600)
 
 
 @define(eq=False, repr=False)
@@ -103,7 +101,7 @@
             target_ms=message.target_ms,
             timeout_ms=message.timeout_ms,
             priority=message.priority,
-            waited_ms=max(message.waited_ms, _retransmission_age_ms(packet)),
+            waited_ms=max(message.waited_ms, first_packet_age_ms(packet)),
             is_last=message.is_last,
             sender=balancer,
         )
@@ -364,16 +362,6 @@
         )
 
 
-def _retransmission_age_ms(packet: Packet) -> int:
-    """Return the age of a flow in ms, from the number of its packet's copy.
-
-    A client writes the number of the copy into the acknowledgement field of
-    a first packet.
-    """
-    copies = min(packet.acknowledged, len(RETRANSMISSION_AGES_MS) - 1)
-    return RETRANSMISSION_AGES_MS[copies]
-
-
 def _evacuation_notice(backend: BackendTracker) -> ChangeNotice:
     """Return a notice for a balancer that doesn't know of an evacuation.
 
