Defer refusals only where the settings ask for it, and for half of the timeout

Cause: earlier deployments are to be served as before, and a flow that was kept for 1.2 s left a client with a timeout of 1 s no time to try again. Measured: unit tests only.

--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -73,6 +73,7 @@
             self.rng,
             self.counters,
         )
+        self.forwarder.placer.defers_refusals = settings.defers_refusals
         self._fabric: PlainUdpSocket | None = None
         self._evacuated: frozenset[str] = frozenset()
 
--- a/src/dragonflyshift/_internal/carried/balancer/placer.py
+++ b/src/dragonflyshift/_internal/carried/balancer/placer.py
@@ -102,7 +102,11 @@
 
 @define(eq=False, repr=False)
 class NewFlowPlacer:
-    """Offers each new flow to one sidecar after another until one accepts."""
+    """Offers each new flow to one sidecar after another until one accepts.
+
+    With ``defers_refusals`` a flow that all have refused is offered again later
+    while most of their servers are cold.
+    """
 
     view: FleetView
     sidecars: SidecarTable
@@ -111,6 +115,7 @@
     rng: random.Random
     candidates: CandidateRing
     counters: Counters
+    defers_refusals: bool = field(default=False)
     pending: dict[FlowKey, PendingFlow] = field(factory=dict)
     # The time since which a service has had no endpoints.
     _empty_since: dict[str, float] = field(factory=dict)
@@ -213,7 +218,7 @@
             only_idle=pending.is_deferred and is_late,
         )
         if choice is None:
-            self._on_all_refused(now, pending, options)
+            self._on_all_refused(now, pending, route, options)
             return
         chosen, may_queue = choice
         pending.queue_offers += may_queue
@@ -329,11 +334,14 @@
         self,
         now: float,
         pending: PendingFlow,
+        route: Route,
         options: Sequence[PlacementOption],
     ) -> None:
         """Refuse a flow, or offer it again later while servers warm up."""
         key = pending.packet.key
-        if not _should_defer(options, pending.age_ms(now)):
+        if not self.defers_refusals or not _should_defer(
+            options, pending.age_ms(now), route.timeout_ms
+        ):
             self.pending.pop(key)
             self.callbacks.refuse(key, 'all-refused')
             return
@@ -384,7 +392,9 @@
             self.callbacks.refuse(key, 'no-endpoint')
 
 
-def _should_defer(options: Sequence[PlacementOption], age_ms: float) -> bool:
+def _should_defer(
+    options: Sequence[PlacementOption], age_ms: float, timeout_ms: float
+) -> bool:
     """Return whether the refusal of a flow of that age is deferred."""
     if not any(option.is_cold for option in options):
         return False
@@ -393,4 +403,4 @@
         ColdServiceDeferral,
     )
 
-    return ColdServiceDeferral().should_defer(options, age_ms)
+    return ColdServiceDeferral().should_defer(options, age_ms, timeout_ms)
--- a/src/dragonflyshift/_internal/carried/policies/deferral.py
+++ b/src/dragonflyshift/_internal/carried/policies/deferral.py
@@ -20,6 +20,9 @@
 # Clients abandon a new flow 1.4 s after its first packet; the rest of that time
 # is left for the answer.
 MAX_DEFERRED_AGE_MS = 1200.0
+# A flow that is refused in the end leaves its client this share of the timeout
+# to try again.
+MIN_TIMEOUT_SHARE_LEFT = 0.5
 
 
 @frozen(eq=False, repr=False)
@@ -33,12 +36,19 @@
     max_age_ms: float = MAX_DEFERRED_AGE_MS
 
     def should_defer(
-        self, options: Sequence[PlacementOption], age_ms: float
+        self,
+        options: Sequence[PlacementOption],
+        age_ms: float,
+        timeout_ms: float,
     ) -> bool:
         """Return whether to keep a flow that all servers have refused.
 
         ``options`` are the servers that may accept it. ``age_ms`` is the time
-        since its client sent the first packet.
+        since its client sent the first packet, ``timeout_ms`` the timeout of
+        its request.
         """
         cold = sum(option.is_cold for option in options)
-        return age_ms < self.max_age_ms and cold * 2 > len(options)
+        max_age_ms = min(
+            self.max_age_ms, timeout_ms * (1 - MIN_TIMEOUT_SHARE_LEFT)
+        )
+        return age_ms < max_age_ms and cold * 2 > len(options)
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -47,6 +47,9 @@
     is_edge = body['machineClass'] == 'edge'
     bounds = body.get('bounds') or {}
     platform = body.get('platform') or {}
+    # The part of the platform's rules for servers that fail behind their health
+    # checks, flap, or return by the dozen.
+    expects_failing_servers = 'health' in (body.get('contracts') or ())
     return NodeSettings(
         name=str(body['node']),
         data_center=str(body['zone']),
@@ -69,6 +72,8 @@
         warmup_slack=_non_negative(bounds.get('warmupSlack', 5)),
         has_warmup_bounds=not _WARMUP_BOUNDS.isdisjoint(bounds),
         is_first_start=body.get('bootstrap') is True,
+        defers_refusals=expects_failing_servers,
+        detects_failures=expects_failing_servers,
         plugins=_plugins(body),
     )
 
--- a/tests/unit/carried/test_deferral.py
+++ b/tests/unit/carried/test_deferral.py
@@ -7,12 +7,16 @@
 
 import unittest
 
+from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
 from dragonflyshift._internal.carried.fleet.view import FleetView
 from dragonflyshift._internal.carried.messages import (
     AdmissionRequest,
     FlowReply,
     FlowStatus,
 )
+from dragonflyshift._internal.carried.policies.deferral import (
+    ColdServiceDeferral,
+)
 from tests.lib.carried import (
     SYN,
     Outbox,
@@ -21,12 +25,14 @@
     build_load,
     build_packet,
     build_record,
+    build_route,
     build_routes,
     sidecar_address,
 )
 
 _SERVERS = 3
 _WARMUP_MS = 5000
+_TIMEOUT_MS = 3000
 
 
 class DeferralTest(unittest.TestCase):
@@ -45,6 +51,25 @@
         self.assertEqual(message.waited_ms, 120)
         self.assertEqual(self.forwarder.placer.counters.counts['deferred'], 1)
 
+    def test_flow_is_refused_at_once_without_the_setting(self) -> None:
+        self._start(cold=_SERVERS)
+        self.forwarder.placer.defers_refusals = False
+        self._send_first_packet()
+        self._refuse_all(0.01)
+        self.assertEqual(len(self.outbox.to_client), 1)
+
+    def test_refused_flow_leaves_half_of_the_timeout(self) -> None:
+        """The client needs it to try again."""
+        cold = [
+            SidecarTable('').placement_option(
+                0, build_record(warmup_ms=_WARMUP_MS), ('', 0)
+            )
+        ]
+        deferral = ColdServiceDeferral()
+        self.assertTrue(deferral.should_defer(cold, 490, 1000))
+        self.assertFalse(deferral.should_defer(cold, 510, 1000))
+        self.assertFalse(deferral.should_defer(cold, 1210, 3000))
+
     def test_deferred_flow_that_is_late_is_offered_to_idle_servers(
         self,
     ) -> None:
@@ -83,11 +108,12 @@
 
     def _start(self, cold: int) -> None:
         view = FleetView()
-        view.routes = build_routes(1)
+        view.routes = build_routes(1, (build_route(timeout_ms=_TIMEOUT_MS),))
         for number in range(1, _SERVERS + 1):
             warmup_ms = _WARMUP_MS if number <= cold else 0
             view.merge(build_record(number, warmup_ms=warmup_ms))
         self.forwarder = build_forwarder(view, self.outbox)
+        self.forwarder.placer.defers_refusals = True
 
     def _send_first_packet(self, copy: int = 0) -> None:
         raw = build_packet(self.key, SYN, acknowledged=copy)
