Emulate servers that fail while their health checks pass

Cause: the emulator had no fault for servers that answer at once with short errors, reset flows or never answer, so placement could not be measured there.

--- a/bench/emulator/backend.py
+++ b/bench/emulator/backend.py
@@ -12,10 +12,13 @@
 from bench.emulator.scenario import MS_PER_S, FleetPlan
 from dragonflyshift._internal.carried.packet import FlowKey, Packet
 from dragonflyshift.platform.packets import PlatformCodec
-from tests.lib.carried import ACK, BOUNCED, FIN, SYN, build_packet
+from tests.lib.carried import ACK, BOUNCED, FIN, RST, SYN, build_packet
 
 RESPONSE = b'answer'
 SHED_RESPONSE = b'shed'
+# A failing server answers with an error of this length, after this time.
+ERROR_RESPONSE = b'error'.ljust(100)
+ERROR_S = 0.001
 MAX_FIRST_SEQUENCE = 1 << 31
 _FLAGS_OFFSET = 8
 _CODEC = PlatformCodec()
@@ -32,6 +35,7 @@
 
     sequence: int
     last_request_sequence: int = -1
+    answer_bytes: int = 0
 
 
 @define(eq=False)
@@ -39,9 +43,11 @@
     """Backend server that runs one request per slot.
 
     Further requests wait in a queue; a full queue sheds them. The payload of
-    a request is the mean service time in microseconds and its spread in
-    percent. ``outbound(raw)`` sends a packet to the sidecar. Service times are
-    multiplied by ``slowdown``.
+    a request is the mean service time in microseconds, its spread in percent
+    and the length of the answer. ``outbound(raw)`` sends a packet to the
+    sidecar. Service times are multiplied by ``slowdown`` and divided by
+    ``speed``. A share ``failure_share`` of the requests fails in the way of the
+    fault ``failure``, if there is one.
     """
 
     clock: VirtualClock
@@ -49,6 +55,9 @@
     rng: random.Random
     outbound: Callable[[bytes], None]
     slowdown: float = 1.0
+    speed: float = 1.0
+    failure: str = ''
+    failure_share: float = 0
     is_down: bool = False
     started_requests: int = 0
     # Long before the run, so that the server isn't cold when the run begins.
@@ -106,10 +115,16 @@
         if packet.sequence <= flow.last_request_sequence:
             return
         flow.last_request_sequence = packet.sequence
-        mean_us, spread = raw[-packet.payload_bytes :].split()
+        if self.failure and self.rng.random() < self.failure_share:
+            self._fail(packet.key)
+            return
+        mean_us, spread, answer_bytes = raw[-packet.payload_bytes :].split()
+        flow.answer_bytes = int(answer_bytes)
         sigma = int(spread) / 100
         noise = self.rng.lognormvariate(-sigma * sigma / 2, sigma)
-        service_time_s = int(mean_us) * noise / MS_PER_S / MS_PER_S
+        if self.plan.long_share and self.rng.random() < self.plan.long_share:
+            noise *= self.plan.long_factor
+        service_time_s = int(mean_us) * noise / MS_PER_S / MS_PER_S / self.speed
         if self._running < self.plan.slots:
             self._start_request(packet.key, service_time_s)
         elif len(self._queue) < self.plan.queue:
@@ -117,6 +132,15 @@
         else:
             self._send(packet.key, ACK, payload=SHED_RESPONSE)
 
+    def _fail(self, key: FlowKey) -> None:
+        if self.failure == 'errors':
+            self.clock.after(
+                ERROR_S, partial(self._send, key, ACK, payload=ERROR_RESPONSE)
+            )
+        elif self.failure == 'resets':
+            self._send(key, RST)
+            self._flows.pop(key)
+
     def _start_request(self, key: FlowKey, service_time_s: float) -> None:
         self._running += 1
         self.started_requests += 1
@@ -131,8 +155,10 @@
         if generation != self._generation:
             return
         self._running -= 1
-        if key in self._flows:
-            self._send(key, ACK, payload=RESPONSE)
+        flow = self._flows.get(key)
+        if flow is not None:
+            answer = RESPONSE.rjust(flow.answer_bytes)
+            self._send(key, ACK, payload=answer)
         if self._queue:
             self._start_request(*self._queue.pop(0))
 
--- a/bench/emulator/clients.py
+++ b/bench/emulator/clients.py
@@ -44,6 +44,7 @@
     user: int = 0
     acknowledged: int = 0
     sequence: int = 1
+    answer_bytes: int = 0
 
 
 @define(eq=False)
@@ -134,6 +135,11 @@
 
     def _send_request(self, flow: _Flow) -> None:
         flow.sequence += 1
+        flow.answer_bytes = flow.kind.min_answer_bytes
+        if flow.kind.max_answer_bytes > flow.answer_bytes:
+            flow.answer_bytes = self.rng.randint(
+                flow.answer_bytes, flow.kind.max_answer_bytes
+            )
         self._transmit(flow, flow.sequence, FIRST_RETRANSMISSION_S)
 
     def _transmit(self, flow: _Flow, sequence: int, interval_s: float) -> None:
@@ -141,7 +147,11 @@
         if flow.is_closed or req is None or flow.sequence != sequence:
             return
         kind = flow.kind
-        payload = b'%d %d' % (kind.work_ms * MS_PER_S, kind.spread * 100)
+        payload = b'%d %d %d' % (
+            kind.work_ms * MS_PER_S,
+            kind.spread * 100,
+            flow.answer_bytes,
+        )
         self.send(
             build_packet(
                 flow.key,
@@ -176,7 +186,8 @@
         req = flow.req
         if req is None or req.is_done:
             return
-        if req.attempts > req.kind.retries:
+        has_run = flow.is_established and not req.kind.is_repeatable
+        if has_run or req.attempts > req.kind.retries:
             self._fail(req)
         else:
             self._start_attempt(req)
--- a/bench/emulator/faults.py
+++ b/bench/emulator/faults.py
@@ -91,6 +91,16 @@
         _set_slowdown(chosen, fault.factor)
         self.targets.clock.after(fault.for_s, partial(_set_slowdown, chosen, 1))
 
+    def _begin_errors(self, fault: Fault) -> None:
+        chosen = self.rng.sample(self.targets.sidecars, fault.count)
+        _set_failure(chosen, fault.kind, fault.share)
+        self.targets.clock.after(
+            fault.for_s, partial(_set_failure, chosen, '', 0)
+        )
+
+    _begin_resets = _begin_errors
+    _begin_silence = _begin_errors
+
     def _begin_burst(self, fault: Fault) -> None:
         self.targets.load_factor = fault.factor
         self.targets.clock.after(fault.for_s, self._end_load_burst)
@@ -106,3 +116,11 @@
 def _set_slowdown(sidecars: Sequence[EmulatedSidecar], factor: float) -> None:
     for sidecar in sidecars:
         sidecar.backend.slowdown = factor
+
+
+def _set_failure(
+    sidecars: Sequence[EmulatedSidecar], failure: str, share: float
+) -> None:
+    for sidecar in sidecars:
+        sidecar.backend.failure = failure
+        sidecar.backend.failure_share = share
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -17,7 +17,17 @@
 from cattrs.errors import BaseValidationError
 
 FAULT_KINDS = frozenset(
-    ('balancers', 'burst', 'crash', 'power', 'routes', 'slow')
+    (
+        'balancers',
+        'burst',
+        'crash',
+        'errors',
+        'power',
+        'resets',
+        'routes',
+        'silence',
+        'slow',
+    )
 )
 DIRECTORY = Path(__file__).resolve().parent / 'scenarios'
 MS_PER_S = 1000
@@ -38,6 +48,8 @@
     ``sidecar_load_s`` are the times from a start to the first packet. A server
     is ``cold_factor`` times slower for ``cold_s`` seconds after its start. The
     servers are divided among ``services``; routes lead to the first of them.
+    ``half_speed`` of the servers take twice as long. A share ``long_share`` of
+    the requests takes ``long_factor`` times as long.
     """
 
     data_centers: int = 3
@@ -53,6 +65,9 @@
     sidecar_load_s: float = 0.25
     cold_s: float = 2.0
     cold_factor: float = 1.6
+    half_speed: int = 0
+    long_share: float = 0
+    long_factor: float = 7.0
 
 
 @frozen
@@ -63,7 +78,10 @@
     of ``work_ms`` and a log-normal ``spread``. Each of ``users`` keeps a flow
     open for many requests; without users each request has its own flow. A
     request counts ``worth`` if it is answered within ``target_ms`` of the
-    first attempt, ``late_worth`` if within ``budget_ms``, and otherwise 0.
+    first attempt, ``late_worth`` if within ``budget_ms``, and otherwise 0. An
+    answer has between ``min_answer_bytes`` and ``max_answer_bytes``, at most
+    the payload of a packet. Unless ``is_repeatable``, a request whose flow
+    fails after it was sent is not sent again.
     """
 
     name: str
@@ -77,6 +95,9 @@
     users: int = 0
     retries: int = 2
     spread: float = 0.5
+    min_answer_bytes: int = 6
+    max_answer_bytes: int = 6
+    is_repeatable: bool = True
 
 
 @frozen
@@ -88,6 +109,12 @@
     - power: all machines lose power.
     - crash: ``count`` backend servers crash.
     - slow: ``count`` backend servers are ``factor`` times slower.
+    - errors: ``count`` backend servers answer a ``share`` of the requests at
+      once with a short error.
+    - resets: ``count`` backend servers reset the flow of a ``share`` of the
+      requests.
+    - silence: ``count`` backend servers never answer a ``share`` of the
+      requests.
     - burst: the load is ``factor`` times as high.
     - balancers: ``count`` balancers are killed and start again.
     - routes: all routes lead to the next service, and then back.
@@ -98,6 +125,7 @@
     for_s: float = 1.0
     count: int = 1
     factor: float = 1.0
+    share: float = 1.0
 
 
 @frozen
--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -151,6 +151,8 @@
             self._rng,
             lambda raw: self._to_sidecar(number - 1, raw),
         )
+        if number <= fleet.half_speed:
+            backend.speed = 0.5
         sidecar = EmulatedSidecar(
             address,
             network,
