Detect carried servers that fail while their health checks pass

Change: the sidecar samples the time, the length and the end of each request by route, suspects its server at two failures among the latest eight requests, and adds their cost to the service time that it reports. It refuses flows that have another choice during a pause, and then lets single flows probe the server. A balancer compares the service times of a service; outliers, at most a fifth of a service and of a data centre, aren't used as idle servers. Errors no longer count as service times, and unanswered requests free their slots.

--- a/src/dragonflyshift/_internal/carried/balancer/forwarder.py
+++ b/src/dragonflyshift/_internal/carried/balancer/forwarder.py
@@ -100,6 +100,7 @@
         self._codec = codec
         self._callbacks = callbacks
         self._counters = counters
+        counters.gauge('suspicious_servers', sidecars.suspicious_count)
         candidates = CandidateRing(sidecars.data_center)
         self.placer = NewFlowPlacer(
             view,
--- a/src/dragonflyshift/_internal/carried/balancer/placer.py
+++ b/src/dragonflyshift/_internal/carried/balancer/placer.py
@@ -212,6 +212,9 @@
         key: FlowKey,
     ) -> list[PlacementOption]:
         endpoints = self.view.endpoints(service)
+        self.sidecars.compare(
+            now, service, endpoints, self.callbacks.sidecar_of
+        )
         candidates = self.candidates.choose(service, endpoints, key)
         options = self._ordered_options(now, route, candidates)
         if not options and len(candidates) < len(endpoints):
@@ -289,7 +292,7 @@
     ) -> None:
         sidecar = self.callbacks.sidecar_of(chosen.record)
         pending.offered_to = sidecar
-        self.sidecars.count_flow(sidecar)
+        self.sidecars.count_flow(now, sidecar, service)
         datagram = AdmissionRequest(
             service=service,
             target_ms=route.target_ms,
--- a/src/dragonflyshift/_internal/carried/balancer/sidecars.py
+++ b/src/dragonflyshift/_internal/carried/balancer/sidecars.py
@@ -2,7 +2,10 @@
 
 __all__ = ('SidecarEntry', 'SidecarTable')
 
-from collections.abc import Iterable
+import importlib
+import logging
+from collections.abc import Callable, Iterable, Sequence
+from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
 
@@ -11,6 +14,14 @@
 from dragonflyshift._internal.carried.policies.placement import PlacementOption
 from dragonflyshift._internal.carried.records import EndpointRecord
 
+if TYPE_CHECKING:
+    from dragonflyshift._internal.carried.policies.server_comparison import (
+        ReportedServer,
+        ServerComparison,
+    )
+
+logger = logging.getLogger(__name__)
+
 MS_PER_S = 1000
 # A sidecar that didn't reply is placed last for this long, or until its next
 # report.
@@ -23,6 +34,12 @@
 # Datagrams are reordered within less than this. A report with a lower sequence
 # number that arrives later comes from a sidecar that has restarted.
 MAX_REORDERING_S = 0.1
+# The servers of a service are compared at most this often; the comparison of
+# 50 servers takes longer than the placement of a flow.
+COMPARISON_INTERVAL_S = 0.1
+_COMPARISON_MODULE = (
+    'dragonflyshift._internal.carried.policies.server_comparison'
+)
 
 
 @define(eq=False, repr=False)
@@ -51,6 +68,9 @@
     # When this balancer first saw a backend server, by the name and the start
     # time of the server.
     _first_seen_at: dict[tuple[str, int], float] = field(factory=dict)
+    # The comparisons and the times of their last updates, by service.
+    _comparisons: 'dict[str, ServerComparison]' = field(factory=dict)
+    _compared_at: dict[str, float] = field(factory=dict)
 
     def entry(self, address: SocketAddress) -> SidecarEntry:
         """Return the entry of a sidecar; create it if there is none."""
@@ -85,9 +105,46 @@
             return None
         return int((now - entry.reported_at) * MS_PER_S)
 
-    def count_flow(self, address: SocketAddress) -> None:
+    def count_flow(
+        self, now: float, address: SocketAddress, service: str
+    ) -> None:
         """Count a new flow that is sent to a sidecar."""
         self.entry(address).sent_since += 1
+        comparison = self._comparisons.get(service)
+        if comparison is not None:
+            comparison.record_flow(now, address)
+
+    def compare(
+        self,
+        now: float,
+        service: str,
+        endpoints: Sequence[EndpointRecord],
+        sidecar_of: Callable[[EndpointRecord], SocketAddress],
+    ) -> None:
+        """Compare the servers of a service, unless it was done just before."""
+        compared_at = self._compared_at.get(service, float('-inf'))
+        if now - compared_at < COMPARISON_INTERVAL_S:
+            return
+        self._compared_at[service] = now
+        comparison = self._comparisons.get(service)
+        if comparison is None:
+            comparison = _comparison_module().ServerComparison()
+            self._comparisons[service] = comparison
+        previous = comparison.suspicious
+        servers = (
+            self._reported(now, record, sidecar_of(record))
+            for record in endpoints
+        )
+        comparison.update(now, [each for each in servers if each is not None])
+        if comparison.suspicious != previous:
+            _log_suspicious(service, comparison)
+
+    def suspicious_count(self) -> int:
+        """Return the number of suspicious servers of all services."""
+        return sum(
+            len(comparison.suspicious)
+            for comparison in self._comparisons.values()
+        )
 
     def mark_suspect(self, now: float, address: SocketAddress) -> None:
         """Mark a sidecar that didn't reply as suspect."""
@@ -107,12 +164,16 @@
     ) -> PlacementOption:
         """Return what the placement policy needs about an endpoint."""
         entry = self.entry(address)
+        comparison = self._comparisons.get(record.service)
         age_s = now - entry.reported_at
         load = entry.load
         if age_s > _report_lifetime_s(load):
             load = None
         start = (record.name, record.started_ms)
         first_seen_at = self._first_seen_at.setdefault(start, now)
+        least_service_ms: float = 0
+        if comparison is not None and load is not None:
+            least_service_ms = comparison.least_service_ms(load.service_ms)
         return PlacementOption(
             record=record,
             load=load,
@@ -121,8 +182,41 @@
             is_local=record.data_center == self.data_center,
             is_suspect=now < entry.suspect_until,
             is_cold=(now - first_seen_at) * MS_PER_S < record.warmup_ms,
+            is_suspicious=(
+                comparison is not None and address in comparison.suspicious
+            ),
+            least_service_ms=least_service_ms,
         )
 
+    def _reported(
+        self, now: float, record: EndpointRecord, address: SocketAddress
+    ) -> 'ReportedServer | None':
+        entry = self.entries.get(address)
+        if entry is None or entry.load is None:
+            return None
+        if now - entry.reported_at > _report_lifetime_s(entry.load):
+            return None
+        reported: ReportedServer = _comparison_module().ReportedServer(
+            address, record.data_center, entry.load.service_ms
+        )
+        return reported
+
+
+def _comparison_module() -> Any:
+    """Import the module on first use, to keep a balancer's start short."""
+    return importlib.import_module(_COMPARISON_MODULE)
+
+
+def _log_suspicious(service: str, comparison: 'ServerComparison') -> None:
+    logger.info(
+        'servers-suspicious',
+        extra={
+            'service': service,
+            'sidecars': sorted(map(str, comparison.suspicious)),
+            'median_ms': round(comparison.median_ms, 1),
+        },
+    )
+
 
 def _report_lifetime_s(load: LoadReport | None) -> float:
     if load is not None and load.state is BackendState.FULL:
--- a/src/dragonflyshift/_internal/carried/policies/placement.py
+++ b/src/dragonflyshift/_internal/carried/policies/placement.py
@@ -33,6 +33,9 @@
 # Orders a suspect sidecar after all others, so that it is used only if no
 # other one is left.
 SUSPECT_PENALTY_MS = 10_000.0
+# Added for a suspicious server: a sound one is preferred up to a queue as long
+# as the latency target of short requests.
+SUSPICIOUS_PENALTY_MS = 250.0
 # Estimates that differ by less are ordered at random, because measurements
 # vary by as much.
 JITTER_MS = 4.0
@@ -60,7 +63,8 @@
     that report and ``sent_since`` the number of flows sent there after it.
     ``is_local`` means the balancer's own data centre. ``is_suspect`` is set if
     the sidecar has recently not replied, ``is_cold`` while the server warms
-    up.
+    up, and ``is_suspicious`` if its service time is an outlier. The estimate
+    takes ``least_service_ms`` if the reported service time is below it.
     """
 
     record: EndpointRecord
@@ -70,11 +74,15 @@
     is_local: bool
     is_suspect: bool
     is_cold: bool
+    is_suspicious: bool = False
+    least_service_ms: float = 0
 
     @property
     def is_likely_idle(self) -> bool:
         """Whether a new flow is expected to find a free slot."""
-        return not self.is_suspect and _requests_ahead(self) <= 0
+        if self.is_suspect or self.is_suspicious:
+            return False
+        return _requests_ahead(self) <= 0
 
 
 class FlowPlacement(Plugin, kind='flow-placement'):
@@ -123,6 +131,8 @@
             estimate += penalty.data_center_ms
         if option.is_suspect:
             estimate += SUSPECT_PENALTY_MS
+        if option.is_suspicious:
+            estimate += SUSPICIOUS_PENALTY_MS
         return estimate
 
 
@@ -143,15 +153,21 @@
     if load is None:
         return option.sent_since + 1 - slots
     # Requests that were running may have ended since the report.
-    ended = option.age_ms * slots / load.service_ms
+    ended = option.age_ms * slots / _service_ms(option)
     unfinished = max(0, load.busy + load.waiting - ended)
     return unfinished + option.sent_since + 1 - slots
 
 
+def _service_ms(option: PlacementOption) -> float:
+    if option.load is None:
+        return DEFAULT_SERVICE_MS
+    return max(option.load.service_ms, option.least_service_ms)
+
+
 def _time_to_response(option: PlacementOption) -> float:
     load = option.load
     slots = max(1, option.record.slots)
-    service_ms = DEFAULT_SERVICE_MS if load is None else load.service_ms
+    service_ms = _service_ms(option)
     if option.is_cold:
         service_ms *= COLD_FACTOR
     flows = option.sent_since
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -212,7 +212,12 @@
             if not any(service.name == backend.service for service in services):
                 return 'route-changed'
         state = backend.state(now)
-        return '' if state is BackendState.SERVING else state.name.lower()
+        if state is not BackendState.SERVING:
+            return state.name.lower()
+        # A flow that may be queued is admitted: all other servers are busy,
+        # or suspected as well.
+        is_avoided = backend.is_avoided(now) and not message.is_last
+        return 'suspected' if is_avoided else ''
 
     def _admit(self, now: float, new_flow: NewFlow, packet: Packet) -> None:
         backend = self.backend
@@ -244,6 +249,7 @@
 
     def _start(self, now: float, new_flow: NewFlow, packet: Packet) -> None:
         self.backend.table.add_new(now, packet, new_flow.sender)
+        self.backend.monitor.detector.record_start(now)
         self.counters.observe('wait', new_flow.age_ms(now) / MS_PER_S)
         self.deliver(packet)
 
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -2,6 +2,9 @@
 
 __all__ = ('BackendTracker',)
 
+import importlib
+from typing import TYPE_CHECKING
+
 from attrs import define, field
 
 from dragonflyshift._internal.carried.fleet.view import FleetView
@@ -12,7 +15,15 @@
 from dragonflyshift._internal.carried.sidecar.service_time import (
     ServiceTimeEstimator,
 )
+from dragonflyshift._internal.carried.telemetry import Counters
+
+if TYPE_CHECKING:
+    from dragonflyshift._internal.carried.sidecar.failure_monitor import (
+        FailureMonitor,
+    )
 
+# Imported with the first flow, to keep the start of a sidecar short.
+_MONITOR_MODULE = 'dragonflyshift._internal.carried.sidecar.failure_monitor'
 # After a bounced first packet the server counts as full for the minimum, and
 # for twice the previous time after each further bounce, up to the maximum. A
 # server that is shutting down bounces every first packet.
@@ -46,6 +57,7 @@
     is_down: bool = field(default=False)
     # Monotonic time of the server's last packet.
     last_packet_at: float = field(default=float('-inf'))
+    _monitor: 'FailureMonitor | None' = field(default=None)
     _backoff_until: float = field(default=float('-inf'))
     _backoff_s: float = field(default=0)
     _sequence: int = field(default=0)
@@ -107,6 +119,54 @@
         )
         return self.service_time.estimate_ms(now - oldest)
 
+    @property
+    def monitor(self) -> 'FailureMonitor':
+        """The detection of the server's failures, created on first use."""
+        if self._monitor is None:
+            module = importlib.import_module(_MONITOR_MODULE)
+            self._monitor = module.FailureMonitor(self.service_time)
+        return self._monitor
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether the server is suspected and not to be probed now."""
+        monitor = self._monitor
+        return monitor is not None and monitor.detector.is_avoided(now)
+
+    def is_suspected(self) -> bool:
+        """Return whether the server is suspected of failing."""
+        monitor = self._monitor
+        return monitor is not None and monitor.detector.is_suspected
+
+    def restart_measurements(self) -> None:
+        """Start the measurements of the service time and of failures anew."""
+        self.service_time = ServiceTimeEstimator()
+        self._monitor = None
+        self.table.outcomes.take()
+
+    def check_requests(self, now: float, counters: Counters) -> None:
+        """Look for answers that are complete and requests without one."""
+        self.table.outcomes.complete_answers(now)
+        if self.table.running_flows():
+            self.monitor.check_running(now, self.table, self.slots)
+        self.record_outcomes(now, counters)
+
+    def record_outcomes(self, now: float, counters: Counters) -> None:
+        """Pass the outcomes of requests to the detection of failures."""
+        outcomes = self.table.outcomes.take()
+        if outcomes:
+            self.monitor.record(now, outcomes, self.slots, counters)
+
+    def reported_service_ms(self, now: float) -> float:
+        """Return the service time with the cost of failures, in milliseconds.
+
+        Balancers place flows by it. The admission uses ``service_ms``, as a
+        failing server doesn't make flows wait.
+        """
+        service_ms = self.service_ms(now)
+        if self._monitor is not None:
+            service_ms += self._monitor.detector.penalty_ms(now)
+        return service_ms
+
     def load(self, now: float) -> LoadReport:
         """Return a load report with the next sequence number."""
         self._sequence += 1
@@ -116,7 +176,7 @@
             busy=self.table.busy_slots(now),
             waiting=self.policy.waiting,
             open_flows=len(self.table),
-            service_ms=round(self.service_ms(now), 1),
+            service_ms=round(self.reported_service_ms(now), 1),
             knows_all=self.knows_all,
             sequence=self._sequence,
         )
--- a/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
@@ -35,9 +35,6 @@
     FlowPhase,
 )
 from dragonflyshift._internal.carried.sidecar.reports import LoadReporter
-from dragonflyshift._internal.carried.sidecar.service_time import (
-    ServiceTimeEstimator,
-)
 from dragonflyshift._internal.carried.telemetry import Counters
 from dragonflyshift._internal.exceptions import WireError
 
@@ -66,6 +63,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the admission and the load reporter."""
+        self.counters.gauge('suspected', self.backend.is_suspected)
         self.admission = FlowAdmission(
             self.backend,
             self.codec,
@@ -75,6 +73,7 @@
         self.reporter = LoadReporter(
             self.backend.load,
             self.senders.to_balancer,
+            self.backend.is_avoided,
         )
 
     def on_admission_request(
@@ -114,6 +113,7 @@
             flow.balancer = balancer
             self.backend.table.on_client_packet(now, flow, packet)
             self.admission.deliver(packet)
+            self.backend.record_outcomes(now, self.counters)
         else:
             self.admission.reply_not_owned(now, packet, balancer)
 
@@ -151,13 +151,17 @@
             self.backend.reset_bounce_backoff()
         service_s = table.on_server_packet(now, flow, packet)
         if service_s is not None:
-            self.backend.service_time.record(service_s)
+            monitor = self.backend.monitor
+            if not monitor.may_be_error(packet.key, flow.answer_s):
+                self.backend.service_time.record(service_s)
             self.counters.observe('service', service_s)
+        self.backend.record_outcomes(now, self.counters)
         self.admission.start_waiting_flows(now)
         self.reporter.report_change(now)
 
     def tick(self, now: float) -> None:
-        """Start and expire waiting flows, and report a changed load."""
+        """Check running requests and waiting flows, and report the load."""
+        self.backend.check_requests(now, self.counters)
         self.admission.start_waiting_flows(now)
         self.admission.expire_waiting_flows(now)
         self.reporter.report_change(now)
@@ -204,10 +208,10 @@
     def on_backend_found(self, now: float) -> None:
         """Accept new flows again, since the server accepts connections.
 
-        The service time estimate restarts from its default.
+        The measurements of the server start anew.
         """
         self.backend.is_down = False
-        self.backend.service_time = ServiceTimeEstimator()
+        self.backend.restart_measurements()
         logger.info('backend-found')
         self.reporter.report_change(now)
 
--- a/src/dragonflyshift/_internal/carried/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flows.py
@@ -1,11 +1,18 @@
 """Flow table of one backend server."""
 
-__all__ = ('BackendFlow', 'FlowPhase', 'FlowTable')
+__all__ = (
+    'BackendFlow',
+    'FlowPhase',
+    'FlowTable',
+    'OutcomeKind',
+    'RequestOutcome',
+    'RequestOutcomes',
+)
 
 import enum
 from collections.abc import Iterator
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from dragonflyshift._internal.carried.packet import (
     FlowKey,
@@ -23,6 +30,14 @@
 # sequence number by at most this many bytes.
 ACK_WINDOW = 76_800
 SEQUENCE_MASK = 0xFFFFFFFF
+MAX_SEQUENCE_LEAD = 1 << 31
+# An answer is complete after this time without further bytes of it.
+ANSWER_GAP_S = 0.1
+# An unanswered request occupies its slot for this time after it was reported.
+# The slots of a server that loses requests would stay occupied otherwise. The
+# time is longer while the server answers nothing, as it loses the next one too.
+UNANSWERED_SLOT_S = 1.0
+SILENT_SLOT_S = 4.0
 
 
 class FlowPhase(enum.IntEnum):
@@ -33,6 +48,33 @@
     ENDED = 2
 
 
+class OutcomeKind(enum.Enum):
+    """How a request ended."""
+
+    ANSWERED = 'answered'
+    # The server reset or closed the flow before it answered.
+    RESET = 'reset'
+    UNANSWERED = 'unanswered'
+
+
+@frozen(repr=False)
+class RequestOutcome:
+    """The outcome of a request, without anything that the flow carries.
+
+    ``service_s`` is the time from the first packet of the request to the first
+    byte of the answer, ``answer_s`` that from its last packet. Resent bytes
+    count once in ``answer_bytes``. ``ahead`` counts the other slots that
+    were in use or reserved when this request began.
+    """
+
+    key: FlowKey
+    kind: OutcomeKind
+    ahead: int
+    service_s: float = 0
+    answer_s: float = 0
+    answer_bytes: int = 0
+
+
 @define(eq=False, repr=False)
 class BackendFlow:
     """A flow whose first packet was delivered to the backend server.
@@ -40,8 +82,12 @@
     ``first_sequence`` is the server's first sequence number, known once the
     server has answered. ``acknowledged`` is the client's latest
     acknowledgement number, which a reset takes as its sequence number.
-    ``request_started_at`` is None while no request runs. Times are in
-    monotonic seconds.
+    ``request_started_at`` is None while no request runs. ``request_sequence``
+    is the sequence number of the newest packet of the latest request, which
+    was delivered at ``request_sent_at``. ``answer_sequence`` is that of the
+    first byte of the current answer, None if there is none. ``is_repeated``
+    is set if the client sends an answered request again. Times are in monotonic
+    seconds.
     """
 
     key: FlowKey
@@ -56,6 +102,15 @@
     client_closed: bool = False
     server_closed: bool = False
     first_packet_raw: bytes = b''
+    request_sequence: int | None = None
+    request_sent_at: float = 0
+    ahead: int = 0
+    is_unanswered: bool = False
+    is_repeated: bool = False
+    answer_sequence: int | None = None
+    answer_bytes: int = 0
+    service_s: float = 0
+    answer_s: float = 0
 
     def holds_slot(self, now: float) -> bool:
         """Return whether a request runs or a slot is reserved for one."""
@@ -76,6 +131,65 @@
         return ahead <= ACK_WINDOW
 
 
+@define(eq=False, repr=False)
+class RequestOutcomes:
+    """Answers that may not be complete, and the outcomes of requests."""
+
+    _answering: dict[FlowKey, BackendFlow] = field(factory=dict)
+    _outcomes: list[RequestOutcome] = field(factory=list)
+    # When the server last began an answer.
+    answered_at: float = float('-inf')
+
+    def take(self) -> list[RequestOutcome]:
+        """Return the outcomes of requests since the last call."""
+        outcomes = self._outcomes
+        if outcomes:
+            self._outcomes = []
+        return outcomes
+
+    def complete_answers(self, now: float) -> None:
+        """Complete the answers that had no further bytes for a while."""
+        for flow in tuple(self._answering.values()):
+            if now - flow.last_packet_at > ANSWER_GAP_S:
+                self.complete_answer(flow)
+
+    def begin_answer(
+        self, now: float, flow: BackendFlow, packet: Packet
+    ) -> float:
+        """Begin the answer to a running request; return its service time."""
+        flow.answer_sequence = packet.sequence
+        flow.answer_bytes = 0
+        flow.service_s = now - (flow.request_started_at or now)
+        flow.answer_s = now - flow.request_sent_at
+        self._answering[flow.key] = flow
+        self.answered_at = now
+        return flow.service_s
+
+    def complete_answer(self, flow: BackendFlow) -> None:
+        """Complete the current answer of a flow, if there is one."""
+        if flow.answer_sequence is not None:
+            flow.answer_sequence = None
+            self._answering.pop(flow.key, None)
+            self.add(flow, OutcomeKind.ANSWERED)
+
+    def add(self, flow: BackendFlow, kind: OutcomeKind) -> None:
+        """Add the outcome of the latest request of a flow."""
+        self._outcomes.append(
+            RequestOutcome(
+                flow.key,
+                kind,
+                flow.ahead,
+                flow.service_s,
+                flow.answer_s,
+                flow.answer_bytes,
+            )
+        )
+
+    def discard(self, flow: BackendFlow) -> None:
+        """Forget the answer of a flow that is removed."""
+        self._answering.pop(flow.key, None)
+
+
 @define(eq=False, repr=False)
 class FlowTable:
     """All flows of one backend server, with the slots that they occupy."""
@@ -83,6 +197,7 @@
     flows: dict[FlowKey, BackendFlow] = field(factory=dict)
     # The flows that run a request or have a slot reserved: usually few.
     _active: dict[FlowKey, BackendFlow] = field(factory=dict)
+    outcomes: RequestOutcomes = field(factory=RequestOutcomes)
 
     def __len__(self) -> int:
         """Return the number of flows, ended ones included."""
@@ -120,8 +235,10 @@
 
     def remove(self, key: FlowKey) -> None:
         """Remove a flow, if the table has it."""
-        self.flows.pop(key, None)
+        flow = self.flows.pop(key, None)
         self._active.pop(key, None)
+        if flow is not None:
+            self.outcomes.discard(flow)
 
     def on_client_packet(
         self,
@@ -135,11 +252,12 @@
             flow.acknowledged = packet.acknowledged
             if flow.phase is FlowPhase.HANDSHAKE:
                 flow.phase = FlowPhase.OPEN
-        if packet.payload_bytes and flow.request_started_at is None:
-            flow.request_started_at = now
-            self._active[flow.key] = flow
+        if packet.payload_bytes:
+            self._on_request_packet(now, flow, packet)
         if packet.is_fin:
             flow.client_closed = True
+        if packet.is_fin or packet.is_rst:
+            self.outcomes.complete_answer(flow)
         self._check_end(flow, packet)
 
     def on_server_packet(
@@ -151,23 +269,42 @@
         """Update a flow for a server's packet.
 
         Returns the service time in seconds if this packet is the first of an
-        answer, otherwise None.
+        answer, otherwise None. An answer that the server sends again has none.
         """
         flow.last_packet_at = now
         service_s = None
         if packet.is_syn:
             flow.first_sequence = packet.sequence
         if packet.payload_bytes or packet.is_fin or packet.is_rst:
-            if flow.request_started_at is not None and packet.payload_bytes:
-                service_s = now - flow.request_started_at
-            flow.request_started_at = None
-            flow.reserved_until = 0
-            self._active.pop(flow.key, None)
+            service_s = self._end_request(now, flow, packet)
+        if flow.answer_sequence is not None and packet.payload_bytes:
+            _count_answer_bytes(flow, packet)
         if packet.is_fin:
             flow.server_closed = True
+        if packet.is_fin or packet.is_rst:
+            self.outcomes.complete_answer(flow)
         self._check_end(flow, packet)
         return service_s
 
+    def check_unanswered(
+        self, now: float, flow: BackendFlow, limit_s: float
+    ) -> None:
+        """Report a request once it has run for ``limit_s`` without an answer.
+
+        Some time later it frees its slot.
+        """
+        running_s = now - flow.request_sent_at
+        if running_s < limit_s:
+            return
+        if not flow.is_unanswered and not flow.is_repeated:
+            flow.is_unanswered = True
+            self.outcomes.add(flow, OutcomeKind.UNANSWERED)
+        is_silent = self.outcomes.answered_at < flow.request_sent_at
+        slot_s = SILENT_SLOT_S if is_silent else UNANSWERED_SLOT_S
+        if running_s > limit_s + slot_s:
+            flow.request_started_at = None
+            self._active.pop(flow.key, None)
+
     def busy_slots(self, now: float) -> int:
         """Return the number of slots that are occupied or reserved."""
         for key, flow in tuple(self._active.items()):
@@ -207,9 +344,56 @@
         """Iterate over all flows."""
         return iter(tuple(self.flows.values()))
 
+    def _on_request_packet(
+        self, now: float, flow: BackendFlow, packet: Packet
+    ) -> None:
+        previous = flow.request_sequence
+        is_new = previous is None or (
+            0 < (packet.sequence - previous) & SEQUENCE_MASK < MAX_SEQUENCE_LEAD
+        )
+        if is_new:
+            flow.request_sequence = packet.sequence
+            flow.request_sent_at = now
+        if flow.request_started_at is None and (
+            is_new or not flow.is_unanswered
+        ):
+            self.outcomes.complete_answer(flow)
+            flow.ahead = len(self._active) - (flow.key in self._active)
+            flow.is_unanswered = False
+            flow.is_repeated = not is_new
+            flow.service_s = 0
+            flow.answer_s = 0
+            flow.answer_bytes = 0
+            flow.request_sent_at = now
+            flow.request_started_at = now
+            self._active[flow.key] = flow
+
+    def _end_request(
+        self, now: float, flow: BackendFlow, packet: Packet
+    ) -> float | None:
+        """End the running request; return its service time if answered."""
+        service_s = None
+        is_running = flow.request_started_at is not None
+        if is_running and not flow.is_repeated:
+            if packet.payload_bytes:
+                service_s = self.outcomes.begin_answer(now, flow, packet)
+            elif not flow.client_closed:
+                self.outcomes.add(flow, OutcomeKind.RESET)
+        flow.request_started_at = None
+        flow.reserved_until = 0
+        self._active.pop(flow.key, None)
+        return service_s
+
     def _check_end(self, flow: BackendFlow, packet: Packet) -> None:
         if packet.is_rst or (flow.client_closed and flow.server_closed):
             flow.phase = FlowPhase.ENDED
             flow.request_started_at = None
             flow.reserved_until = 0
             self._active.pop(flow.key, None)
+
+
+def _count_answer_bytes(flow: BackendFlow, packet: Packet) -> None:
+    start = flow.answer_sequence or 0
+    end = (packet.sequence + packet.payload_bytes - start) & SEQUENCE_MASK
+    if end < MAX_SEQUENCE_LEAD:
+        flow.answer_bytes = max(flow.answer_bytes, end)
--- a/src/dragonflyshift/_internal/carried/sidecar/reports.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/reports.py
@@ -32,11 +32,13 @@
     """Reports load changes to the balancers that place flows here.
 
     ``load(now)`` returns the current load report; ``send(datagram, address)``
-    sends it to a balancer.
+    sends it to a balancer. ``is_avoided(now)`` returns whether the report
+    includes the cost of failures.
     """
 
     load: Callable[[float], LoadReport]
     send: Callable[[bytes, SocketAddress], None]
+    is_avoided: Callable[[float], bool]
     _recipients: dict[SocketAddress, float] = field(factory=dict)
     _reported_level: tuple[int, ...] = field(default=())
     _reported_at: float = field(default=float('-inf'))
@@ -54,7 +56,12 @@
         if now - self._reported_at < interval_s or not self._recipients:
             return
         load = self.load(now)
-        level = (int(load.state), load.busy, load.waiting)
+        level = (
+            int(load.state),
+            load.busy,
+            load.waiting,
+            int(self.is_avoided(now)),
+        )
         if level == self._reported_level:
             return
         self._reported_level = level
--- a/src/dragonflyshift/_internal/carried/sidecar/service_time.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/service_time.py
@@ -9,6 +9,10 @@
 MIN_SERVICE_MS = 2.0
 MAX_SERVICE_MS = 2000.0
 MS_PER_S = 1000
+# After this many first answers that all took the minimum at most, the estimate
+# is the minimum. The default would hide a server that fails from its start from
+# the balancers' comparison for another 20 answers.
+MINIMAL_ANSWERS = 3
 
 
 @define(eq=False, repr=False)
@@ -21,6 +25,7 @@
 
     _mean_ms: float = field(default=DEFAULT_SERVICE_MS)
     _count: int = field(default=0)
+    _minimal_count: int = field(default=0)
 
     def record(self, service_s: float) -> None:
         """Add the service time of an answered request, in seconds."""
@@ -31,6 +36,9 @@
         self._count += 1
         weight = max(SMOOTHING, 1 / (self._count + 1))
         self._mean_ms += weight * (sample_ms - self._mean_ms)
+        self._minimal_count += sample_ms <= MIN_SERVICE_MS
+        if self._minimal_count == self._count == MINIMAL_ANSWERS:
+            self._mean_ms = MIN_SERVICE_MS
 
     def estimate_ms(self, oldest_running_s: float = 0) -> float:
         """Return the estimate, given how long the oldest request has run."""
--- a/tests/unit/bench/test_emulator.py
+++ b/tests/unit/bench/test_emulator.py
@@ -52,6 +52,20 @@
         scenario = evolve(_SCENARIO, seconds=6, faults=(fault,))
         self.assertEqual(run_scenario(scenario, 1).total().failed, 0)
 
+    def test_failing_servers_lose_their_flows(self) -> None:
+        """They look fast and idle, and would get half of all requests."""
+        load = LoadKind(
+            'view', 150, 20, 300, 3000, min_answer_bytes=400, retries=0
+        )
+        for kind in ('errors', 'resets', 'silence'):
+            for at in (0, 3):
+                fault = Fault(kind, at=at, for_s=4, count=2)
+                fleet = FleetPlan(balancers=3, servers=15, slots=1)
+                scenario = Scenario((load,), at + 5, fleet, (fault,))
+                window = run_scenario(scenario, 1).windows[(at + 3) // 2]
+                with self.subTest(kind=kind, at=at):
+                    self.assertLess(window.failed, 0.1 * window.sent)
+
     def test_no_open_flow_is_reset_when_routes_move(self) -> None:
         """Lookups by the present route reset flows of the former service."""
         statistics = run_scenario(load_scenario('route-moves'), 1)
--- a/tests/unit/carried/test_placement.py
+++ b/tests/unit/carried/test_placement.py
@@ -67,6 +67,20 @@
         self.assertEqual(self._order(silent, busy), [busy, silent])
         self.assertEqual(self._order(silent), [silent])
 
+    def test_suspicious_server_follows_a_short_queue_and_is_not_idle(self):
+        """A server that fails at once would get all flows as the idle one."""
+        failing = _option(1, load=build_load(service_ms=2), is_suspicious=True)
+        queued = _option(2, load=build_load(busy=6))
+        self.assertFalse(failing.is_likely_idle)
+        self.assertEqual(self._order(failing, queued), [queued, failing])
+
+    def test_assumed_service_time_replaces_a_shorter_report(self) -> None:
+        failing = _option(
+            1, load=build_load(service_ms=2), least_service_ms=50, sent_since=4
+        )
+        idle = _option(2)
+        self.assertEqual(self._order(failing, idle), [idle, failing])
+
     def test_remote_data_centre_only_if_it_is_much_faster(self) -> None:
         far = _option(1, is_local=False)
         near = _option(2, load=build_load(busy=3))
