Report no request as unanswered after a pause of the sidecar

Cause: after a suspension of the process the running requests are old, while their answers wait in its socket.

Change: a check that comes more than 0.3 s after the previous one looks at no running request.

Measured: the new test fails without the change.

--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -32,6 +32,9 @@
 # A server that started no earlier than this before its sidecar can't have had
 # another sidecar, since a restart of a sidecar takes longer.
 MAX_START_LEAD_MS = 250
+# After a longer gap between two checks this process was suspended, and answers
+# that have arrived may not have been read yet.
+MAX_CHECK_GAP_S = 0.3
 
 
 @define(eq=False, repr=False)
@@ -57,6 +60,7 @@
     is_down: bool = field(default=False)
     # Monotonic time of the server's last packet.
     last_packet_at: float = field(default=float('-inf'))
+    _checked_at: float = field(default=float('-inf'))
     _monitor: 'FailureMonitor | None' = field(default=None)
     _backoff_until: float = field(default=float('-inf'))
     _backoff_s: float = field(default=0)
@@ -146,7 +150,9 @@
     def check_requests(self, now: float, counters: Counters) -> None:
         """Look for answers that are complete and requests without one."""
         self.table.outcomes.complete_answers(now)
-        if self.table.running_flows():
+        is_delayed = now - self._checked_at > MAX_CHECK_GAP_S
+        self._checked_at = now
+        if self.table.running_flows() and not is_delayed:
             self.monitor.check_running(now, self.table, self.slots)
         self.record_outcomes(now, counters)
 
--- a/tests/unit/carried/test_request_outcomes.py
+++ b/tests/unit/carried/test_request_outcomes.py
@@ -78,17 +78,28 @@
         """Slots of lost requests would stay occupied after the failure."""
         for _ in range(3):
             self._send(self._open())
-        self.now += 2
-        self.handler.tick(self.now)
+        self._tick_for(2)
         self.assertTrue(self.backend.is_suspected())
         self.assertEqual(self.backend.table.busy_slots(self.now), 3)
-        self.now += 4
-        self.handler.tick(self.now)
+        self._tick_for(4)
         self.assertEqual(self.backend.table.busy_slots(self.now), 0)
         # The client sends the request again.
         self._send(self._key)
         self.assertEqual(self.backend.table.busy_slots(self.now), 0)
 
+    def test_requests_of_a_suspended_process_are_not_unanswered(self) -> None:
+        """The answers wait in the socket until the process runs again."""
+        keys = [self._open() for _ in range(3)]
+        for key in keys:
+            self._send(key)
+        self._tick_for(0.1)
+        self.now += 3
+        self.handler.tick(self.now)
+        for key in keys:
+            self._receive(key, b'a' * 400)
+        self._tick_for(1)
+        self.assertFalse(self.backend.is_suspected())
+
     def test_repeated_request_and_answer_are_no_fast_answer(self) -> None:
         """The server repeats an answer at once if its first copy was lost."""
         for _ in range(4):
@@ -157,6 +168,11 @@
         assert isinstance(reply, FlowReply)
         self.assertLess(reply.load.service_ms, 50)
 
+    def _tick_for(self, seconds: float) -> None:
+        for _ in range(int(seconds * 10)):
+            self.now += 0.1
+            self.handler.tick(self.now)
+
     def _reported_ms(self) -> float:
         return self.backend.load(self.now).service_ms
 
