Compare servers with the median of those without the cost of failures

Cause: with half of a service failing, the median of the reported service times contained the cost of failures, and the sound servers counted as too fast.

Change: the median leaves out servers that are far above the lower quartile.

--- a/src/dragonflyshift/_internal/carried/policies/server_comparison.py
+++ b/src/dragonflyshift/_internal/carried/policies/server_comparison.py
@@ -69,8 +69,8 @@
             self.suspicious = frozenset()
             self.median_ms = 0
             return
-        self.median_ms = statistics.median(
-            server.service_ms for server in servers
+        self.median_ms = _sound_median_ms(
+            [server.service_ms for server in servers]
         )
         chosen = self._limit(servers)
         too_fast = {
@@ -122,9 +122,8 @@
         return chosen[: _max_suspicious(len(servers))]
 
     def _is_outlier(self, service_ms: float) -> bool:
-        return service_ms < self.median_ms * FAST_SHARE or (
-            service_ms > self.median_ms * SLOW_FACTOR
-            and service_ms > self.median_ms + SLOW_EXCESS_MS
+        return service_ms < self.median_ms * FAST_SHARE or _is_too_slow(
+            service_ms, self.median_ms
         )
 
     def _deviation(self, server: ReportedServer) -> float:
@@ -143,5 +142,24 @@
         return probe is not None and now >= probe.due_at
 
 
+def _is_too_slow(service_ms: float, reference_ms: float) -> bool:
+    return (
+        service_ms > reference_ms * SLOW_FACTOR
+        and service_ms > reference_ms + SLOW_EXCESS_MS
+    )
+
+
+def _sound_median_ms(service_ms: list[float]) -> float:
+    """Return the median without servers that are far above the quartile.
+
+    If half of the servers report the cost of failures, the sound ones would
+    be far below a median that includes these.
+    """
+    lower_quartile_ms = sorted(service_ms)[len(service_ms) // 4]
+    return statistics.median(
+        each for each in service_ms if not _is_too_slow(each, lower_quartile_ms)
+    )
+
+
 def _max_suspicious(servers: int) -> int:
     return max(1, int(servers * MAX_SUSPICIOUS_SHARE))
--- a/tests/unit/carried/test_server_comparison.py
+++ b/tests/unit/carried/test_server_comparison.py
@@ -48,6 +48,13 @@
             self._update(*(service_ms,) * 20)
             self.assertEqual(self.comparison.suspicious, frozenset())
 
+    def test_sound_half_of_a_failing_service_is_not_suspicious(self) -> None:
+        """Sound servers are far below a median with the cost of failures."""
+        self._update(*(20,) * 8, *(800,) * 12)
+        self.assertEqual(self.comparison.median_ms, 20)
+        self.assertEqual(len(self.comparison.suspicious), 4)
+        self.assertTrue(all(each >= 8 for each in self.comparison.suspicious))
+
     def test_server_beyond_the_limit_is_not_preferred(self) -> None:
         self._update(*(2,) * 9, *(20,) * 11)
         self.assertEqual(self.comparison.least_service_ms(2), 20)
