--- a/src/dragonflyshift/_internal/carried/balancer/sidecars.py
+++ b/src/dragonflyshift/_internal/carried/balancer/sidecars.py
@@ -34,8 +34,8 @@
 # Datagrams are reordered within less than this. A report with a lower sequence
 # number that arrives later comes from a sidecar that has restarted.
 MAX_REORDERING_S = 0.1
-# The servers of a service are compared at most this often; the comparison of
-# 50 servers takes longer than the placement of a flow.
+# The servers of a service are compared at most this often, so that the
+# placement of a flow stays cheap at services with many servers.
 COMPARISON_INTERVAL_S = 0.1
 _COMPARISON_MODULE = (
     'dragonflyshift._internal.carried.policies.server_comparison'
--- a/src/dragonflyshift/_internal/carried/policies/server_comparison.py
+++ b/src/dragonflyshift/_internal/carried/policies/server_comparison.py
@@ -16,7 +16,7 @@
 # The median needs this many reports.
 MIN_REPORTS = 3
 # A server is too fast below this share of the median. The speeds of sound
-# servers differ by a factor of 2.2, and their estimates by less than half.
+# servers differ by a factor of 2.2.
 FAST_SHARE = 0.25
 # A server is too slow if it exceeds the median by this factor and time. The
 # least cost that a sidecar reports for failures is 250 ms.
--- a/src/dragonflyshift/_internal/carried/sidecar/service_time.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/service_time.py
@@ -11,7 +11,7 @@
 MS_PER_S = 1000
 # After this many first answers that all took the minimum at most, the estimate
 # is the minimum. The default would hide a server that fails from its start from
-# the balancers' comparison for another 20 answers.
+# the balancers' comparison for ten more answers.
 MINIMAL_ANSWERS = 3
 
 
--- a/tests/unit/bench/test_emulator.py
+++ b/tests/unit/bench/test_emulator.py
@@ -53,7 +53,7 @@
         self.assertEqual(run_scenario(scenario, 1).total().failed, 0)
 
     def test_failing_servers_lose_their_flows(self) -> None:
-        """They look fast and idle, and would get half of all requests."""
+        """They look fast and idle, and would get more than the others."""
         load = LoadKind(
             'view', 150, 20, 300, 3000, min_answer_bytes=400, retries=0
         )
