--- a/bench/emulator/daemons.py
+++ b/bench/emulator/daemons.py
@@ -174,7 +174,7 @@
         """Create the objects of the role without any earlier state."""
         self.forwarder = FlowForwarder(
             self.view,
-            SidecarTable(self.data_center),
+            SidecarTable(self.data_center, compares_servers=True),
             _CODEC,
             self.placement(),
             ForwarderCallbacks(
@@ -243,6 +243,7 @@
             view=self.view,
             policy=self.policy(),
             knows_all=self.knows_all,
+            detects_failures=True,
             listening_since_ms=self.bound_at * MS_PER_S,
         )
         tracker.apply_endpoint_record()
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -17,7 +17,18 @@
 from cattrs.errors import BaseValidationError
 
 FAULT_KINDS = frozenset(
-    ('balancers', 'burst', 'crash', 'machines', 'power', 'routes', 'slow')
+    (
+        'balancers',
+        'burst',
+        'crash',
+        'errors',
+        'machines',
+        'power',
+        'resets',
+        'routes',
+        'silence',
+        'slow',
+    )
 )
 DIRECTORY = Path(__file__).resolve().parent / 'scenarios'
 MS_PER_S = 1000
@@ -74,9 +85,12 @@
     of ``work_ms`` and a log-normal ``spread``. Each of ``users`` keeps a flow
     open for many requests; without users each request has its own flow. A
     request counts ``worth`` if it is answered within ``target_ms`` of the
-    first attempt, ``late_worth`` if within ``budget_ms``, and otherwise 0.
-    The requests come from ``callers`` client addresses of this kind in equal
-    parts; without callers the address is of no account.
+    first attempt, ``late_worth`` if within ``budget_ms``, and otherwise 0. An
+    answer has between ``min_answer_bytes`` and ``max_answer_bytes``, at most
+    the payload of a packet. Unless ``is_repeatable``, a request whose flow
+    fails after it was sent is not sent again. The requests come from
+    ``callers`` client addresses of this kind in equal parts; without callers
+    the address is of no account.
     """
 
     name: str
@@ -91,6 +105,9 @@
     retries: int = 2
     spread: float = 0.5
     callers: int = 0
+    min_answer_bytes: int = 6
+    max_answer_bytes: int = 6
+    is_repeatable: bool = True
 
 
 @frozen
@@ -108,6 +125,12 @@
     - machines: ``count`` servers lose power together with their sidecars, and
       return cold with new records.
     - slow: ``count`` backend servers are ``factor`` times slower.
+    - errors: ``count`` backend servers answer a ``share`` of the requests at
+      once with a short error.
+    - resets: ``count`` backend servers reset the flow of a ``share`` of the
+      requests.
+    - silence: ``count`` backend servers never answer a ``share`` of the
+      requests.
     - burst: the load is ``factor`` times as high.
     - balancers: ``count`` balancers are killed and start again.
     - routes: all routes lead to the next service, and then back.
@@ -120,6 +143,7 @@
     factor: float = 1.0
     jitter_s: float = 0
     register_s: float = 0
+    share: float = 1.0
 
 
 @frozen
--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -60,7 +60,10 @@
         name = settings.plugins.get('flow-placement', 'fastest-estimate')
         self.forwarder = FlowForwarder(
             self.view,
-            SidecarTable(settings.data_center),
+            SidecarTable(
+                settings.data_center,
+                compares_servers=settings.detects_failures,
+            ),
             codec,
             find_plugin(FlowPlacement, name)(),
             ForwarderCallbacks(
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -225,7 +225,12 @@
         if state is BackendState.FULL and not backend.may_start(now):
             self.counters.incr('refused_warmup')
             return WARMUP_REFUSAL
-        return '' if state is BackendState.SERVING else state.name.lower()
+        if state is not BackendState.SERVING:
+            return state.name.lower()
+        # A flow that may be queued is admitted: all other servers are busy,
+        # or suspected as well.
+        is_avoided = backend.is_avoided(now) and not message.is_last
+        return 'suspected' if is_avoided else ''
 
     def _admit(self, now: float, new_flow: NewFlow, packet: Packet) -> None:
         backend = self.backend
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -2,6 +2,7 @@
 
 __all__ = ('BackendTracker',)
 
+import importlib
 import logging
 import math
 from typing import TYPE_CHECKING
@@ -10,20 +11,26 @@
 
 from dragonflyshift._internal.carried.fleet.view import FleetView
 from dragonflyshift._internal.carried.load import BackendState, LoadReport
-from dragonflyshift._internal.carried.packet import SocketAddress
+from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
 from dragonflyshift._internal.carried.policies.admission import AdmissionPolicy
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.sidecar.flows import FlowTable
 from dragonflyshift._internal.carried.sidecar.service_time import (
     ServiceTimeEstimator,
 )
+from dragonflyshift._internal.carried.telemetry import Counters
 
 if TYPE_CHECKING:
     from dragonflyshift._internal.carried.policies.cold_pace import ColdPace
+    from dragonflyshift._internal.carried.sidecar.failure_monitor import (
+        FailureMonitor,
+    )
 
 logger = logging.getLogger(__name__)
 
 MS_PER_S = 1000
+# Imported with the first flow, to keep the start of a sidecar short.
+_MONITOR_MODULE = 'dragonflyshift._internal.carried.sidecar.failure_monitor'
 # After a bounced first packet the server counts as full for the minimum, and
 # for twice the previous time after each further bounce, up to the maximum. A
 # server that is shutting down bounces every first packet.
@@ -35,6 +42,9 @@
 # The second before the start of this process counts as used up for a cold
 # server (``cold_pace``). Without a view for longer no limit is known.
 MAX_VIEW_WAIT_S = 1.05
+# After a longer gap between two checks this process was suspended, and answers
+# that have arrived may not have been read yet.
+MAX_CHECK_GAP_S = 0.3
 
 
 @define(eq=False, repr=False)
@@ -46,6 +56,7 @@
     restart can be missing. ``listening_since_ms`` is the time
     at which this process began to receive packets, in Unix milliseconds.
     ``is_first_start`` means that the whole system starts for the first time.
+    With ``detects_failures`` a server may be suspected by how its requests end.
     """
 
     service: str
@@ -62,12 +73,15 @@
     is_down: bool = field(default=False)
     # Monotonic time of the server's last packet.
     last_packet_at: float = field(default=float('-inf'))
+    _checked_at: float = field(default=float('-inf'))
+    _monitor: 'FailureMonitor | None' = field(default=None)
     _backoff_until: float = field(default=float('-inf'))
     _backoff_s: float = field(default=0)
     _sequence: int = field(default=0)
     _was_listed: bool = field(default=False)
     _is_listed_leaving: bool = field(default=False)
     is_first_start: bool = field(default=False)
+    detects_failures: bool = field(default=False)
     # Bounds of the new flows of a cold server, see ``NodeSettings``.
     warmup_overage: float = field(default=1.5)
     warmup_slack: float = field(default=5.0)
@@ -140,6 +154,8 @@
         """Count a first packet that the server gets or has got."""
         if self._pace is not None:
             self._pace.record_start(now)
+        if self._monitor is not None:
+            self._monitor.detector.record_start(now)
 
     def record_found(self, now: float) -> None:
         """Treat the server as cold, since it was lost and has restarted."""
@@ -172,6 +188,69 @@
         )
         return self.service_time.estimate_ms(now - oldest)
 
+    @property
+    def monitor(self) -> 'FailureMonitor':
+        """The detection of the server's failures, created on first use."""
+        if self._monitor is None:
+            module = importlib.import_module(_MONITOR_MODULE)
+            self._monitor = module.FailureMonitor(self.service_time)
+        return self._monitor
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether the server is suspected and not to be probed now."""
+        monitor = self._monitor
+        return monitor is not None and monitor.detector.is_avoided(now)
+
+    def is_suspected(self) -> bool:
+        """Return whether the server is suspected of failing."""
+        monitor = self._monitor
+        return monitor is not None and monitor.detector.is_suspected
+
+    def restart_measurements(self) -> None:
+        """Start the measurements of the service time and of failures anew."""
+        self.service_time = ServiceTimeEstimator()
+        self._monitor = None
+        self.table.outcomes.take()
+
+    def record_service(
+        self, key: FlowKey, service_s: float, answer_s: float
+    ) -> None:
+        """Record the service time of an answer.
+
+        One that may be an error is recorded once it is complete.
+        """
+        if self.detects_failures and self.monitor.may_be_error(key, answer_s):
+            return
+        self.service_time.record(service_s)
+
+    def check_requests(self, now: float, counters: Counters) -> None:
+        """Look for answers that are complete and requests without one."""
+        if not self.detects_failures:
+            return
+        self.table.outcomes.complete_answers(now)
+        is_delayed = now - self._checked_at > MAX_CHECK_GAP_S
+        self._checked_at = now
+        if self.table.running_flows() and not is_delayed:
+            self.monitor.check_running(now, self.table, self.slots)
+        self.record_outcomes(now, counters)
+
+    def record_outcomes(self, now: float, counters: Counters) -> None:
+        """Pass the outcomes of requests to the detection of failures."""
+        outcomes = self.table.outcomes.take()
+        if outcomes and self.detects_failures:
+            self.monitor.record(now, outcomes, self.slots, counters)
+
+    def reported_service_ms(self, now: float) -> float:
+        """Return the service time with the cost of failures, in milliseconds.
+
+        Balancers place flows by it. The admission uses ``service_ms``, as a
+        failing server doesn't make flows wait.
+        """
+        service_ms = self.service_ms(now)
+        if self._monitor is not None:
+            service_ms += self._monitor.detector.penalty_ms(now)
+        return service_ms
+
     def load(self, now: float) -> LoadReport:
         """Return a load report with the next sequence number."""
         self._sequence += 1
@@ -181,7 +260,7 @@
             busy=self.table.busy_slots(now),
             waiting=self.policy.waiting,
             open_flows=len(self.table),
-            service_ms=round(self.service_ms(now), 1),
+            service_ms=round(self.reported_service_ms(now), 1),
             knows_all=self.knows_all,
             sequence=self._sequence,
         )
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -94,6 +94,7 @@
             data_center=settings.data_center,
             listening_since_ms=(time.time() - sockets.age_s()) * MS_PER_S,
             is_first_start=settings.is_first_start,
+            detects_failures=settings.detects_failures,
             warmup_overage=settings.warmup_overage,
             warmup_slack=settings.warmup_slack,
             awaits_warmups=settings.has_warmup_bounds,
--- a/tests/lib/carried.py
+++ b/tests/lib/carried.py
@@ -253,6 +253,7 @@
         policy=policy or InTimeOnly(),
         knows_all=knows_all,
         data_center=DATA_CENTER,
+        detects_failures=True,
     )
     tracker.apply_endpoint_record()
     senders = PacketSenders(
@@ -285,7 +286,7 @@
     """Return the forwarder of a balancer that sends to an outbox."""
     return FlowForwarder(
         view,
-        SidecarTable(DATA_CENTER),
+        SidecarTable(DATA_CENTER, compares_servers=True),
         PlatformCodec(),
         FastestEstimate(),
         ForwarderCallbacks(
