--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -229,7 +229,7 @@
             return state.name.lower()
         # A flow that may be queued is admitted: all other servers are busy,
         # or suspected as well.
-        is_avoided = backend.is_avoided(now) and not message.is_last
+        is_avoided = backend.failures.is_avoided(now) and not message.is_last
         return 'suspected' if is_avoided else ''
 
     def _admit(self, now: float, new_flow: NewFlow, packet: Packet) -> None:
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -1,6 +1,6 @@
 """State and load of the backend server beside a sidecar."""
 
-__all__ = ('BackendTracker',)
+__all__ = ('BackendTracker', 'FailureTracking')
 
 import importlib
 import logging
@@ -47,6 +47,87 @@
 MAX_CHECK_GAP_S = 0.3
 
 
+@define(eq=False, repr=False)
+class FailureTracking:
+    """Passes the requests of a server to the detection of its failures.
+
+    Nothing is detected without ``is_enabled``. ``service_time`` gets the times
+    of the answers that are no suspected errors.
+    """
+
+    table: FlowTable
+    service_time: ServiceTimeEstimator
+    is_enabled: bool
+    _checked_at: float = field(default=float('-inf'))
+    _monitor: 'FailureMonitor | None' = field(default=None)
+
+    @property
+    def monitor(self) -> 'FailureMonitor':
+        """The detection of the server's failures, created on first use."""
+        if self._monitor is None:
+            module = importlib.import_module(_MONITOR_MODULE)
+            self._monitor = module.FailureMonitor(self.service_time)
+        return self._monitor
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether the server is suspected and not to be probed now."""
+        monitor = self._monitor
+        return monitor is not None and monitor.detector.is_avoided(now)
+
+    def is_suspected(self) -> bool:
+        """Return whether the server is suspected of failing."""
+        monitor = self._monitor
+        return monitor is not None and monitor.detector.is_suspected
+
+    def penalty_ms(self, now: float) -> float:
+        """Return the mean cost of failures per request in milliseconds."""
+        monitor = self._monitor
+        return 0 if monitor is None else monitor.detector.penalty_ms(now)
+
+    def restart(self, service_time: ServiceTimeEstimator) -> None:
+        """Forget what is known of a server that has restarted."""
+        self.service_time = service_time
+        self._monitor = None
+        self.table.outcomes.take()
+
+    def record_start(self, now: float) -> None:
+        """Count a new flow, which may be a probe."""
+        if self._monitor is not None:
+            self._monitor.detector.record_start(now)
+
+    def record_service(
+        self, key: FlowKey, service_s: float, answer_s: float
+    ) -> None:
+        """Record the service time of an answer.
+
+        One that may be an error is recorded once it is complete.
+        """
+        if self.is_enabled and self.monitor.may_be_error(key, answer_s):
+            return
+        self.service_time.record(service_s)
+
+    def check_requests(
+        self, now: float, slots: int, counters: Counters
+    ) -> None:
+        """Look for answers that are complete and requests without one."""
+        if not self.is_enabled:
+            return
+        self.table.outcomes.complete_answers(now)
+        is_delayed = now - self._checked_at > MAX_CHECK_GAP_S
+        self._checked_at = now
+        if self.table.running_flows() and not is_delayed:
+            self.monitor.check_running(now, self.table, slots)
+        self.record_outcomes(now, slots, counters)
+
+    def record_outcomes(
+        self, now: float, slots: int, counters: Counters
+    ) -> None:
+        """Pass the outcomes of requests to the detection of failures."""
+        outcomes = self.table.outcomes.take()
+        if outcomes and self.is_enabled:
+            self.monitor.record(now, outcomes, slots, counters)
+
+
 @define(eq=False, repr=False)
 class BackendTracker:
     """Tracks the state, slots, flows and service time of a backend server.
@@ -73,8 +154,7 @@
     is_down: bool = field(default=False)
     # Monotonic time of the server's last packet.
     last_packet_at: float = field(default=float('-inf'))
-    _checked_at: float = field(default=float('-inf'))
-    _monitor: 'FailureMonitor | None' = field(default=None)
+    failures: 'FailureTracking' = field(init=False)
     _backoff_until: float = field(default=float('-inf'))
     _backoff_s: float = field(default=0)
     _sequence: int = field(default=0)
@@ -98,7 +178,10 @@
     _pace: 'ColdPace | None' = field(default=None)
 
     def __attrs_post_init__(self) -> None:
-        """Record the time of the creation."""
+        """Record the time of the creation, and create the failure tracking."""
+        self.failures = FailureTracking(
+            self.table, self.service_time, self.detects_failures
+        )
         self._created_at = self.view.clock()
 
     @property
@@ -154,8 +237,7 @@
         """Count a first packet that the server gets or has got."""
         if self._pace is not None:
             self._pace.record_start(now)
-        if self._monitor is not None:
-            self._monitor.detector.record_start(now)
+        self.failures.record_start(now)
 
     def record_found(self, now: float) -> None:
         """Treat the server as cold, since it was lost and has restarted."""
@@ -188,68 +270,10 @@
         )
         return self.service_time.estimate_ms(now - oldest)
 
-    @property
-    def monitor(self) -> 'FailureMonitor':
-        """The detection of the server's failures, created on first use."""
-        if self._monitor is None:
-            module = importlib.import_module(_MONITOR_MODULE)
-            self._monitor = module.FailureMonitor(self.service_time)
-        return self._monitor
-
-    def is_avoided(self, now: float) -> bool:
-        """Return whether the server is suspected and not to be probed now."""
-        monitor = self._monitor
-        return monitor is not None and monitor.detector.is_avoided(now)
-
-    def is_suspected(self) -> bool:
-        """Return whether the server is suspected of failing."""
-        monitor = self._monitor
-        return monitor is not None and monitor.detector.is_suspected
-
     def restart_measurements(self) -> None:
         """Start the measurements of the service time and of failures anew."""
         self.service_time = ServiceTimeEstimator()
-        self._monitor = None
-        self.table.outcomes.take()
-
-    def record_service(
-        self, key: FlowKey, service_s: float, answer_s: float
-    ) -> None:
-        """Record the service time of an answer.
-
-        One that may be an error is recorded once it is complete.
-        """
-        if self.detects_failures and self.monitor.may_be_error(key, answer_s):
-            return
-        self.service_time.record(service_s)
-
-    def check_requests(self, now: float, counters: Counters) -> None:
-        """Look for answers that are complete and requests without one."""
-        if not self.detects_failures:
-            return
-        self.table.outcomes.complete_answers(now)
-        is_delayed = now - self._checked_at > MAX_CHECK_GAP_S
-        self._checked_at = now
-        if self.table.running_flows() and not is_delayed:
-            self.monitor.check_running(now, self.table, self.slots)
-        self.record_outcomes(now, counters)
-
-    def record_outcomes(self, now: float, counters: Counters) -> None:
-        """Pass the outcomes of requests to the detection of failures."""
-        outcomes = self.table.outcomes.take()
-        if outcomes and self.detects_failures:
-            self.monitor.record(now, outcomes, self.slots, counters)
-
-    def reported_service_ms(self, now: float) -> float:
-        """Return the service time with the cost of failures, in milliseconds.
-
-        Balancers place flows by it. The admission uses ``service_ms``, as a
-        failing server doesn't make flows wait.
-        """
-        service_ms = self.service_ms(now)
-        if self._monitor is not None:
-            service_ms += self._monitor.detector.penalty_ms(now)
-        return service_ms
+        self.failures.restart(self.service_time)
 
     def load(self, now: float) -> LoadReport:
         """Return a load report with the next sequence number."""
@@ -260,7 +284,12 @@
             busy=self.table.busy_slots(now),
             waiting=self.policy.waiting,
             open_flows=len(self.table),
-            service_ms=round(self.reported_service_ms(now), 1),
+            # Includes the cost of failures, by which balancers place flows. The
+            # admission uses the time without it, as a failing server doesn't
+            # make flows wait.
+            service_ms=round(
+                self.service_ms(now) + self.failures.penalty_ms(now), 1
+            ),
             knows_all=self.knows_all,
             sequence=self._sequence,
         )
--- a/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
@@ -63,7 +63,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the admission and the load reporter."""
-        self.counters.gauge('suspected', self.backend.is_suspected)
+        self.counters.gauge('suspected', self.backend.failures.is_suspected)
         self.admission = FlowAdmission(
             self.backend,
             self.codec,
@@ -73,7 +73,7 @@
         self.reporter = LoadReporter(
             self.backend.load,
             self.senders.to_balancer,
-            self.backend.is_avoided,
+            self.backend.failures.is_avoided,
         )
 
     def on_admission_request(
@@ -113,7 +113,9 @@
             flow.balancer = balancer
             self.backend.table.on_client_packet(now, flow, packet)
             self.admission.deliver(packet)
-            self.backend.record_outcomes(now, self.counters)
+            self.backend.failures.record_outcomes(
+                now, self.backend.slots, self.counters
+            )
         else:
             self.admission.reply_not_owned(now, packet, balancer)
 
@@ -151,15 +153,21 @@
             self.backend.reset_bounce_backoff()
         service_s = table.on_server_packet(now, flow, packet)
         if service_s is not None:
-            self.backend.record_service(packet.key, service_s, flow.answer_s)
+            self.backend.failures.record_service(
+                packet.key, service_s, flow.answer_s
+            )
             self.counters.observe('service', service_s)
-        self.backend.record_outcomes(now, self.counters)
+        self.backend.failures.record_outcomes(
+            now, self.backend.slots, self.counters
+        )
         self.admission.start_waiting_flows(now)
         self.reporter.report_change(now)
 
     def tick(self, now: float) -> None:
         """Check running requests and waiting flows, and report the load."""
-        self.backend.check_requests(now, self.counters)
+        self.backend.failures.check_requests(
+            now, self.backend.slots, self.counters
+        )
         self.admission.start_waiting_flows(now)
         self.admission.expire_waiting_flows(now)
         self.reporter.report_change(now)
--- a/tests/unit/carried/test_request_outcomes.py
+++ b/tests/unit/carried/test_request_outcomes.py
@@ -64,7 +64,7 @@
                 for _ in range(2):
                     self._send(self._open())
                     self._receive(self._key, b'', flags)
-                self.assertTrue(self.backend.is_suspected())
+                self.assertTrue(self.backend.failures.is_suspected())
 
     def test_reset_after_the_answer_is_no_failure(self) -> None:
         for _ in range(4):
@@ -72,14 +72,14 @@
             self.now += _WORK_S
             self._receive(self._key, b'a' * 400)
             self._receive(self._key, b'', RST)
-        self.assertFalse(self.backend.is_suspected())
+        self.assertFalse(self.backend.failures.is_suspected())
 
     def test_unanswered_requests_are_failures_and_free_their_slots(self):
         """Slots of lost requests would stay occupied after the failure."""
         for _ in range(3):
             self._send(self._open())
         self._tick_for(2)
-        self.assertTrue(self.backend.is_suspected())
+        self.assertTrue(self.backend.failures.is_suspected())
         self.assertEqual(self.backend.table.busy_slots(self.now), 3)
         self._tick_for(4)
         self.assertEqual(self.backend.table.busy_slots(self.now), 0)
@@ -98,7 +98,7 @@
         for key in keys:
             self._receive(key, b'a' * 400)
         self._tick_for(1)
-        self.assertFalse(self.backend.is_suspected())
+        self.assertFalse(self.backend.failures.is_suspected())
 
     def test_repeated_request_and_answer_are_no_fast_answer(self) -> None:
         """The server repeats an answer at once if its first copy was lost."""
@@ -108,7 +108,7 @@
             self.now += 0.001
             self._receive(self._key, b'a' * 100)
             self._close(self._key)
-        self.assertFalse(self.backend.is_suspected())
+        self.assertFalse(self.backend.failures.is_suspected())
         self.assertGreater(self.backend.service_ms(self.now), 15)
 
     def test_answer_bytes_are_counted_over_packets_and_once(self) -> None:
@@ -143,7 +143,7 @@
             self.now += 0.001
             self._receive(self._key, _ERROR)
             self._close(self._key)
-        self.assertFalse(self.backend.is_suspected())
+        self.assertFalse(self.backend.failures.is_suspected())
 
     def test_suspected_server_gets_only_flows_without_another_choice(self):
         for _ in range(3):
