Wait for the sidecar too before a test of real processes begins

The harness waited for the balancer only, and the sidecar may take longer to start. A trial that suspends the starting sidecar for 2 s fails in the same way. Change: the harness waits for the readiness of both.

--- a/tests/lib/carried_harness.py
+++ b/tests/lib/carried_harness.py
@@ -191,7 +191,7 @@
     bounds: dict[str, Any] = field(factory=dict)
 
     async def start(self) -> None:
-        """Start the store and the daemons; wait until the balancer is ready."""
+        """Start the store and the daemons; wait until both are ready."""
         port_names = ('packets', 'peers', 'ready', 'control', 'outbound', 'app')
         self.ports = {name: find_free_port() for name in port_names}
         self.store_address = await self.store.start()
@@ -204,6 +204,9 @@
         await self.start_process('sidecar')
         await self.start_process('balancer')
         await self.wait_ready()
+        # The sidecar may take longer to start, and its pages refuse connections
+        # until then.
+        await self.wait_ready(SIDECAR_HOST)
 
     async def start_process(self, role: str) -> None:
         """Write the settings of a role and start its process."""
@@ -232,19 +235,19 @@
         process.send_signal(signal_number)
         return await process.wait()
 
-    async def wait_ready(self) -> None:
-        """Wait until the balancer's readiness page answers 200."""
+    async def wait_ready(self, host: str = BALANCER_HOST) -> None:
+        """Wait until a daemon's readiness page answers 200."""
         for _ in range(500):
-            if await self.ready_status() == 200:
+            if await self.ready_status(host) == 200:
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
-        raise TimeoutError('the balancer did not become ready in time')
+        raise TimeoutError(f'the daemon at {host} is not ready in time')
 
-    async def ready_status(self) -> int:
-        """Return the balancer's readiness status, or 0 without an answer."""
+    async def ready_status(self, host: str = BALANCER_HOST) -> int:
+        """Return a daemon's readiness status, or 0 without an answer."""
         try:
             reader, writer = await asyncio.open_connection(
-                BALANCER_HOST,
+                host,
                 self.ports['ready'],
             )
         except OSError:
