--- a/src/dragonflyshift/_internal/carried/balancer/sidecars.py
+++ b/src/dragonflyshift/_internal/carried/balancer/sidecars.py
@@ -35,8 +35,9 @@
 # number that arrives later comes from a sidecar that has restarted.
 MAX_REORDERING_S = 0.1
 # The servers of a service are compared at most this often, so that the
-# placement of a flow stays cheap at services with many servers.
-COMPARISON_INTERVAL_S = 0.1
+# placement of a flow stays cheap at services with many servers: one comparison
+# of 50 servers takes 0.1 ms. A failing server must lose its flows in a second.
+COMPARISON_INTERVAL_S = 0.5
 _COMPARISON_MODULE = (
     'dragonflyshift._internal.carried.policies.server_comparison'
 )
