Encode and decode datagrams without a call for each plain field

Plain values are now passed on by their class, and the readers and codes of a message class are cached.

Bytes on the wire are unchanged.

--- a/src/dragonflyshift/_internal/carried/messages.py
+++ b/src/dragonflyshift/_internal/carried/messages.py
@@ -68,7 +68,7 @@
 
     def encode(self) -> bytes:
         """Return the message as a msgpack datagram."""
-        code = _MESSAGE_CLASSES.index(type(self))
+        code = _MESSAGE_CODES[self.__class__]
         return bytes(msgpack.packb((code, *encode_row(self))))
 
 
@@ -223,6 +223,7 @@
     LookupRequest,
     LookupResult,
 )
+_MESSAGE_CODES = {kind: code for code, kind in enumerate(_MESSAGE_CLASSES)}
 
 
 def decode_datagram(raw: bytes) -> Datagram:
--- a/src/dragonflyshift/_internal/carried/rows.py
+++ b/src/dragonflyshift/_internal/carried/rows.py
@@ -17,38 +17,45 @@
 import types
 from collections.abc import Callable
 from functools import cache, partial
+from operator import attrgetter
 from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
 
 import attrs
 
 _RowT = TypeVar('_RowT')
 _Decoder = Callable[[Any], Any]
+# Values of these classes are encoded as they are.
+_PLAIN_CLASSES = frozenset((bool, bytes, float, int, str, type(None)))
+_is_row_class: Callable[[Any], bool] = cache(attrs.has)
 
 
 def encode_row(item: Any) -> list[Any]:
     """Return the field values of an attrs object, nested objects as rows."""
     return [
-        _encode(getattr(item, name))
-        for name in _names(_as_cache_key(item.__class__))
+        part if part.__class__ in _PLAIN_CLASSES else _encode(part)
+        for part in _reader(_as_cache_key(item.__class__))(item)
     ]
 
 
 def decode_row(cls: type[_RowT], row: Any) -> _RowT:
     """Decode an attrs object; raise ValueError or TypeError if malformed."""
-    decoders = _decoders(_as_cache_key(cls))
-    if not isinstance(row, list) or len(row) != len(decoders):
+    fields = _fields(_as_cache_key(cls))
+    if not isinstance(row, list) or len(row) != len(fields):
         raise ValueError(
-            f'row for {cls.__name__} is not a list of {len(decoders)} values',
+            f'row for {cls.__name__} is not a list of {len(fields)} values',
         )
     return cls(
-        *(decode(part) for decode, part in zip(decoders, row, strict=True)),
+        *[
+            part if part.__class__ in kinds else decode(part)
+            for (kinds, decode), part in zip(fields, row, strict=True)
+        ],
     )
 
 
 def _encode(part: Any) -> Any:
-    if isinstance(part, tuple):
+    if part.__class__ is tuple:
         return [_encode(element) for element in part]
-    if attrs.has(type(part)):
+    if _is_row_class(_as_cache_key(part.__class__)):
         return encode_row(part)
     return part
 
@@ -64,9 +71,28 @@
 
 
 @cache
-def _decoders(cls: Any) -> tuple[_Decoder, ...]:
+def _reader(cls: Any) -> Callable[[Any], tuple[Any, ...]]:
+    """Return a function that reads all field values of an object."""
+    names = _names(cls)
+    if len(names) == 1:
+        return lambda item: (getattr(item, names[0]),)
+    return attrgetter(*names)
+
+
+@cache
+def _fields(cls: Any) -> tuple[tuple[tuple[type, ...], _Decoder], ...]:
+    """Return the classes that each field takes undecoded, and its decoder."""
     hints = get_type_hints(cls)
-    return tuple(_decoder(hints[name]) for name in _names(_as_cache_key(cls)))
+    return tuple(
+        (_plain_kinds(hints[name]), _decoder(hints[name]))
+        for name in _names(_as_cache_key(cls))
+    )
+
+
+def _plain_kinds(hint: Any) -> tuple[type, ...]:
+    if hint is float:
+        return (int, float)
+    return (hint,) if hint in _PLAIN_CLASSES else ()
 
 
 def _decoder(hint: Any) -> _Decoder:
@@ -79,7 +105,7 @@
         return partial(decode_row, hint)
     if issubclass(hint, enum.Enum):
         return partial(_enum_member, hint)
-    return _primitive(hint)
+    return partial(_checked, _plain_kinds(hint))
 
 
 def _optional(decode: _Decoder) -> _Decoder:
@@ -103,10 +129,6 @@
     return part
 
 
-def _primitive(kind: type) -> _Decoder:
-    return partial(_checked, (int, float) if kind is float else (kind,))
-
-
 def _checked(kinds: tuple[type, ...], part: Any) -> Any:
     # The class must match exactly, as bool is a subclass of int.
     if part.__class__ not in kinds:
