Reset lost flows that their clients close

After a loss of power clients close their idle flows, whose servers no longer hold them. The lookup found no owner and sent nothing, since the FIN has no payload, so the client repeated it up to 13 times, each time with a lookup at all sidecars.

The proof that a reset needs is the same as for data. The new test fails on the code before.

--- a/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
+++ b/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
@@ -1,8 +1,8 @@
 """Lookup of the sidecars that own flows unknown to this balancer.
 
 A flow that no sidecar owns has lost its server. It is reset only if the view
-is current and a held packet has a payload, as its client then waits for a
-response.
+is current and a held packet has a payload or closes the flow, as its client
+then repeats the packet until it is acknowledged.
 """
 
 __all__ = ('OwnerLookup', 'OwnerLookupCallbacks')
@@ -209,12 +209,12 @@
         self._log_delegated('owner-unknown', result)
 
     def _reset_flow(self, packets: list[Packet]) -> bool:
-        """Reset a flow if its client is waiting for a response.
+        """Reset a flow if its client repeats one of the held packets.
 
-        Without a payload in the held packets no client waits, and nothing is
-        sent. Return whether the flow was reset.
+        Without a reset each copy would cost another lookup. Return whether
+        the flow was reset.
         """
-        if not any(held.payload_bytes for held in packets):
+        if not any(held.is_repeated_until_acknowledged for held in packets):
             return False
         self.counters.incr('resets')
         packet = packets[-1]
--- a/src/dragonflyshift/_internal/carried/packet.py
+++ b/src/dragonflyshift/_internal/carried/packet.py
@@ -69,6 +69,11 @@
         """Whether this is the first packet of a flow, a SYN without an ACK."""
         return self.is_syn and not self.is_ack
 
+    @property
+    def is_repeated_until_acknowledged(self) -> bool:
+        """Whether the sender repeats this packet until it is acknowledged."""
+        return self.is_fin or self.payload_bytes > 0
+
 
 def first_packet_age_ms(packet: Packet) -> int:
     """Return the age of a flow in ms, from the number of its packet's copy.
--- a/tests/unit/carried/test_flow_forwarder.py
+++ b/tests/unit/carried/test_flow_forwarder.py
@@ -22,6 +22,7 @@
 from dragonflyshift.platform.packets import PlatformCodec
 from tests.lib.carried import (
     ACK,
+    FIN,
     SYN,
     Outbox,
     build_forwarder,
@@ -226,6 +227,19 @@
         self.forwarder.tick(0.1)
         self.assertEqual(self.outbox.to_client, [])
 
+    def test_unknown_flow_that_its_client_closes_is_reset(self) -> None:
+        """Clients close their idle flows for seconds after a loss of power.
+
+        A client repeats its FIN until it is acknowledged, and each copy costs
+        a lookup at all sidecars.
+        """
+        self._send(0, ACK | FIN)
+        for address in self._sidecars():
+            self._answer(0.01, address, FlowStatus.NOT_OWNED)
+        self.forwarder.tick(0.1)
+        (raw,) = self.outbox.to_client
+        self.assertTrue(_CODEC.from_backend(raw).is_rst)
+
     def test_returned_packet_starts_a_lookup(self) -> None:
         address = self._open_flow()
         self.outbox.clear()
