Queue late flows behind those in time instead of refusing them

target-first is the default now. It reports a tenth of its late flows as backlog: with all of them, balancers send new flows away from servers at which they would start at once. Decisions that both policies share stand once, in QueuedAdmission.

--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -39,7 +39,7 @@
     )
     parser.add_argument('--accounts', action='store_true')
     parser.add_argument(
-        '--policy', choices=sorted(POLICIES), default='in-time-only'
+        '--policy', choices=sorted(POLICIES), default='target-first'
     )
     options = parser.parse_args(arguments)
     logging.disable(logging.CRITICAL)
--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -34,12 +34,14 @@
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
 from dragonflyshift._internal.carried.policies.admission import (
     AdmissionPolicy,
-    InTimeOnly,
 )
 from dragonflyshift._internal.carried.policies.placement import (
     FastestEstimate,
     FlowPlacement,
 )
+from dragonflyshift._internal.carried.policies.target_first import (
+    TargetFirst,
+)
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.routes import (
     Route,
@@ -76,7 +78,7 @@
     scenario: Scenario
     seed: int
     placement: type[FlowPlacement] = FastestEstimate
-    policy: type[AdmissionPolicy] = InTimeOnly
+    policy: type[AdmissionPolicy] = TargetFirst
     clock: VirtualClock = field(factory=VirtualClock)
     statistics: Statistics = field(factory=Statistics)
     view: FleetView = field(init=False)
@@ -301,7 +303,7 @@
 def run_scenario(
     scenario: Scenario,
     seed: int,
-    policy: type[AdmissionPolicy] = InTimeOnly,
+    policy: type[AdmissionPolicy] = TargetFirst,
     placement: type[FlowPlacement] = FastestEstimate,
 ) -> Statistics:
     """Run a scenario with a seed and return the statistics of its requests."""
--- a/src/dragonflyshift/_internal/carried/policies/admission.py
+++ b/src/dragonflyshift/_internal/carried/policies/admission.py
@@ -20,6 +20,7 @@
     'AdmissionPolicy',
     'InTimeOnly',
     'NewFlow',
+    'QueuedAdmission',
     'latest_start_ms',
     'start_rank',
 )
@@ -137,6 +138,13 @@
     def holds(self, key: bytes) -> bool:
         """Return whether a flow is waiting."""
 
+    def backlog(self, _now: float, _service_ms: float) -> int:
+        """Return the number of waiting flows to report to balancers.
+
+        A balancer expects a new flow to start after them.
+        """
+        return self.waiting
+
     def take_displaced(self) -> list[NewFlow]:
         """Remove and return the waiting flows that gave way to a new one.
 
@@ -150,10 +158,13 @@
         return {}
 
 
-class InTimeOnly(AdmissionPolicy, name='in-time-only'):
-    """Queues only flows that can meet their latency target.
+class QueuedAdmission(AdmissionPolicy):
+    """Base class of the policies that order waiting flows by a rank.
 
-    A flow that is already late still starts if a slot is free.
+    A flow starts in a free slot if no other waits, and is refused if another
+    server may be idle. Otherwise the predicted wait decides whether it joins
+    the queue. Derived classes define the order of the queue and the ages up to
+    which a flow may wait.
     """
 
     def __init__(self) -> None:
@@ -181,13 +192,10 @@
             # Another server may be idle, and offering the flow to it takes
             # only a round trip.
             return AdmissionDecision.REFUSE
-        age_ms = flow.age_ms(now)
-        older = sum(
-            other.age_ms(now) >= age_ms for other in self._waiting.values()
-        )
-        wait_ms = max(0, busy + older + 1 - slots) * service_ms / slots
-        margin = START_MARGINS[min(flow.priority, LOWEST_PRIORITY)]
-        if age_ms + wait_ms > latest_start_ms(flow, margin * service_ms):
+        ahead = busy + self.count_ahead(now, flow, service_ms) + 1 - slots
+        wait_ms = max(0, ahead) * service_ms / max(1, slots)
+        latest_ms = self.latest_planned_start_ms(flow, service_ms)
+        if flow.age_ms(now) + wait_ms > latest_ms:
             return AdmissionDecision.REFUSE
         self._waiting[flow.key] = flow
         return AdmissionDecision.WAIT
@@ -204,17 +212,16 @@
             return None
         chosen = min(
             self._waiting.values(),
-            key=lambda flow: start_rank(now, flow, service_ms),
+            key=lambda flow: self.rank(now, flow, service_ms),
         )
         return self._waiting.pop(chosen.key)
 
     def expire(self, now: float, service_ms: float) -> list[NewFlow]:
-        """Remove and return the flows that would miss their targets."""
+        """Remove and return the flows that are too late to start."""
         expired = [
             flow
             for flow in self._waiting.values()
-            if flow.age_ms(now)
-            > latest_start_ms(flow, EXPIRY_MARGIN * service_ms)
+            if flow.age_ms(now) > self.expiry_ms(flow, service_ms)
         ]
         for flow in expired:
             self.discard(flow.key)
@@ -234,12 +241,63 @@
         """Return whether a flow is waiting."""
         return key in self._waiting
 
+    @abstractmethod
+    def rank(
+        self, now: float, flow: NewFlow, service_ms: float
+    ) -> tuple[int, int, float]:
+        """Return the sort key of a waiting flow; the lowest starts first."""
+
+    @abstractmethod
+    def count_ahead(self, now: float, flow: NewFlow, service_ms: float) -> int:
+        """Return how many waiting flows start before a new one."""
+
+    @abstractmethod
+    def latest_planned_start_ms(
+        self, flow: NewFlow, service_ms: float
+    ) -> float:
+        """Return the maximum predicted age at the start of a queued flow."""
+
+    @abstractmethod
+    def expiry_ms(self, flow: NewFlow, service_ms: float) -> float:
+        """Return the age at which a waiting flow is given up."""
+
+
+class InTimeOnly(QueuedAdmission, name='in-time-only'):
+    """Queues only flows that can meet their latency target.
+
+    A flow that is already late still starts if a slot is free.
+    """
+
+    def rank(
+        self, now: float, flow: NewFlow, service_ms: float
+    ) -> tuple[int, int, float]:
+        """Return the sort key of a waiting flow; the lowest starts first."""
+        return start_rank(now, flow, service_ms)
+
+    def count_ahead(self, now: float, flow: NewFlow, service_ms: float) -> int:
+        """Return how many waiting flows are at least as old as a new one."""
+        age_ms = flow.age_ms(now)
+        return sum(
+            other.age_ms(now) >= age_ms for other in self._waiting.values()
+        )
+
+    def latest_planned_start_ms(
+        self, flow: NewFlow, service_ms: float
+    ) -> float:
+        """Return the maximum predicted age at the start of a queued flow."""
+        margin = START_MARGINS[min(flow.priority, LOWEST_PRIORITY)]
+        return latest_start_ms(flow, margin * service_ms)
+
+    def expiry_ms(self, flow: NewFlow, service_ms: float) -> float:
+        """Return the age from which a flow would miss its target."""
+        return latest_start_ms(flow, EXPIRY_MARGIN * service_ms)
+
 
 def start_rank(
     now: float,
     flow: NewFlow,
     service_ms: float,
-) -> tuple[bool, int, float]:
+) -> tuple[int, int, float]:
     """Return the sort key of a waiting flow; the lowest one starts first.
 
     Flows with at least ``TIGHT_MARGIN`` mean service times left before their
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -278,18 +278,17 @@
     def load(self, now: float) -> LoadReport:
         """Return a load report with the next sequence number."""
         self._sequence += 1
+        service_ms = self.service_ms(now)
         return LoadReport(
             state=self.state(now),
             slots=self.slots,
             busy=self.table.busy_slots(now),
-            waiting=self.policy.waiting,
+            waiting=self.policy.backlog(now, service_ms),
             open_flows=len(self.table),
             # Includes the cost of failures, by which balancers place flows. The
             # admission uses the time without it, as a failing server doesn't
             # make flows wait.
-            service_ms=round(
-                self.service_ms(now) + self.failures.penalty_ms(now), 1
-            ),
+            service_ms=round(service_ms + self.failures.penalty_ms(now), 1),
             knows_all=self.knows_all,
             sequence=self._sequence,
         )
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -84,7 +84,7 @@
                 "the sidecar's settings lack a service or a backend server",
                 hint='set both in the settings',
             )
-        policy_name = settings.plugins.get('opening-policy', 'in-time-only')
+        policy_name = settings.plugins.get('opening-policy', 'target-first')
         self.backend = BackendTracker(
             service=settings.service,
             address=settings.backend,
--- a/tests/unit/carried/test_admission_policy.py
+++ b/tests/unit/carried/test_admission_policy.py
@@ -148,6 +148,14 @@
             in_time_only.worst_worth(6), queue_all.worst_worth(6)
         )
 
+    def test_fewer_requests_fail_if_clients_wait_for_seconds(self) -> None:
+        """Requests on lost flows return at once to servers that are cold."""
+        name = 'power-loss-open-flows'
+        queue_all = self._simulate(name, TargetFirst).total()
+        in_time_only = self._simulate(name, InTimeOnly).total()
+        self.assertLess(queue_all.failed, in_time_only.failed)
+        self.assertGreater(queue_all.worth, in_time_only.worth)
+
     def _simulate(self, name: str, policy: type[AdmissionPolicy]) -> Statistics:
         """Return the sum of three seeds.
 
--- a/tests/unit/carried/test_target_first.py
+++ b/tests/unit/carried/test_target_first.py
@@ -9,6 +9,8 @@
 
 from dragonflyshift._internal.carried.policies.admission import (
     AdmissionDecision,
+    AdmissionPolicy,
+    InTimeOnly,
     NewFlow,
 )
 from dragonflyshift._internal.carried.policies.target_first import TargetFirst
@@ -71,6 +73,29 @@
         self.assertEqual(self.policy.expire(1.2, _SERVICE_MS), [flow])
         self.assertEqual(self.policy.waiting, 0)
 
+    def test_late_flows_are_a_small_part_of_the_reported_backlog(self) -> None:
+        """A new flow starts before them.
+
+        Balancers would otherwise send it to a server with fewer late flows,
+        where more flows in time are ahead of it.
+        """
+        for number in range(10):
+            self._offer(0, build_new_flow(number, waited_ms=600), busy=4)
+        self.assertEqual(self.policy.backlog(0, _SERVICE_MS), 1)
+        self._offer(0, build_new_flow(10), busy=4)
+        self.assertEqual(self.policy.backlog(0, _SERVICE_MS), 2)
+        self.assertEqual(self.policy.waiting, 11)
+
+    def test_cold_servers_refuse_no_returning_client(self) -> None:
+        """All flows are lost, and their clients connect within 0.3 s.
+
+        With cold servers a service time is half of the latency target. A
+        policy that queues only what can be in time refuses most flows, whose
+        clients use up their retries within 30 ms.
+        """
+        self.assertEqual(_refused_after_a_return(TargetFirst()), 0)
+        self.assertGreater(_refused_after_a_return(InTimeOnly()), 20)
+
     def test_new_flows_are_in_time_despite_a_late_backlog(self) -> None:
         """After an outage a late backlog and new flows arrive together.
 
@@ -157,6 +182,38 @@
     return _in_time(started)
 
 
+_RETURNING = 40
+_RETURN_S = 0.3
+_COLD_SERVICE_MS = 110.0
+_COLD_SLOTS = 4
+
+
+def _refused_after_a_return(policy: AdmissionPolicy) -> int:
+    """Return how many flows a cold server refuses or gives up."""
+    arrivals = [
+        build_new_flow(number, number * _RETURN_S / _RETURNING)
+        for number in range(_RETURNING)
+    ]
+    ends: list[float] = []
+    refused = 0
+    for tick in range(2000):
+        now = tick / 1000
+        ends = [end for end in ends if end > now]
+        while arrivals and arrivals[0].arrived_at <= now:
+            flow = arrivals.pop(0)
+            decision = policy.decide(
+                now, flow, len(ends), _COLD_SLOTS, _COLD_SERVICE_MS
+            )
+            refused += decision is AdmissionDecision.REFUSE
+            if decision is AdmissionDecision.START:
+                ends.append(now + _COLD_SERVICE_MS / 1000)
+        refused += len(policy.expire(now, _COLD_SERVICE_MS))
+        while len(ends) < _COLD_SLOTS and policy.waiting:
+            policy.next_ready(now, len(ends), _COLD_SLOTS, _COLD_SERVICE_MS)
+            ends.append(now + _COLD_SERVICE_MS / 1000)
+    return refused
+
+
 _OVERLOAD_S = 3.0
 _ARRIVALS_PER_S = 78.0
 
