Remove the deferral of refusals while servers are cold

What it guarded, that clients don't use up their attempts while all servers are cold, is tested by test_cold_servers_refuse_no_returning_client and test_fewer_requests_fail_if_clients_wait_for_seconds; that a flow is refused at once when no sidecar queues it, by test_flow_that_no_sidecar_queues_is_reset_at_once. The settings no longer switch it by a word in the contracts.

--- a/bench/ablation_switches.py
+++ b/bench/ablation_switches.py
@@ -13,9 +13,6 @@
 from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
 from dragonflyshift._internal.carried.packet import Packet
 from dragonflyshift._internal.carried.policies.cold_pace import ColdPace
-from dragonflyshift._internal.carried.policies.deferral import (
-    ColdServiceDeferral,
-)
 from dragonflyshift._internal.carried.policies.failure_detection import (
     FailureDetector,
 )
@@ -153,10 +150,6 @@
             Patch(_TRACKER, 'MAX_BOUNCE_BACKOFF_S', 0),
         ),
     ),
-    Mechanism(
-        'deferral of refusals',
-        (Patch(ColdServiceDeferral, 'should_defer', lambda *_args: False),),
-    ),
     Mechanism(
         'comparison of servers',
         (Patch(SidecarTable, 'compare', lambda *_args: None),),
--- a/bench/emulator/daemons.py
+++ b/bench/emulator/daemons.py
@@ -187,7 +187,6 @@
             self.rng,
             Counters(),
         )
-        self.forwarder.placer.defers_refusals = True
 
     def handle(self, channel: int, raw: bytes, source: SocketAddress) -> None:
         """Process a datagram that arrived at the socket ``channel``."""
--- a/bench/micro_admission.py
+++ b/bench/micro_admission.py
@@ -18,6 +18,7 @@
     InTimeOnly,
 )
 from dragonflyshift._internal.carried.policies.fair_share import FairShare
+from dragonflyshift._internal.carried.policies.target_first import TargetFirst
 from tests.lib.admission_replay import build_account_key
 from tests.lib.carried import build_new_flow
 
@@ -28,7 +29,11 @@
 TARGET_MS = 900
 OVERLOAD = 3
 US_PER_S = 1_000_000
-_POLICIES: tuple[Callable[[], AdmissionPolicy], ...] = (InTimeOnly, FairShare)
+_POLICIES: tuple[Callable[[], AdmissionPolicy], ...] = (
+    InTimeOnly,
+    TargetFirst,
+    FairShare,
+)
 
 
 def main() -> None:
--- a/src/dragonflyshift/_internal/carried/balancer/forwarder.py
+++ b/src/dragonflyshift/_internal/carried/balancer/forwarder.py
@@ -114,7 +114,6 @@
             ),
             rng,
             candidates,
-            counters,
         )
         self.owner_lookup = OwnerLookup(
             view,
--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -76,7 +76,6 @@
             self.rng,
             self.counters,
         )
-        self.forwarder.placer.defers_refusals = settings.defers_refusals
         self._fabric: PlainUdpSocket | None = None
         self._evacuated: frozenset[str] = frozenset()
 
--- a/src/dragonflyshift/_internal/carried/balancer/placer.py
+++ b/src/dragonflyshift/_internal/carried/balancer/placer.py
@@ -2,7 +2,6 @@
 
 __all__ = ('NewFlowPlacer', 'PendingFlow', 'PlacerCallbacks')
 
-import logging
 import random
 from collections.abc import Callable, Sequence
 
@@ -15,8 +14,6 @@
     FlowKey,
     Packet,
     SocketAddress,
-    first_packet_age_ms,
-    flow_name,
 )
 from dragonflyshift._internal.carried.policies.candidates import (
     CandidateRing,
@@ -28,9 +25,6 @@
 )
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.routes import Route, TransferKind
-from dragonflyshift._internal.carried.telemetry import Counters
-
-logger = logging.getLogger(__name__)
 
 # After this time without a reply the sidecar is marked as suspect and the flow
 # is offered again. Covers a round trip and the scheduling delay of the sidecar.
@@ -64,9 +58,8 @@
 
     ``tried`` are the sidecars that refused the flow or didn't reply;
     ``offered_to`` is the one whose reply is pending. ``queue_offers`` counts
-    the offers that allow a sidecar to queue the flow. ``is_deferred`` is set
-    once the refusal of the flow has been deferred. Times are in seconds of the
-    monotonic clock.
+    the offers that allow a sidecar to queue the flow. Times are in seconds of
+    the monotonic clock.
     """
 
     packet: Packet
@@ -76,12 +69,6 @@
     offered_to: SocketAddress | None = field(default=None)
     queue_offers: int = field(default=0)
     preferred_sidecar: SocketAddress | None = field(default=None)
-    is_deferred: bool = field(default=False)
-
-    def age_ms(self, now: float) -> float:
-        """Return the time since the client sent its first packet."""
-        waited_ms = (now - self.received_at) * MS_PER_S
-        return waited_ms + first_packet_age_ms(self.packet)
 
 
 @define(eq=False, repr=False)
@@ -102,11 +89,7 @@
 
 @define(eq=False, repr=False)
 class NewFlowPlacer:
-    """Offers each new flow to one sidecar after another until one accepts.
-
-    With ``defers_refusals`` a flow that all have refused is offered again later
-    while most of their servers are cold.
-    """
+    """Offers each new flow to one sidecar after another until one accepts."""
 
     view: FleetView
     sidecars: SidecarTable
@@ -114,8 +97,6 @@
     callbacks: PlacerCallbacks
     rng: random.Random
     candidates: CandidateRing
-    counters: Counters
-    defers_refusals: bool = field(default=False)
     pending: dict[FlowKey, PendingFlow] = field(factory=dict)
     # The time since which a service has had no endpoints.
     _empty_since: dict[str, float] = field(factory=dict)
@@ -211,14 +192,10 @@
             self._on_no_endpoint(now, key, service)
             return
         self._empty_since.pop(service, None)
-        is_late = pending.age_ms(now) > route.target_ms
-        choice = self._next_option(
-            options,
-            pending,
-            only_idle=pending.is_deferred and is_late,
-        )
+        choice = self._next_option(options, pending)
         if choice is None:
-            self._on_all_refused(now, pending, route, options)
+            self.pending.pop(key)
+            self.callbacks.refuse(key, 'all-refused')
             return
         chosen, may_queue = choice
         pending.queue_offers += may_queue
@@ -262,8 +239,6 @@
         self,
         options: list[PlacementOption],
         pending: PendingFlow,
-        *,
-        only_idle: bool,
     ) -> tuple[PlacementOption, bool] | None:
         """Return the next endpoint and whether its sidecar may queue the flow.
 
@@ -271,8 +246,6 @@
         Their replies contain the exact load, so afterwards the sidecar of the
         endpoint with the best estimate may queue the flow, and if it refuses,
         one more. A preferred sidecar may queue the flow at the first offer.
-        With ``only_idle`` no sidecar may queue the flow: it then takes no slot
-        that another flow needs to be in time.
         """
         if pending.queue_offers >= MAX_QUEUE_OFFERS:
             return None
@@ -283,12 +256,10 @@
         ]
         preferred = self._preferred_option(untried, pending)
         if preferred is not None:
-            return preferred, not only_idle
+            return preferred, True
         idle = [option for option in untried if option.is_likely_idle]
         if idle and len(pending.tried) < MAX_IDLE_OFFERS:
             return idle[0], False
-        if only_idle:
-            return None
         if not pending.queue_offers:
             return options[0], True
         return (untried or options)[0], True
@@ -333,36 +304,6 @@
         ).encode()
         self.callbacks.send(datagram, sidecar)
 
-    def _on_all_refused(
-        self,
-        now: float,
-        pending: PendingFlow,
-        route: Route,
-        options: Sequence[PlacementOption],
-    ) -> None:
-        """Refuse a flow, or offer it again later while servers warm up."""
-        key = pending.packet.key
-        if not self.defers_refusals or not _should_defer(
-            options, pending.age_ms(now), route.timeout_ms
-        ):
-            self.pending.pop(key)
-            self.callbacks.refuse(key, 'all-refused')
-            return
-        pending.tried.clear()
-        pending.queue_offers = 0
-        if not pending.is_deferred:
-            pending.is_deferred = True
-            self.counters.incr('deferred')
-            logger.info(
-                'flow-deferred',
-                extra={
-                    'flow': flow_name(key),
-                    'age_ms': int(pending.age_ms(now)),
-                    'candidates': len(options),
-                    'revision': self.view.revision,
-                },
-            )
-
     def _on_no_route(self, now: float, key: FlowKey) -> None:
         """Refuse a flow if the view is complete, else wait for an update."""
         if self.view.is_usable and self.callbacks.is_view_current(now):
@@ -393,17 +334,3 @@
         ):
             self.pending.pop(key)
             self.callbacks.refuse(key, 'no-endpoint')
-
-
-def _should_defer(
-    options: Sequence[PlacementOption], age_ms: float, timeout_ms: float
-) -> bool:
-    """Return whether the refusal of a flow of that age is deferred."""
-    if not any(option.is_cold for option in options):
-        return False
-    # Imported when first needed, as each module lengthens a start.
-    from dragonflyshift._internal.carried.policies.deferral import (
-        ColdServiceDeferral,
-    )
-
-    return ColdServiceDeferral().should_defer(options, age_ms, timeout_ms)
--- a/src/dragonflyshift/_internal/carried/node_settings.py
+++ b/src/dragonflyshift/_internal/carried/node_settings.py
@@ -23,9 +23,8 @@
 
     ``stop_grace_s`` is the time from the stop signal until the process is
     killed. ``flow_lifetime_s`` is the age at which flows may be discarded.
-    ``defers_refusals`` and ``detects_failures`` switch on the deferral of
-    refusals while servers are cold, and the detection of servers that fail
-    while their health checks pass.
+    ``detects_failures`` switches on the detection of servers that fail while
+    their health checks pass.
     In any second a cold server gets at most ``warmup_overage`` times its
     warm-up rate and ``warmup_slack`` new flows more. ``has_warmup_bounds`` is
     whether the settings state these bounds, so that the configuration is
@@ -52,7 +51,6 @@
     warmup_slack: float = 5.0
     has_warmup_bounds: bool = False
     is_first_start: bool = False
-    defers_refusals: bool = False
     detects_failures: bool = False
     log_level: str = 'info'
     plugins: dict[str, str] = field(factory=dict)
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -72,7 +72,6 @@
         warmup_slack=_non_negative(bounds.get('warmupSlack', 5)),
         has_warmup_bounds=not _WARMUP_BOUNDS.isdisjoint(bounds),
         is_first_start=body.get('bootstrap') is True,
-        defers_refusals=expects_failing_servers,
         detects_failures=expects_failing_servers,
         plugins=_plugins(body),
     )
