--- a/bench/ablation_switches.py
+++ b/bench/ablation_switches.py
@@ -28,6 +28,7 @@
 _PLACER = f'{_CARRIED}.balancer.placer'
 _SIDECARS = f'{_CARRIED}.balancer.sidecars'
 _POLICIES = f'{_CARRIED}.policies'
+_OFFERS = f'{_POLICIES}.offers'
 _TRACKER = f'{_CARRIED}.sidecar.backend_tracker'
 _FLOWS = f'{_CARRIED}.sidecar.flows'
 _NO_PENALTY = LocalityPenalty(data_center_ms=0, region_ms=0)
@@ -104,10 +105,10 @@
 MECHANISMS = (
     Mechanism(
         'offers to idle servers first',
-        (Patch(_PLACER, 'MAX_IDLE_OFFERS', 0),),
+        (Patch(_OFFERS, 'MAX_IDLE_OFFERS', 0),),
     ),
     Mechanism(
-        'second offer for queueing', (Patch(_PLACER, 'MAX_QUEUE_OFFERS', 1),)
+        'second offer for queueing', (Patch(_OFFERS, 'MAX_QUEUE_OFFERS', 1),)
     ),
     Mechanism(
         'placement by estimate', (Patch(FastestEstimate, 'order', _least_busy),)
--- a/src/dragonflyshift/_internal/carried/balancer/placer.py
+++ b/src/dragonflyshift/_internal/carried/balancer/placer.py
@@ -18,6 +18,10 @@
 from dragonflyshift._internal.carried.policies.candidates import (
     CandidateRing,
 )
+from dragonflyshift._internal.carried.policies.offers import (
+    Offer,
+    OfferHistory,
+)
 from dragonflyshift._internal.carried.policies.placement import (
     FlowPlacement,
     LocalityPenalty,
@@ -29,12 +33,6 @@
 # After this time without a reply the sidecar is marked as suspect and the flow
 # is offered again. Covers a round trip and the scheduling delay of the sidecar.
 REPLY_TIMEOUT_S = 0.06
-# After this many refused or unanswered offers, the flow is offered for
-# queueing.
-MAX_IDLE_OFFERS = 3
-# Number of offers for queueing after which a flow is refused. An offer without
-# a reply resets the count.
-MAX_QUEUE_OFFERS = 2
 # Clients retransmit a first packet for 1.4 s and then give up.
 PLACEMENT_TIMEOUT_S = 1.3
 # Interval between attempts while no sidecar is available for the flow.
@@ -56,19 +54,15 @@
 class PendingFlow:
     """A new flow that no sidecar has accepted yet.
 
-    ``tried`` are the sidecars that refused the flow or didn't reply;
-    ``offered_to`` is the one whose reply is pending. ``queue_offers`` counts
-    the offers that allow a sidecar to queue the flow. Times are in seconds of
-    the monotonic clock.
+    ``offered_to`` is the sidecar whose reply is pending. Times are in seconds
+    of the monotonic clock.
     """
 
     packet: Packet
     received_at: float
-    tried: list[SocketAddress] = field(factory=list)
+    offers: OfferHistory = field(factory=OfferHistory)
     offered_at: float = field(default=float('-inf'))
     offered_to: SocketAddress | None = field(default=None)
-    queue_offers: int = field(default=0)
-    preferred_sidecar: SocketAddress | None = field(default=None)
 
 
 @define(eq=False, repr=False)
@@ -118,9 +112,7 @@
             if len(self.pending) >= MAX_PENDING:
                 self.callbacks.refuse(packet.key, 'too-many-pending')
                 return
-            pending = PendingFlow(
-                packet, now, preferred_sidecar=preferred_sidecar
-            )
+            pending = PendingFlow(packet, now, OfferHistory(preferred_sidecar))
             self.pending[packet.key] = pending
         elif now - pending.offered_at < REPLY_TIMEOUT_S:
             return
@@ -148,8 +140,7 @@
         pending = self.pending.get(key)
         if pending is None or pending.offered_to != sidecar:
             return
-        if sidecar not in pending.tried:
-            pending.tried.append(sidecar)
+        pending.offers.record_refusal(sidecar)
         self._offer(now, pending)
 
     def tick(self, now: float) -> None:
@@ -173,9 +164,7 @@
     def _on_no_reply(self, now: float, pending: PendingFlow) -> None:
         if pending.offered_to is not None:
             self.sidecars.mark_suspect(now, pending.offered_to)
-            pending.queue_offers = 0
-            if pending.offered_to not in pending.tried:
-                pending.tried.append(pending.offered_to)
+            pending.offers.record_timeout(pending.offered_to)
         self._offer(now, pending)
 
     def _offer(self, now: float, pending: PendingFlow) -> None:
@@ -192,14 +181,12 @@
             self._on_no_endpoint(now, key, service)
             return
         self._empty_since.pop(service, None)
-        choice = self._next_option(options, pending)
-        if choice is None:
+        offer = pending.offers.next_offer(options)
+        if offer is None:
             self.pending.pop(key)
             self.callbacks.refuse(key, 'all-refused')
             return
-        chosen, may_queue = choice
-        pending.queue_offers += may_queue
-        self._send(now, pending, route, service, chosen, may_queue=may_queue)
+        self._send(now, pending, route, service, offer)
 
     def _options(
         self,
@@ -235,61 +222,17 @@
         penalty = LARGE_TRANSFER_PENALTY if is_large else SMALL_TRANSFER_PENALTY
         return self.placement.order(options, penalty, self.rng)
 
-    def _next_option(
-        self,
-        options: list[PlacementOption],
-        pending: PendingFlow,
-    ) -> tuple[PlacementOption, bool] | None:
-        """Return the next endpoint and whether its sidecar may queue the flow.
-
-        Endpoints that are expected to be idle come first, each of them once.
-        Their replies contain the exact load, so afterwards the sidecar of the
-        endpoint with the best estimate may queue the flow, and if it refuses,
-        one more. A preferred sidecar may queue the flow at the first offer.
-        """
-        if pending.queue_offers >= MAX_QUEUE_OFFERS:
-            return None
-        untried = [
-            option
-            for option in options
-            if self.callbacks.sidecar_of(option.record) not in pending.tried
-        ]
-        preferred = self._preferred_option(untried, pending)
-        if preferred is not None:
-            return preferred, True
-        idle = [option for option in untried if option.is_likely_idle]
-        if idle and len(pending.tried) < MAX_IDLE_OFFERS:
-            return idle[0], False
-        if not pending.queue_offers:
-            return options[0], True
-        return (untried or options)[0], True
-
-    def _preferred_option(
-        self,
-        options: list[PlacementOption],
-        pending: PendingFlow,
-    ) -> PlacementOption | None:
-        for option in options:
-            if (
-                self.callbacks.sidecar_of(option.record)
-                == pending.preferred_sidecar
-            ):
-                return None if option.is_suspect else option
-        return None
-
     def _send(
         self,
         now: float,
         pending: PendingFlow,
         route: Route,
         service: str,
-        chosen: PlacementOption,
-        *,
-        may_queue: bool,
+        offer: Offer,
     ) -> None:
-        sidecar = self.callbacks.sidecar_of(chosen.record)
-        pending.offered_to = sidecar
-        self.sidecars.count_flow(now, sidecar, service)
+        chosen = offer.option
+        pending.offered_to = chosen.sidecar
+        self.sidecars.count_flow(now, chosen.sidecar, service)
         datagram = AdmissionRequest(
             service=service,
             target_ms=route.target_ms,
@@ -298,11 +241,11 @@
             slots=chosen.record.slots,
             version=self.view.routes.version,
             waited_ms=int((now - pending.received_at) * MS_PER_S),
-            is_last=may_queue,
+            is_last=offer.may_queue,
             is_local=chosen.is_local,
             raw=pending.packet.raw,
         ).encode()
-        self.callbacks.send(datagram, sidecar)
+        self.callbacks.send(datagram, chosen.sidecar)
 
     def _on_no_route(self, now: float, key: FlowKey) -> None:
         """Refuse a flow if the view is complete, else wait for an update."""
--- a/src/dragonflyshift/_internal/carried/balancer/sidecars.py
+++ b/src/dragonflyshift/_internal/carried/balancer/sidecars.py
@@ -211,6 +211,7 @@
                 comparison is not None and address in comparison.suspicious
             ),
             least_service_ms=least_service_ms,
+            sidecar=address,
         )
 
     def _reported(
--- a/src/dragonflyshift/_internal/carried/policies/placement.py
+++ b/src/dragonflyshift/_internal/carried/policies/placement.py
@@ -22,6 +22,7 @@
 from attrs import define, frozen
 
 from dragonflyshift._internal.carried.load import BackendState, LoadReport
+from dragonflyshift._internal.carried.packet import SocketAddress
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.kernel.registry import Plugin
 
@@ -59,12 +60,13 @@
 class PlacementOption:
     """An endpoint and the balancer's information on its state.
 
-    ``load`` is the last report of its sidecar or None, ``age_ms`` the age of
-    that report and ``sent_since`` the number of flows sent there after it.
-    ``is_local`` means the balancer's own data centre. ``is_suspect`` is set if
-    the sidecar has recently not replied, ``is_cold`` while the server warms
-    up, and ``is_suspicious`` if its service time is an outlier. The estimate
-    takes ``least_service_ms`` if the reported service time is below it.
+    ``sidecar`` is the address of its sidecar, ``load`` the last report of that
+    sidecar or None, ``age_ms`` the age of the report and ``sent_since`` the
+    number of flows sent there after it. ``is_local`` means the balancer's own
+    data centre. ``is_suspect`` is set if the sidecar has recently not replied,
+    ``is_cold`` while the server warms up, and ``is_suspicious`` if its service
+    time is an outlier. The estimate takes ``least_service_ms`` if the reported
+    service time is below it.
     """
 
     record: EndpointRecord
@@ -76,6 +78,7 @@
     is_cold: bool
     is_suspicious: bool = False
     least_service_ms: float = 0
+    sidecar: SocketAddress = ('', 0)
 
     @property
     def is_likely_idle(self) -> bool:
