--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -25,7 +25,7 @@
 from cleo.ui.progress_bar import ProgressBar
 
 from bench.ablation_switches import MECHANISMS
-from bench.emulator.scenario import load_scenario
+from bench.emulator.scenario import ScenarioError, load_scenario
 from bench.emulator.simulation import run_scenario
 
 SCENARIOS = (
@@ -39,6 +39,7 @@
     'route-moves',
 )
 RESULTS = Path(__file__).resolve().parent / 'results' / 'ablation.jsonl'
+USAGE_STATUS = 2
 ALL = 'all mechanisms'
 _BY_NAME = {mechanism.name: mechanism for mechanism in MECHANISMS}
 
@@ -113,7 +114,10 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Run what isn't in the file of results yet, and print the table."""
+    """Run what isn't in the file of results yet, and print the table.
+
+    Return 2 if a scenario can't be read, and 0 otherwise.
+    """
     parser = argparse.ArgumentParser(prog='python -m bench.ablation')
     parser.add_argument('--scenarios', default=','.join(SCENARIOS))
     parser.add_argument('--seeds', type=int, default=3)
@@ -121,6 +125,12 @@
     parser.add_argument('--results', type=Path, default=RESULTS)
     options = parser.parse_args(arguments)
     scenarios = options.scenarios.split(',')
+    try:
+        for name in scenarios:
+            load_scenario(name)
+    except ScenarioError as exc:
+        sys.stderr.write(f'error: {exc}\n')
+        return USAGE_STATUS
     outcomes = read_outcomes(options.results)
     runs = [
         Run(*each)
--- a/tests/unit/bench/test_ablation.py
+++ b/tests/unit/bench/test_ablation.py
@@ -44,6 +44,13 @@
         self.assertEqual(missing, [outcomes[-1].run])
         self.assertIn(f'{ALL} | 0.5000', output)
 
+    def test_unknown_scenario_is_an_error(self) -> None:
+        errors = io.StringIO()
+        with contextlib.redirect_stderr(errors):
+            status = main(['--scenarios', f'{_SCENARIO},nope'])
+        self.assertEqual(status, 2)
+        self.assertIn('nope.toml', errors.getvalue())
+
     def _run(self, *options: str) -> str:
         output = io.StringIO()
         with contextlib.redirect_stdout(output):
