Look up handed-over outcomes at the peers of a restarted sidecar

Cause: a sidecar that has just started has adopted nothing. While all sidecars restart one by one, a save that is repeated at the successor of its key owner connected to the successor itself and got the outcome "unknown" (502), though a live peer held it.

Change: a request whose key owner is gone is forwarded to the live peers, which answer from what they adopted and never run it.

--- a/src/dragonflyshift/_internal/membership/__init__.py
+++ b/src/dragonflyshift/_internal/membership/__init__.py
@@ -8,6 +8,7 @@
 )
 from dragonflyshift._internal.membership.exchange import reported_view_hash
 from dragonflyshift._internal.membership.health import EndpointHealth
+from dragonflyshift._internal.membership.peers import live_peers
 from dragonflyshift._internal.membership.probing import ProbeParameters, Prober
 from dragonflyshift._internal.membership.table import MemberTable
 
@@ -20,5 +21,6 @@
     'decode_digest',
     'hash_records',
     'encode_digest',
+    'live_peers',
     'reported_view_hash',
 )
--- a/src/dragonflyshift/_internal/sidecar/components.py
+++ b/src/dragonflyshift/_internal/sidecar/components.py
@@ -9,7 +9,7 @@
 from dragonflyshift._internal.kernel.settings import Settings
 from dragonflyshift._internal.kernel.tasks import BackgroundTasks
 from dragonflyshift._internal.limits import Admission
-from dragonflyshift._internal.membership import MemberTable
+from dragonflyshift._internal.membership import MemberTable, live_peers
 from dragonflyshift._internal.models import (
     Incarnation,
     MemberRecord,
@@ -171,6 +171,7 @@
         outcomes,
         runner,
         tasks,
+        lambda: live_peers(members),
     )
     return RequestComponents(
         backend,
--- a/src/dragonflyshift/_internal/sidecar/handover.py
+++ b/src/dragonflyshift/_internal/sidecar/handover.py
@@ -6,8 +6,8 @@
 import time
 
 from dragonflyshift._internal.exceptions import PeerError, WireError
-from dragonflyshift._internal.membership import MemberTable
-from dragonflyshift._internal.models import Address, MemberState
+from dragonflyshift._internal.membership import MemberTable, live_peers
+from dragonflyshift._internal.models import Address
 from dragonflyshift._internal.sidecar.exchange import receive_within
 from dragonflyshift._internal.sidecar.identity import SidecarIdentity
 from dragonflyshift._internal.state import (
@@ -48,12 +48,7 @@
     async def hand_over(self) -> int:
         """Freeze and send the table; return how many peers adopted it."""
         parts = self._parts()
-        peers = [
-            record.address
-            for record in self._members.records()
-            if record.address != self._identity.address
-            and record.state is not MemberState.DEAD
-        ]
+        peers = live_peers(self._members)
         results = await asyncio.gather(
             *(self._send(peer, parts) for peer in peers),
         )
--- a/src/dragonflyshift/_internal/sidecar/keyed.py
+++ b/src/dragonflyshift/_internal/sidecar/keyed.py
@@ -3,13 +3,15 @@
 A key contains the address and boot number of its owner, the only sidecar
 process that may run the request. All other sidecars forward the request to
 it. The key owner responds with the stored outcome, waits for the request if
-it is running, or runs it. If the key owner is unreachable, the outcome is
+it is running, or runs it. If the key owner is gone, the peers that may have
+adopted its outcomes are queried. If none of them has the outcome, it is
 unknown, and no other sidecar runs the request.
 """
 
 import asyncio
 import logging
 import time
+from collections.abc import Callable, Sequence
 
 from attrs import evolve, frozen
 
@@ -20,6 +22,7 @@
 )
 from dragonflyshift._internal.kernel.tasks import BackgroundTasks
 from dragonflyshift._internal.models import (
+    Address,
     IdempotencyKey,
     Outcome,
     OutcomeKind,
@@ -102,6 +105,7 @@
         outcomes: OutcomeTable,
         runner: RunnerBase,
         tasks: BackgroundTasks,
+        peers: Callable[[], Sequence[Address]],
     ) -> None:
         """Create the routing; ``runner`` runs requests of own keys."""
         self._identity = identity
@@ -110,6 +114,7 @@
         self._outcomes = outcomes
         self._runner = runner
         self._tasks = tasks
+        self._peers = peers
         self._running = 0
 
     @property
@@ -267,18 +272,62 @@
         req: Request,
         sink: ResponseSink,
     ) -> None:
+        """Forward a request until a sidecar responds with its outcome.
+
+        A sidecar that has just started has not adopted what an earlier process
+        at its address, or another stopped peer, handed over before.
+        """
         adopted = self._outcomes.find_adopted(key, time.monotonic())
         if adopted is not None:
             await self._serve_adopted_outcome(key, sink)
             return
+        failure = RunFailedError(
+            OutcomeKind.UNKNOWN,
+            'the instance that had the outcome is gone',
+        )
+        for address in self._possible_holders(key):
+            unknown = await self._try_forward(address, req, sink)
+            if unknown is None:
+                return
+            failure = unknown
+            if time.monotonic() >= req.info.deadline:
+                break
+        raise failure
+
+    async def _try_forward(
+        self, address: Address, req: Request, sink: ResponseSink
+    ) -> RunFailedError | None:
+        """Forward a request; return the error if the outcome is unknown there.
+
+        Raises RunFailedError if the outcome is known, or if a part of the
+        response was sent.
+        """
+        try:
+            await self._forward(address, req, sink)
+        except RunFailedError as exc:
+            if exc.kind is OutcomeKind.UNKNOWN and not sink.started:
+                return exc
+            raise
+        return None
+
+    def _possible_holders(self, key: IdempotencyKey) -> tuple[Address, ...]:
+        """Return the key owner, then the peers that may hold its outcomes."""
+        peers = tuple(each for each in self._peers() if each != key.home)
+        if key.home == self._identity.address:
+            return peers
+        return (key.home, *peers)
+
+    async def _forward(
+        self, address: Address, req: Request, sink: ResponseSink
+    ) -> None:
         try:
             stream = await connect_stream(
-                key.home,
+                address,
                 self._keys,
                 OWNER_CONNECT_TIMEOUT_SECONDS,
             )
         except (PeerError, WireError) as exc:
-            logger.info('key-owner-unreachable', extra={'home': str(key.home)})
+            logger.info('key-owner-unreachable', extra={'home': str(address)})
             raise RunFailedError(
                 OutcomeKind.UNKNOWN,
                 'the instance that has the outcome is unreachable',
--- a/src/dragonflyshift/_internal/sidecar/keyed_base.py
+++ b/src/dragonflyshift/_internal/sidecar/keyed_base.py
@@ -1,9 +1,11 @@
 """Abstract base class of handlers for requests with an idempotency key."""
 
 from abc import abstractmethod
+from collections.abc import Callable, Sequence
 
 from dragonflyshift._internal.kernel.registry import Plugin
 from dragonflyshift._internal.kernel.tasks import BackgroundTasks
+from dragonflyshift._internal.models import Address
 from dragonflyshift._internal.sidecar.identity import SidecarIdentity
 from dragonflyshift._internal.sidecar.request import (
     Request,
@@ -29,8 +31,13 @@
         outcomes: OutcomeTable,
         runner: RunnerBase,
         tasks: BackgroundTasks,
+        peers: Callable[[], Sequence[Address]],
     ) -> None:
-        """Run requests whose key this sidecar owns through ``runner``."""
+        """Run requests whose key this sidecar owns through ``runner``.
+
+        ``peers`` returns the addresses of the other live sidecars of the
+        service.
+        """
 
     @property
     @abstractmethod
--- a/tests/lib/network.py
+++ b/tests/lib/network.py
@@ -57,3 +57,9 @@
 
 def _host(network: int, number: int) -> str:
     return f'127.0.{network}.{number}'
+
+
+def free_address() -> Address:
+    """Return a loopback address on which nothing listens."""
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        return Address(*server.getsockname())
--- a/tests/unit/cli/test_stream_client.py
+++ b/tests/unit/cli/test_stream_client.py
@@ -1,4 +1,3 @@
-import socket
 import unittest
 
 from dragonflyshift._internal.cli.daemon_client import RouteQuery
@@ -13,17 +12,13 @@
 )
 from dragonflyshift._internal.wire.stream import MessageStream, StreamServer
 from tests.lib.builders import build_fleet_keys
+from tests.lib.network import free_address
 
 KEYS = build_fleet_keys()
 OTHER_KEYS = build_fleet_keys(f'1:{"0c" * 32}')
 SHORT_SECONDS = 0.3
 
 
-def free_address() -> Address:
-    with socket.create_server(('127.0.0.1', 0)) as server:
-        return Address(*server.getsockname())
-
-
 class StreamDaemonClientTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.address = free_address()
--- a/tests/unit/control/seed_daemon.py
+++ b/tests/unit/control/seed_daemon.py
@@ -1,19 +1,12 @@
 """Seed daemon: a control server from which others read documents."""
 
-import socket
 from typing import Any
 
 from dragonflyshift._internal.config import ConfigurationStore
 from dragonflyshift._internal.control import ControlServer, ReportProvider
-from dragonflyshift._internal.models import Address
 from dragonflyshift._internal.wire.messages import RouteRequest
 from tests.lib.builders import build_fleet_keys
-
-
-def free_address() -> Address:
-    """Return a loopback address on which nothing listens."""
-    with socket.create_server(('127.0.0.1', 0)) as server:
-        return Address(*server.getsockname())
+from tests.lib.network import free_address
 
 
 class FixedReportProvider(ReportProvider):
--- a/tests/unit/sidecar/test_handover.py
+++ b/tests/unit/sidecar/test_handover.py
@@ -4,13 +4,11 @@
 or because the peers that adopted it are stopped as well.
 """
 
-import socket
 import time
 import unittest
 
 from dragonflyshift._internal.membership import MemberTable
 from dragonflyshift._internal.models import (
-    Address,
     IdempotencyKey,
     Incarnation,
     MemberRecord,
@@ -24,6 +22,7 @@
 from dragonflyshift._internal.wire import ConnectionIdCodec
 from dragonflyshift._internal.wire.stream import MessageStream, StreamServer
 from tests.lib.builders import build_fleet_keys
+from tests.lib.network import free_address
 
 _TAG = 3
 _BOOT = 7
@@ -37,17 +36,11 @@
 )
 
 
-def _free_address() -> Address:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return Address(*sock.getsockname())
-
-
 class _Sidecar:
     """The member table, outcomes and handover of one sidecar."""
 
     def __init__(self) -> None:
-        self.address = _free_address()
+        self.address = free_address()
         self.issued = 0
         self.outcomes = OutcomeTable(
             _ENTRIES,
--- a/tests/unit/sidecar/test_keyed.py
+++ b/tests/unit/sidecar/test_keyed.py
@@ -116,6 +116,7 @@
             ),
             self.runner,
             self.tasks,
+            tuple,
         )
         self.key = self.issuer.issue()
 
--- a/tests/unit/wire/test_stream.py
+++ b/tests/unit/wire/test_stream.py
@@ -32,6 +32,7 @@
     StreamServer,
     connect_stream,
 )
+from tests.lib.network import free_address
 
 _OLD_KEY = f'1:{"11" * 32}'
 _NEW_KEY = f'2:{"22" * 32}'
@@ -40,12 +41,6 @@
 _LARGE_BYTES = 1024 * 1024
 
 
-def _free_address() -> Address:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return Address(*sock.getsockname())
-
-
 async def _echo(stream: MessageStream) -> None:
     while True:
         await stream.send(await stream.receive())
@@ -56,7 +51,7 @@
     keys: FleetKeys = _KEYS,
     max_connections: int = 10,
 ) -> tuple[StreamServer, Address]:
-    address = _free_address()
+    address = free_address()
     server = StreamServer(address, keys, handler, max_connections)
     await server.start()
     return server, address
@@ -176,7 +171,7 @@
         self,
     ) -> None:
         with self.assertRaises(PeerError):
-            await connect_stream(_free_address(), _KEYS, _WAIT_S)
+            await connect_stream(free_address(), _KEYS, _WAIT_S)
         with socket.create_server(('127.0.0.1', 0)) as silent:
             address = Address(*silent.getsockname())
             with self.assertRaises(PeerError):
