Hand over outcomes again once running requests have ended

Cause: peers forward requests to a stopping key owner until its table is frozen.

Result: test_draining, which fails without it.

--- a/src/dragonflyshift/_internal/sidecar/draining.py
+++ b/src/dragonflyshift/_internal/sidecar/draining.py
@@ -46,7 +46,20 @@
             self._close_idle_flows()
             await asyncio.sleep(POLL_SECONDS)
         await self._close_all_flows()
-        await self._handover.hand_over()
+        await self._hand_over(ends_at)
+
+    async def _hand_over(self, ends_at: float) -> None:
+        """Hand over the outcomes until none of them is still unknown.
+
+        A peer may forward a request until the outcome table is frozen, which
+        the first handover does.
+        """
+        while True:
+            is_running = self._count_running() > 0
+            await self._handover.hand_over()
+            if not is_running or time.monotonic() >= ends_at:
+                return
+            await asyncio.sleep(POLL_SECONDS)
 
     def _in_progress(self) -> bool:
         return self._count_running() > 0 or any(
