Measure answers that are overtaken by the FIN behind them

The sidecar took such a FIN for a request without an answer.

Change: the sequence number of a FIN says how many bytes precede it. They begin the answer, and bytes that were sent before neither begin nor end one. The emulated servers close flows in the same way. One test let an answer start at the sequence number of the SYN; it has the next one now.

--- a/bench/emulator/backend.py
+++ b/bench/emulator/backend.py
@@ -29,14 +29,17 @@
 class _ServerFlow:
     """Server side of a flow.
 
-    ``sequence`` is the server's first sequence number.
-    ``last_request_sequence`` is the sequence number of the last request; it
-    identifies retransmissions.
+    ``sequence`` is the server's first sequence number, ``sent_bytes`` counts
+    the bytes of its answers. The server closes the flow after an answer if
+    ``closes`` is set. ``last_request_sequence`` is the sequence number of the
+    last request; it identifies retransmissions.
     """
 
     sequence: int
     last_request_sequence: int = -1
     answer_bytes: int = 0
+    sent_bytes: int = 0
+    closes: bool = False
 
 
 @define(eq=False)
@@ -44,12 +47,13 @@
     """Backend server that runs one request per slot.
 
     Further requests wait in a queue; a full queue sheds them. The payload of
-    a request is the mean service time in microseconds, its spread in percent
-    and the length of the answer. ``outbound(raw)`` sends a packet to the
-    sidecar. Service times are multiplied by ``slowdown`` and divided by
-    ``speed``. A share ``failure_share`` of the requests fails in the way of the
-    fault ``failure``, if there is one. ``cold_flows`` counts the new flows
-    while the server was cold, ``cold_peak`` is the highest number in a second.
+    a request is the mean service time in microseconds, its spread in percent,
+    the length of the answer and 1 if the server closes the flow then.
+    ``outbound(raw)`` sends a packet to the sidecar. Service times are
+    multiplied by ``slowdown`` and divided by ``speed``. A share
+    ``failure_share`` of the requests fails in the way of the fault
+    ``failure``, if there is one. ``cold_flows`` counts the new flows while the
+    server was cold, ``cold_peak`` is the highest number in a second.
     """
 
     clock: VirtualClock
@@ -141,8 +145,11 @@
         if self.failure and self.rng.random() < self.failure_share:
             self._fail(packet.key)
             return
-        mean_us, spread, answer_bytes = raw[-packet.payload_bytes :].split()
+        mean_us, spread, answer_bytes, closes = raw[
+            -packet.payload_bytes :
+        ].split()
         flow.answer_bytes = int(answer_bytes)
+        flow.closes = closes == b'1'
         sigma = int(spread) / 100
         noise = self.rng.lognormvariate(-sigma * sigma / 2, sigma)
         service_time_s = int(mean_us) * noise / MS_PER_S / MS_PER_S
@@ -158,7 +165,10 @@
     def _fail(self, key: FlowKey) -> None:
         if self.failure == 'errors':
             self.clock.after(
-                ERROR_S, partial(self._send, key, ACK, payload=ERROR_RESPONSE)
+                ERROR_S,
+                partial(
+                    self._send_answer, key, self._flows[key], ERROR_RESPONSE
+                ),
             )
         elif self.failure == 'resets':
             self._send(key, RST)
@@ -179,11 +189,20 @@
         self._running -= 1
         flow = self._flows.get(key)
         if flow is not None:
-            answer = RESPONSE.rjust(flow.answer_bytes)
-            self._send(key, ACK, payload=answer)
+            self._send_answer(key, flow, RESPONSE.rjust(flow.answer_bytes))
         if self._queue:
             self._start_request(*self._queue.pop(0))
 
+    def _send_answer(
+        self, key: FlowKey, flow: _ServerFlow, answer: bytes
+    ) -> None:
+        """Send an answer; a short FIN behind it overtakes it on the way."""
+        start = flow.sequence + 1 + flow.sent_bytes
+        flow.sent_bytes += len(answer)
+        if flow.closes:
+            self._send(key, FIN | ACK, sequence=start + len(answer))
+        self._send(key, ACK, sequence=start, payload=answer)
+
     def _send(
         self,
         key: FlowKey,
@@ -193,7 +212,9 @@
         payload: bytes = b'',
     ) -> None:
         flow = self._flows.get(key)
-        next_sequence = 0 if flow is None else flow.sequence + 1
+        next_sequence = 0
+        if flow is not None:
+            next_sequence = flow.sequence + 1 + flow.sent_bytes
         raw = build_packet(
             key,
             flags,
--- a/bench/emulator/clients.py
+++ b/bench/emulator/clients.py
@@ -14,6 +14,7 @@
 from bench.emulator.scenario import MS_PER_S, LoadKind
 from bench.emulator.statistics import Request, Statistics
 from dragonflyshift._internal.carried.packet import FlowKey, flow_name
+from dragonflyshift._internal.carried.sidecar.flows import ACK_WINDOW
 from dragonflyshift.platform.packets import PlatformCodec
 from tests.lib.carried import ACK, FIN, SERVICE_HOST, SYN, build_packet
 
@@ -90,12 +91,21 @@
         if packet.is_rst:
             self._on_reset(flow, packet.sequence)
         elif packet.is_syn and not flow.is_established:
-            flow.is_established = True
-            flow.acknowledged = packet.sequence + 1
-            self._send_request(flow)
+            self._on_established(flow, packet.sequence + 1)
         elif packet.payload_bytes:
+            flow.acknowledged = packet.sequence + packet.payload_bytes
             self._on_response(flow, raw.endswith(RESPONSE))
 
+    def _on_established(self, flow: _Flow, acknowledged: int) -> None:
+        flow.is_established = True
+        flow.acknowledged = acknowledged
+        if flow.req is not None and flow.req.is_done:
+            # The client has given up.
+            flow.is_closed = True
+            self._flows.pop(flow.key)
+            return
+        self._send_request(flow)
+
     def _start_attempt(self, req: Request) -> None:
         req.attempts += 1
         user = self.rng.randrange(req.kind.users or 1)
@@ -155,10 +165,11 @@
         if flow.is_closed or req is None or flow.sequence != sequence:
             return
         kind = flow.kind
-        payload = b'%d %d %d' % (
+        payload = b'%d %d %d %d' % (
             kind.work_ms * MS_PER_S,
             kind.spread * 100,
             flow.answer_bytes,
+            not kind.users,
         )
         self.send(
             build_packet(
@@ -177,7 +188,7 @@
 
     def _on_reset(self, flow: _Flow, sequence: int) -> None:
         if flow.is_established:
-            if sequence != flow.acknowledged:
+            if abs(sequence - flow.acknowledged) > ACK_WINDOW:
                 return
             if self.is_held(flow.key):
                 self.statistics.violations.append(
--- a/src/dragonflyshift/_internal/carried/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flows.py
@@ -80,7 +80,9 @@
     """A flow whose first packet was delivered to the backend server.
 
     ``first_sequence`` is the server's first sequence number, known once the
-    server has answered. ``acknowledged`` is the client's latest
+    server has answered. ``next_sequence`` is the number after the last byte
+    that the server is known to have sent, None for an adopted flow without
+    an answer. ``acknowledged`` is the client's latest
     acknowledgement number, which a reset takes as its sequence number.
     ``request_started_at`` is None while no request runs. ``request_sequence``
     is the sequence number of the newest packet of the latest request, which
@@ -96,6 +98,7 @@
     last_packet_at: float
     phase: FlowPhase = FlowPhase.HANDSHAKE
     first_sequence: int | None = None
+    next_sequence: int | None = None
     acknowledged: int = 0
     reserved_until: float = 0
     request_started_at: float | None = None
@@ -116,6 +119,22 @@
         """Return whether a request runs or a slot is reserved for one."""
         return self.request_started_at is not None or now < self.reserved_until
 
+    def take_new_bytes(self, packet: Packet) -> int:
+        """Return how many bytes a server's packet proves to be sent newly.
+
+        Packets overtake each other, and a FIN often arrives before the answer
+        that it follows. Bytes that were sent before are not new.
+        """
+        end = (packet.sequence + packet.payload_bytes) & SEQUENCE_MASK
+        if self.next_sequence is None:
+            self.next_sequence = end
+            return packet.payload_bytes
+        new_bytes = (end - self.next_sequence) & SEQUENCE_MASK
+        if new_bytes >= MAX_SEQUENCE_LEAD:
+            return 0
+        self.next_sequence = end
+        return new_bytes
+
     def matches_ack(self, acknowledged: int) -> bool:
         """Return whether the client acknowledges this server's answer.
 
@@ -154,11 +173,15 @@
                 self.complete_answer(flow)
 
     def begin_answer(
-        self, now: float, flow: BackendFlow, packet: Packet
+        self, now: float, flow: BackendFlow, new_bytes: int
     ) -> float:
-        """Begin the answer to a running request; return its service time."""
-        flow.answer_sequence = packet.sequence
-        flow.answer_bytes = 0
+        """Begin the answer to a running request; return its service time.
+
+        ``new_bytes`` is the number of its bytes that are known to be sent.
+        """
+        end = flow.next_sequence or 0
+        flow.answer_sequence = (end - new_bytes) & SEQUENCE_MASK
+        flow.answer_bytes = new_bytes
         flow.service_s = now - (flow.request_started_at or now)
         flow.answer_s = now - flow.request_sent_at
         self._answering[flow.key] = flow
@@ -273,10 +296,16 @@
         """
         flow.last_packet_at = now
         service_s = None
+        new_bytes = 0
         if packet.is_syn:
-            flow.first_sequence = packet.sequence
-        if packet.payload_bytes or packet.is_fin or packet.is_rst:
-            service_s = self._end_request(now, flow, packet)
+            if packet.sequence != flow.first_sequence:
+                flow.first_sequence = packet.sequence
+                flow.next_sequence = (packet.sequence + 1) & SEQUENCE_MASK
+        elif not packet.is_rst:
+            new_bytes = flow.take_new_bytes(packet)
+        is_repeated = flow.is_repeated and packet.payload_bytes > 0
+        if new_bytes or is_repeated or packet.is_fin or packet.is_rst:
+            service_s = self._end_request(now, flow, new_bytes)
         if flow.answer_sequence is not None and packet.payload_bytes:
             _count_answer_bytes(flow, packet)
         if packet.is_fin:
@@ -369,14 +398,14 @@
             self._active[flow.key] = flow
 
     def _end_request(
-        self, now: float, flow: BackendFlow, packet: Packet
+        self, now: float, flow: BackendFlow, new_bytes: int
     ) -> float | None:
         """End the running request; return its service time if answered."""
         service_s = None
         is_running = flow.request_started_at is not None
         if is_running and not flow.is_repeated:
-            if packet.payload_bytes:
-                service_s = self.outcomes.begin_answer(now, flow, packet)
+            if new_bytes:
+                service_s = self.outcomes.begin_answer(now, flow, new_bytes)
             elif not flow.client_closed:
                 self.outcomes.add(flow, OutcomeKind.RESET)
         flow.request_started_at = None
--- a/tests/unit/carried/test_flow_handler.py
+++ b/tests/unit/carried/test_flow_handler.py
@@ -75,7 +75,13 @@
             _BALANCER,
         )
         self.assertEqual(self.handler.backend.table.busy_slots(0.9), 1)
-        answer = build_packet(self.key, ACK, payload=b'x', from_backend=True)
+        answer = build_packet(
+            self.key,
+            ACK,
+            sequence=_SERVER_SEQUENCE + 1,
+            payload=b'x',
+            from_backend=True,
+        )
         self.handler.on_backend_packet(1.0, answer)
         self.assertEqual(self.handler.backend.table.busy_slots(1.0), 0)
 
--- a/tests/unit/carried/test_request_outcomes.py
+++ b/tests/unit/carried/test_request_outcomes.py
@@ -123,6 +123,47 @@
         self.assertEqual(outcome.answer_bytes, 3000)
         self.assertAlmostEqual(outcome.answer_s, _WORK_S)
 
+    def test_close_that_overtakes_its_answer_is_no_failure(self) -> None:
+        """A short FIN that is sent right behind the answer arrives before it.
+
+        A failure would be recorded for each request of a service that closes
+        its flows, and no service time.
+        """
+        self.backend.restart_measurements()
+        for _ in range(20):
+            self._send(self._open())
+            self.now += _WORK_S
+            self._receive(self._key, b'', FIN | ACK, sequence=_ANSWER + 1600)
+            self._receive(self._key, b'a' * 400, sequence=_ANSWER + 1200)
+            self._receive(self._key, b'a' * 1200)
+            self.assertEqual(self.backend.table.busy_slots(self.now), 0)
+            self._close(self._key)
+        self.assertFalse(self.backend.failures.is_suspected())
+        self.assertAlmostEqual(
+            self.backend.service_ms(self.now), _WORK_S * 1000, delta=5
+        )
+
+    def test_bytes_that_arrive_out_of_order_are_counted(self) -> None:
+        self._send(self._open())
+        self.now += _WORK_S
+        self._receive(self._key, b'a' * 400, sequence=_ANSWER + 1200)
+        self._receive(self._key, b'a' * 1200)
+        self.backend.table.outcomes.complete_answers(self.now + 0.2)
+        outcome = self.backend.table.outcomes.take()[0]
+        self.assertEqual(outcome.answer_bytes, 1600)
+
+    def test_repeated_answer_does_not_end_the_next_request(self) -> None:
+        self._send(self._open())
+        self.now += _WORK_S
+        self._receive(self._key, b'a' * 400)
+        self._send(self._key, sequence=100)
+        self.now += 0.001
+        self._receive(self._key, b'a' * 400)
+        self.assertEqual(self.backend.table.busy_slots(self.now), 1)
+        self.now += _WORK_S
+        self._receive(self._key, b'a' * 400, sequence=_ANSWER + 400)
+        self.assertEqual(self.backend.table.busy_slots(self.now), 0)
+
     def test_upload_is_timed_from_its_last_packet(self) -> None:
         key = self._open()
         for number in range(3):
