--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo bench ablation emulate soak format lint types unit lock clean
+.PHONY: test demo bench experiment ablation emulate soak format lint types unit lock clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -23,8 +23,11 @@
 soak: $(STAMP)
 	$(RUN) -m bench.soak $(or $(SOAK_ARGS),--seeds 5)
 
+experiment: $(STAMP)
+	$(RUN) -m bench.experiments $(or $(PLAN),placement) $(EXPERIMENT_ARGS)
+
 ablation: $(STAMP)
-	$(RUN) -m bench.ablation $(ABLATION_ARGS)
+	$(RUN) -m bench.experiments ablation $(EXPERIMENT_ARGS)
 
 emulate: $(STAMP)
 	$(RUN) -m bench.emulator $(or $(SCENARIO),power-loss) --windows $(EMULATE_ARGS)
--- a/bench/emulator/daemons.py
+++ b/bench/emulator/daemons.py
@@ -226,6 +226,7 @@
     """
 
     service: str = ''
+    data_center: str = ''
     backend: EmulatedBackend = field(kw_only=True)
     policy: type[AdmissionPolicy] = field(kw_only=True)
     knows_all: bool = True
@@ -242,6 +243,7 @@
             view=self.view,
             policy=self.policy(),
             knows_all=self.knows_all,
+            data_center=self.data_center,
             detects_failures=True,
             listening_since_ms=self.bound_at * MS_PER_S,
         )
--- a/bench/emulator/faults.py
+++ b/bench/emulator/faults.py
@@ -1,9 +1,9 @@
 """Injection of faults into a simulation."""
 
-__all__ = ('FaultInjector', 'FaultTargets')
+__all__ = ('FaultInjector', 'FaultTargets', 'notify_daemons')
 
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from functools import partial
 from typing import Protocol
 
@@ -13,6 +13,11 @@
 from bench.emulator.daemons import EmulatedBalancer, EmulatedSidecar
 from bench.emulator.scenario import Fault
 from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.packet import SocketAddress
+from dragonflyshift._internal.carried.policies.evacuation import (
+    EvacuationRecord,
+)
+from dragonflyshift._internal.carried.records import EndpointRecord
 
 # Time until a sidecar detects that the port of its server refuses connections.
 LOSS_DETECTION_S = 0.35
@@ -27,6 +32,7 @@
 
     clock: VirtualClock
     view: FleetView
+    daemons: dict[SocketAddress, EmulatedBalancer | EmulatedSidecar]
     balancers: list[EmulatedBalancer]
     sidecars: list[EmulatedSidecar]
     load_factor: float
@@ -89,9 +95,31 @@
                     self.rng.uniform(0, fault.register_s),
                     partial(self.targets.register, sidecar, now),
                 )
-        for balancer in self.targets.balancers:
-            spread = self.rng.uniform(MIN_LOAD_FACTOR, MAX_LOAD_FACTOR)
-            balancer.start(load_s=balancer.load_s * spread)
+        _start_balancers(self.targets.balancers, self.rng)
+
+    def _begin_processes(self, fault: Fault) -> None:
+        for daemon in (*self.targets.sidecars, *self.targets.balancers):
+            daemon.stop()
+        self.targets.clock.after(fault.for_s, self._restart_processes)
+        if fault.unlisted_s:
+            records = tuple(self.targets.view.records.values())
+            self._remove_endpoints()
+            self.targets.clock.after(
+                fault.unlisted_s, partial(_list_again, self.targets, records)
+            )
+
+    def _restart_processes(self) -> None:
+        for sidecar in self.targets.sidecars:
+            sidecar.knows_all = False
+            sidecar.start()
+        _start_balancers(self.targets.balancers, self.rng)
+
+    def _begin_evacuation(self, fault: Fault) -> None:
+        _set_evacuated(self.targets, is_evacuated=True)
+        self.targets.clock.after(
+            fault.for_s,
+            partial(_set_evacuated, self.targets, is_evacuated=False),
+        )
 
     def _begin_balancers(self, fault: Fault) -> None:
         for balancer in self.rng.sample(self.targets.balancers, fault.count):
@@ -161,6 +189,42 @@
         self.targets.clock.after(fault.for_s, partial(self.targets.route_to, 0))
 
 
+def notify_daemons(
+    daemons: Iterable[EmulatedBalancer | EmulatedSidecar],
+) -> None:
+    """Let the daemons apply a change of the view."""
+    for daemon in daemons:
+        daemon.on_view_changed()
+
+
+def _start_balancers(
+    balancers: Sequence[EmulatedBalancer], rng: random.Random
+) -> None:
+    for balancer in balancers:
+        spread = rng.uniform(MIN_LOAD_FACTOR, MAX_LOAD_FACTOR)
+        balancer.start(load_s=balancer.load_s * spread)
+
+
+def _list_again(
+    targets: FaultTargets, records: Sequence[EndpointRecord]
+) -> None:
+    view = targets.view
+    view.revision += 1
+    for record in records:
+        view.merge(evolve(record, revision=view.revision))
+    notify_daemons(targets.daemons.values())
+
+
+def _set_evacuated(targets: FaultTargets, *, is_evacuated: bool) -> None:
+    view = targets.view
+    view.revision += 1
+    data_center = min(each.data_center for each in targets.balancers)
+    view.evacuations.merge(
+        EvacuationRecord(data_center, view.revision, is_evacuated)
+    )
+    notify_daemons(targets.daemons.values())
+
+
 def _set_slowdown(sidecars: Sequence[EmulatedSidecar], factor: float) -> None:
     for sidecar in sidecars:
         sidecar.backend.slowdown = factor
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -22,8 +22,10 @@
         'burst',
         'crash',
         'errors',
+        'evacuation',
         'machines',
         'power',
+        'processes',
         'resets',
         'routes',
         'silence',
@@ -133,6 +135,10 @@
       requests.
     - burst: the load is ``factor`` times as high.
     - balancers: ``count`` balancers are killed and start again.
+    - processes: all balancers and sidecars are killed and start again, while
+      the servers run on. If ``unlisted_s`` is set, the view is empty until
+      ``unlisted_s`` seconds after the kill.
+    - evacuation: the first data centre is evacuated and put back in service.
     - routes: all routes lead to the next service, and then back.
     """
 
@@ -143,6 +149,7 @@
     factor: float = 1.0
     jitter_s: float = 0
     register_s: float = 0
+    unlisted_s: float = 0
     share: float = 1.0
 
 
--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -5,7 +5,7 @@
 import math
 import random
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from functools import partial
 
 import xxhash
@@ -22,7 +22,7 @@
     EmulatedSidecar,
     Network,
 )
-from bench.emulator.faults import FaultInjector
+from bench.emulator.faults import FaultInjector, notify_daemons
 from bench.emulator.scenario import (
     MS_PER_S,
     FleetPlan,
@@ -91,7 +91,7 @@
     # The balancers that the fabric sends packets to.
     _rotation: list[EmulatedBalancer] = field(factory=list)
     _missed_checks: dict[SocketAddress, int] = field(factory=dict)
-    _daemons: dict[SocketAddress, EmulatedBalancer | EmulatedSidecar] = field(
+    daemons: dict[SocketAddress, EmulatedBalancer | EmulatedSidecar] = field(
         factory=dict,
     )
 
@@ -157,7 +157,7 @@
         self.view.remove(
             _build_record(self.scenario.fleet, number).name, self.view.revision
         )
-        _notify_daemons(self._daemons.values())
+        notify_daemons(self.daemons.values())
 
     def register(self, sidecar: EmulatedSidecar, started_at: float) -> None:
         """List the server of a sidecar, with the time of its start."""
@@ -171,7 +171,7 @@
                 warmup_ms=int(self.scenario.fleet.cold_s * MS_PER_S),
             )
         )
-        _notify_daemons(self._daemons.values())
+        notify_daemons(self.daemons.values())
 
     def _is_held(self, key: FlowKey) -> bool:
         return any(sidecar.backend.holds_open(key) for sidecar in self.sidecars)
@@ -196,12 +196,13 @@
             fleet.sidecar_load_s,
             0.05,
             service=record.service,
+            data_center=record.data_center,
             backend=backend,
             policy=self.policy,
         )
         sidecar.start(load_s=0)
         self.sidecars.append(sidecar)
-        self._daemons[address] = sidecar
+        self.daemons[address] = sidecar
 
     def _add_balancer(self, number: int, network: Network) -> None:
         fleet = self.scenario.fleet
@@ -217,7 +218,7 @@
         )
         balancer.start(load_s=0)
         self.balancers.append(balancer)
-        self._daemons[balancer.address] = balancer
+        self.daemons[balancer.address] = balancer
         self._rotation.append(balancer)
 
     def _schedule_request(self, kind: LoadKind) -> None:
@@ -274,7 +275,7 @@
     def _to_peer(
         self, source: SocketAddress, raw: bytes, target: SocketAddress
     ) -> None:
-        daemon = self._daemons[target]
+        daemon = self.daemons[target]
         is_local = self._data_center_of(source) == self._data_center_of(target)
         crossing = self.scenario.fleet.crossing_ms
         self._after_ms(
@@ -347,13 +348,6 @@
     )
 
 
-def _notify_daemons(
-    daemons: Iterable[EmulatedBalancer | EmulatedSidecar],
-) -> None:
-    for daemon in daemons:
-        daemon.on_view_changed()
-
-
 def _service_name(index: int) -> str:
     return f'{SERVICE}-{index}' if index else SERVICE
 
--- a/bench/ablation_switches.py
+++ b/bench/experiments/mechanisms.py
@@ -30,7 +30,6 @@
 _POLICIES = f'{_CARRIED}.policies'
 _OFFERS = f'{_POLICIES}.offers'
 _TRACKER = f'{_CARRIED}.sidecar.backend_tracker'
-_FLOWS = f'{_CARRIED}.sidecar.flows'
 _NO_PENALTY = LocalityPenalty(data_center_ms=0, region_ms=0)
 _NEVER_S = float('inf')
 _ANY_NUMBER = 1_000_000
@@ -143,7 +142,10 @@
     Mechanism(
         'overcommit', (Patch(f'{_POLICIES}.admission', 'OVERCOMMIT', 0),)
     ),
-    Mechanism('reserved slots', (Patch(_FLOWS, 'RESERVATION_S', 0),)),
+    Mechanism(
+        'reserved slots',
+        (Patch(f'{_CARRIED}.sidecar.flows', 'RESERVATION_S', 0),),
+    ),
     Mechanism(
         'backoff after a bounce',
         (
