Reserve slots for as long as requests take to arrive

Cause: after a loss of all processes a third of the started flows belong to clients that have given up.

Change: the reservation follows the observed time from a first packet to its request, as a TCP retransmission timer does, between 10 ms and 0.3 s.

--- a/bench/experiments/mechanisms.py
+++ b/bench/experiments/mechanisms.py
@@ -22,6 +22,9 @@
     LocalityPenalty,
     PlacementOption,
 )
+from dragonflyshift._internal.carried.policies.slot_reservation import (
+    SlotReservation,
+)
 from dragonflyshift._internal.carried.policies.target_first import TargetFirst
 
 _CARRIED = 'dragonflyshift._internal.carried'
@@ -144,7 +147,7 @@
     ),
     Mechanism(
         'reserved slots',
-        (Patch(f'{_CARRIED}.sidecar.flows', 'RESERVATION_S', 0),),
+        (Patch(SlotReservation, 'until', lambda _self, now: now),),
     ),
     Mechanism(
         'backoff after a bounce',
--- a/src/dragonflyshift/_internal/carried/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flows.py
@@ -19,10 +19,10 @@
     Packet,
     SocketAddress,
 )
+from dragonflyshift._internal.carried.policies.slot_reservation import (
+    SlotReservation,
+)
 
-# A client that has received the server's answer to its first packet sends its
-# request within this time. Afterwards the slot reserved for it is free.
-RESERVATION_S = 0.3
 # Ended flows stay in the table for this time, so that late packets are still
 # delivered to the server.
 ENDED_FLOW_LIFETIME_S = 3.0
@@ -221,6 +221,7 @@
     # The flows that run a request or have a slot reserved: usually few.
     _active: dict[FlowKey, BackendFlow] = field(factory=dict)
     outcomes: RequestOutcomes = field(factory=RequestOutcomes)
+    _reservation: SlotReservation = field(factory=SlotReservation)
 
     def __len__(self) -> int:
         """Return the number of flows, ended ones included."""
@@ -239,7 +240,7 @@
         """Add a flow whose first packet goes to the server; reserve a slot."""
         flow = BackendFlow(packet.key, balancer, now, now)
         flow.first_packet_raw = packet.raw
-        flow.reserved_until = now + RESERVATION_S
+        flow.reserved_until = self._reservation.until(now)
         self.flows[packet.key] = flow
         self._active[packet.key] = flow
         return flow
@@ -377,6 +378,8 @@
         self, now: float, flow: BackendFlow, packet: Packet
     ) -> None:
         previous = flow.request_sequence
+        if previous is None and flow.reserved_until:
+            self._reservation.record(now - flow.added_at)
         is_new = previous is None or (
             0 < (packet.sequence - previous) & SEQUENCE_MASK < MAX_SEQUENCE_LEAD
         )
