Place new flows by the fewest requests for each slot

Cause: the estimate multiplied requests by service times, which vary by half of their mean, added fixed times for distance, suspicion and chance that stand for work of 60 to 100 ms, and counted flows as open for three seconds after their end.

Change: the unfinished requests of a report and those sent since, for each slot. A request counts by the service time only at servers 1.5 times slower than the median. Distance and suspicion are counted in requests, so the order depends on no fixed time. Load reports count live flows only.

--- a/bench/emulator/simulation.py
+++ b/bench/emulator/simulation.py
@@ -36,8 +36,8 @@
     AdmissionPolicy,
 )
 from dragonflyshift._internal.carried.policies.placement import (
-    FastestEstimate,
     FlowPlacement,
+    LeastRequests,
 )
 from dragonflyshift._internal.carried.policies.target_first import (
     TargetFirst,
@@ -77,7 +77,7 @@
 
     scenario: Scenario
     seed: int
-    placement: type[FlowPlacement] = FastestEstimate
+    placement: type[FlowPlacement] = LeastRequests
     policy: type[AdmissionPolicy] = TargetFirst
     clock: VirtualClock = field(factory=VirtualClock)
     statistics: Statistics = field(factory=Statistics)
@@ -305,7 +305,7 @@
     scenario: Scenario,
     seed: int,
     policy: type[AdmissionPolicy] = TargetFirst,
-    placement: type[FlowPlacement] = FastestEstimate,
+    placement: type[FlowPlacement] = LeastRequests,
 ) -> Statistics:
     """Run a scenario with a seed and return the statistics of its requests."""
     return Simulation(scenario, seed, placement, policy).run()
--- a/bench/experiments/mechanisms.py
+++ b/bench/experiments/mechanisms.py
@@ -18,8 +18,7 @@
 )
 from dragonflyshift._internal.carried.policies.owner_search import RouteHistory
 from dragonflyshift._internal.carried.policies.placement import (
-    FastestEstimate,
-    LocalityPenalty,
+    LeastRequests,
     PlacementOption,
 )
 from dragonflyshift._internal.carried.policies.slot_reservation import (
@@ -33,7 +32,6 @@
 _POLICIES = f'{_CARRIED}.policies'
 _OFFERS = f'{_POLICIES}.offers'
 _TRACKER = f'{_CARRIED}.sidecar.backend_tracker'
-_NO_PENALTY = LocalityPenalty(data_center_ms=0, region_ms=0)
 _NEVER_S = float('inf')
 _ANY_NUMBER = 1_000_000
 
@@ -75,9 +73,9 @@
 
 
 def _least_busy(
-    _placement: FastestEstimate,
+    _placement: LeastRequests,
     options: Sequence[PlacementOption],
-    _penalty: LocalityPenalty,
+    _remote_requests: float,
     rng: random.Random,
 ) -> list[PlacementOption]:
     """Order endpoints by their reported and sent requests for each slot."""
@@ -113,13 +111,14 @@
         'second offer for queueing', (Patch(_OFFERS, 'MAX_QUEUE_OFFERS', 1),)
     ),
     Mechanism(
-        'placement by estimate', (Patch(FastestEstimate, 'order', _least_busy),)
+        'placement by least requests',
+        (Patch(LeastRequests, 'order', _least_busy),),
     ),
     Mechanism(
         'penalty of distance',
         (
-            Patch(_PLACER, 'SMALL_TRANSFER_PENALTY', _NO_PENALTY),
-            Patch(_PLACER, 'LARGE_TRANSFER_PENALTY', _NO_PENALTY),
+            Patch(_PLACER, 'REMOTE_REQUESTS', 0),
+            Patch(_PLACER, 'REMOTE_REQUESTS_LARGE', 0),
         ),
     ),
     Mechanism(
--- a/bench/micro_carried.py
+++ b/bench/micro_carried.py
@@ -20,7 +20,7 @@
     ForwarderCallbacks,
 )
 from dragonflyshift._internal.carried.balancer.placer import (
-    SMALL_TRANSFER_PENALTY,
+    REMOTE_REQUESTS,
 )
 from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
 from dragonflyshift._internal.carried.messages import (
@@ -29,7 +29,7 @@
 )
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
 from dragonflyshift._internal.carried.policies.placement import (
-    FastestEstimate,
+    LeastRequests,
 )
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.sidecar.flows import FlowPhase
@@ -88,7 +88,7 @@
         build_view(endpoints),
         SidecarTable('klang'),
         PlatformCodec(),
-        FastestEstimate(),
+        LeastRequests(),
         ForwarderCallbacks(
             _drop,
             _drop,
@@ -170,7 +170,7 @@
     def __init__(self, endpoints: int) -> None:
         """Build a forwarder whose view holds the endpoints."""
         self._forwarder = _build_forwarder(endpoints)
-        self._policy = FastestEstimate()
+        self._policy = LeastRequests()
         self._rng = random.Random(1)
 
     def decide(self, _number: int) -> None:
@@ -180,7 +180,7 @@
             forwarder.sidecars.placement_option(1, record, _sidecar_of(record))
             for record in forwarder.view.endpoints(SERVICE)
         ]
-        self._policy.order(options, SMALL_TRANSFER_PENALTY, self._rng)
+        self._policy.order(options, REMOTE_REQUESTS, self._rng)
 
     def run(self, number: int) -> None:
         """Place one new flow."""
--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -57,7 +57,7 @@
         """Create the node; ``start`` opens all sockets not in ``sockets``."""
         super().__init__(settings, codec, source, sockets)
         self._client_port = settings.client_port
-        name = settings.plugins.get('flow-placement', 'fastest-estimate')
+        name = settings.plugins.get('flow-placement', 'least-requests')
         self.forwarder = FlowForwarder(
             self.view,
             SidecarTable(
--- a/src/dragonflyshift/_internal/carried/balancer/placer.py
+++ b/src/dragonflyshift/_internal/carried/balancer/placer.py
@@ -24,7 +24,6 @@
 )
 from dragonflyshift._internal.carried.policies.placement import (
     FlowPlacement,
-    LocalityPenalty,
     PlacementOption,
 )
 from dragonflyshift._internal.carried.records import EndpointRecord
@@ -43,10 +42,10 @@
 EMPTY_SERVICE_GRACE_S = 4.0
 MAX_PENDING = 4096
 MS_PER_S = 1000
-# The penalties cover the latency between data centres, 3 ms, and the price of
-# the transferred bytes, which is far higher for large transfers.
-SMALL_TRANSFER_PENALTY = LocalityPenalty(data_center_ms=20.0, region_ms=200.0)
-LARGE_TRANSFER_PENALTY = LocalityPenalty(data_center_ms=150.0, region_ms=1500.0)
+# How many requests for each slot a server of another data centre must have less
+# than a local one to precede it. The bytes of large transfers are expensive.
+REMOTE_REQUESTS = 1.2
+REMOTE_REQUESTS_LARGE = 10.0
 _LARGE_TRANSFERS = frozenset((TransferKind.DOWNLOAD, TransferKind.UPLOAD))
 
 
@@ -219,8 +218,8 @@
             for record in endpoints
         ]
         is_large = route.kind in _LARGE_TRANSFERS
-        penalty = LARGE_TRANSFER_PENALTY if is_large else SMALL_TRANSFER_PENALTY
-        return self.placement.order(options, penalty, self.rng)
+        remote_requests = REMOTE_REQUESTS_LARGE if is_large else REMOTE_REQUESTS
+        return self.placement.order(options, remote_requests, self.rng)
 
     def _send(
         self,
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -284,7 +284,7 @@
             slots=self.slots,
             busy=self.table.busy_slots(now),
             waiting=self.policy.backlog(now, service_ms),
-            open_flows=len(self.table),
+            open_flows=self.table.live_count,
             # Includes the cost of failures, by which balancers place flows. The
             # admission uses the time without it, as a failing server doesn't
             # make flows wait.
--- a/src/dragonflyshift/_internal/carried/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flows.py
@@ -222,6 +222,12 @@
     _active: dict[FlowKey, BackendFlow] = field(factory=dict)
     outcomes: RequestOutcomes = field(factory=RequestOutcomes)
     _reservation: SlotReservation = field(factory=SlotReservation)
+    _ended: int = field(default=0)
+
+    @property
+    def live_count(self) -> int:
+        """The number of flows that have not ended."""
+        return len(self.flows) - self._ended
 
     def __len__(self) -> int:
         """Return the number of flows, ended ones included."""
@@ -241,6 +247,7 @@
         flow = BackendFlow(packet.key, balancer, now, now)
         flow.first_packet_raw = packet.raw
         flow.reserved_until = self._reservation.until(now)
+        self.remove(packet.key)
         self.flows[packet.key] = flow
         self._active[packet.key] = flow
         return flow
@@ -254,6 +261,7 @@
     ) -> BackendFlow:
         """Add a flow that the server holds and the table lacks."""
         flow = BackendFlow(key, balancer, now, now, phase)
+        self.remove(key)
         self.flows[key] = flow
         return flow
 
@@ -262,6 +270,7 @@
         flow = self.flows.pop(key, None)
         self._active.pop(key, None)
         if flow is not None:
+            self._ended -= flow.phase is FlowPhase.ENDED
             self.outcomes.discard(flow)
 
     def on_client_packet(
@@ -418,6 +427,7 @@
 
     def _check_end(self, flow: BackendFlow, packet: Packet) -> None:
         if packet.is_rst or (flow.client_closed and flow.server_closed):
+            self._ended += flow.phase is not FlowPhase.ENDED
             flow.phase = FlowPhase.ENDED
             flow.request_started_at = None
             flow.reserved_until = 0
--- a/tests/lib/carried.py
+++ b/tests/lib/carried.py
@@ -29,7 +29,7 @@
     EvacuationRecord,
 )
 from dragonflyshift._internal.carried.policies.placement import (
-    FastestEstimate,
+    LeastRequests,
 )
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.routes import (
@@ -288,7 +288,7 @@
         view,
         SidecarTable(DATA_CENTER, compares_servers=True),
         PlatformCodec(),
-        FastestEstimate(),
+        LeastRequests(),
         ForwarderCallbacks(
             outbox.add_datagram,
             outbox.add_client_packet,
--- a/tests/unit/carried/test_flow_ownership.py
+++ b/tests/unit/carried/test_flow_ownership.py
@@ -38,7 +38,7 @@
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
 from dragonflyshift._internal.carried.policies.admission import InTimeOnly
 from dragonflyshift._internal.carried.policies.placement import (
-    FastestEstimate,
+    LeastRequests,
 )
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.routes import RouteTable, WeightedService
@@ -255,7 +255,7 @@
             view,
             SidecarTable(DATA_CENTER),
             _CODEC,
-            FastestEstimate(),
+            LeastRequests(),
             ForwarderCallbacks(
                 lambda raw, target: self.network.append((target, raw, address)),
                 self._on_client_packet,
--- a/tests/unit/carried/test_placement.py
+++ b/tests/unit/carried/test_placement.py
@@ -11,13 +11,12 @@
 
 from dragonflyshift._internal.carried.load import BackendState
 from dragonflyshift._internal.carried.policies.placement import (
-    FastestEstimate,
-    LocalityPenalty,
+    LeastRequests,
     PlacementOption,
 )
 from tests.lib.carried import build_load, build_record
 
-_PENALTY = LocalityPenalty(data_center_ms=20, region_ms=200)
+_REMOTE_REQUESTS = 1.2
 
 
 def _option(number: int, **changes: Any) -> PlacementOption:
@@ -102,10 +101,50 @@
             counts[chosen.record.name] += 1
         self.assertEqual(set(counts.values()), {6})
 
+    def test_usual_variation_of_service_times_decides_nothing(self) -> None:
+        """Load pattern: short requests at servers of equal speed.
+
+        If the shortest measured time got each flow, its server would have a
+        queue while servers with a slightly longer one are idle.
+        """
+        options = [
+            _option(number, load=build_load(service_ms=20.0 + number))
+            for number in range(1, 8)
+        ]
+        chosen = Counter(
+            self._order(*options)[0].record.name for _ in range(700)
+        )
+        self.assertGreater(min(chosen.values()), 50)
+
+    def test_order_depends_on_no_fixed_time(self) -> None:
+        """Work that is ten times as short or as long gets the same order."""
+        for scale in (0.1, 1, 10):
+            slow = _option(1, load=build_load(service_ms=80 * scale))
+            queued = _option(2, load=build_load(busy=5, service_ms=20 * scale))
+            ended = _option(
+                3,
+                load=build_load(busy=5, service_ms=20 * scale),
+                age_ms=30 * scale,
+            )
+            idle = _option(4, load=build_load(service_ms=25 * scale))
+            with self.subTest(scale=scale):
+                self.assertEqual(
+                    self._order(slow, queued, ended, idle),
+                    [idle, ended, queued, slow],
+                )
+
+    def test_servers_without_a_report_are_usual(self) -> None:
+        unknown = _option(1, load=None)
+        slow = _option(2, load=build_load(service_ms=90.0))
+        usual = _option(3, load=build_load(busy=1))
+        self.assertEqual(
+            self._order(slow, usual, unknown), [unknown, usual, slow]
+        )
+
     def test_server_with_fewer_open_flows_comes_first(self) -> None:
         crowded = _option(1, load=build_load(open_flows=60))
         empty = _option(2)
         self.assertEqual(self._order(crowded, empty)[0], empty)
 
     def _order(self, *options: PlacementOption) -> list[PlacementOption]:
-        return FastestEstimate().order(options, _PENALTY, self.rng)
+        return LeastRequests().order(options, _REMOTE_REQUESTS, self.rng)
--- a/tests/unit/carried/test_request_outcomes.py
+++ b/tests/unit/carried/test_request_outcomes.py
@@ -164,6 +164,18 @@
         self._receive(self._key, b'a' * 400, sequence=_ANSWER + 400)
         self.assertEqual(self.backend.table.busy_slots(self.now), 0)
 
+    def test_ended_flows_are_not_reported_as_open(self) -> None:
+        """Placement would avoid the servers that served most of late."""
+        before = self.backend.load(self.now).open_flows
+        for _ in range(5):
+            self._request(_WORK_S, b'a' * 400)
+            self._receive(self._key, b'', FIN | ACK, sequence=_ANSWER + 400)
+        key = self._open()
+        self.assertEqual(self.backend.load(self.now).open_flows, before + 1)
+        self.backend.table.remove(key)
+        self.backend.table.sweep(self.now + 10, 60)
+        self.assertEqual(self.backend.load(self.now).open_flows, before)
+
     def test_upload_is_timed_from_its_last_packet(self) -> None:
         key = self._open()
         for number in range(3):
