--- a/src/dragonflyshift/_internal/carried/policies/slot_reservation.py
+++ b/src/dragonflyshift/_internal/carried/policies/slot_reservation.py
@@ -11,8 +11,8 @@
 
 from attrs import define, field
 
-# The reservation before any request was observed, and its bounds. Within the
-# maximum a packet that was lost is sent again.
+# Bounds of the reservation. A packet that was lost is sent again within the
+# maximum, which applies until a request was observed.
 MIN_RESERVATION_S = 0.01
 MAX_RESERVATION_S = 0.3
 # Weights of a sample and the factor of the deviation, as in the retransmission
