Let the stand-in of a backend server number its answers

Its answers had the sequence number 0, before that of its SYN, so a sidecar takes them for bytes that were sent before since answers are recognized by their numbers. A server counts on from its SYN.

--- a/tests/lib/carried_harness.py
+++ b/tests/lib/carried_harness.py
@@ -76,6 +76,7 @@
     def __init__(self, address: SocketAddress, outbound: SocketAddress) -> None:
         """Listen at the server's address."""
         self.held_flows: set[FlowKey] = set()
+        self._next_sequences: dict[FlowKey, int] = {}
         # Monotonic times at which new flows arrived.
         self.flow_times: list[float] = []
         self.received: list[Packet] = []
@@ -109,13 +110,20 @@
             bounced[8] |= BOUNCED
             self._send_packet(bytes(bounced))
         elif packet.payload_bytes:
-            answer = build_packet(
+            self._send_answer(key, b'answer')
+
+    def _send_answer(self, key: FlowKey, payload: bytes) -> None:
+        sequence = self._next_sequences.get(key, SERVER_SEQUENCE + 1)
+        self._next_sequences[key] = sequence + len(payload)
+        self._send_packet(
+            build_packet(
                 key,
                 ACK,
-                payload=b'answer',
+                sequence=sequence,
+                payload=payload,
                 from_backend=True,
             )
-            self._send_packet(answer)
+        )
 
     def _send_packet(self, raw: bytes) -> None:
         self._sock.send(raw, self._outbound)
