--- a/bench/experiments/mechanisms.py
+++ b/bench/experiments/mechanisms.py
@@ -12,6 +12,9 @@
 
 from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
 from dragonflyshift._internal.carried.packet import Packet
+from dragonflyshift._internal.carried.policies.admission import (
+    SlotReservation,
+)
 from dragonflyshift._internal.carried.policies.cold_pace import ColdPace
 from dragonflyshift._internal.carried.policies.failure_detection import (
     FailureDetector,
@@ -21,9 +24,6 @@
     LeastRequests,
     PlacementOption,
 )
-from dragonflyshift._internal.carried.policies.slot_reservation import (
-    SlotReservation,
-)
 from dragonflyshift._internal.carried.policies.target_first import TargetFirst
 
 _CARRIED = 'dragonflyshift._internal.carried'
--- a/src/dragonflyshift/_internal/carried/policies/admission.py
+++ b/src/dragonflyshift/_internal/carried/policies/admission.py
@@ -21,6 +21,7 @@
     'InTimeOnly',
     'NewFlow',
     'QueuedAdmission',
+    'SlotReservation',
     'latest_start_ms',
     'start_rank',
 )
@@ -52,6 +53,15 @@
 # Flows that are let through in excess of the slots, so that a server isn't
 # idle during the round trip between two requests.
 OVERCOMMIT = 1
+# Bounds of the reservation. A packet that was lost is sent again within the
+# maximum, which applies until a request was observed.
+MIN_RESERVATION_S = 0.01
+MAX_RESERVATION_S = 0.3
+# Weights of a sample and the factor of the deviation, as in the retransmission
+# timer of TCP (RFC 6298).
+MEAN_WEIGHT = 1 / 8
+DEVIATION_WEIGHT = 1 / 4
+DEVIATION_FACTOR = 4
 
 
 class AdmissionDecision(enum.Enum):
@@ -313,3 +323,50 @@
 def latest_start_ms(flow: NewFlow, response_ms: float) -> float:
     """Return the maximum age at which a flow may start."""
     return min(flow.target_ms - response_ms, MAX_START_AGE_MS)
+
+
+@define(eq=False, repr=False)
+class SlotReservation:
+    """How long a slot stays reserved for the request of a new flow.
+
+    A slot is reserved from the delivery of a first packet, so that no other
+    flow takes it before the request arrives. After an outage many flows start
+    whose clients have given up; each would block a slot, and the queue behind
+    it, for as long as a lost request may take. Therefore the reservation
+    follows the time that requests take to arrive. ``seconds`` is its length.
+
+    Example:
+        >>> reservation = SlotReservation()
+        >>> for _ in range(50):
+        ...     reservation.record(0.008)
+        >>> reservation.seconds < 0.02
+        True
+    """
+
+    seconds: float = MAX_RESERVATION_S
+    _mean_s: float | None = field(default=None)
+    _deviation_s: float = field(default=0)
+
+    def until(self, now: float) -> float:
+        """Return until when a slot that is reserved now stays reserved."""
+        return now + self.seconds
+
+    def record(self, arrival_s: float) -> None:
+        """Add the time from a first packet to the request of its flow.
+
+        Times beyond the maximum are left out: a client that keeps its flow
+        open may send its request whenever it likes.
+        """
+        if arrival_s > MAX_RESERVATION_S:
+            return
+        if self._mean_s is None:
+            self._mean_s = arrival_s
+            self._deviation_s = arrival_s / 2
+        else:
+            error_s = arrival_s - self._mean_s
+            self._mean_s += MEAN_WEIGHT * error_s
+            self._deviation_s += DEVIATION_WEIGHT * (
+                abs(error_s) - self._deviation_s
+            )
+        bound_s = self._mean_s + DEVIATION_FACTOR * self._deviation_s
+        self.seconds = min(MAX_RESERVATION_S, max(MIN_RESERVATION_S, bound_s))
--- a/src/dragonflyshift/_internal/carried/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flows.py
@@ -19,7 +19,7 @@
     Packet,
     SocketAddress,
 )
-from dragonflyshift._internal.carried.policies.slot_reservation import (
+from dragonflyshift._internal.carried.policies.admission import (
     SlotReservation,
 )
 
--- a/tests/unit/carried/test_slot_reservation.py
+++ b/tests/unit/carried/test_slot_reservation.py
@@ -14,7 +14,7 @@
 from bench.emulator.statistics import Window
 from dragonflyshift._internal.carried.messages import ForwardedPacket
 from dragonflyshift._internal.carried.packet import SocketAddress
-from dragonflyshift._internal.carried.policies.slot_reservation import (
+from dragonflyshift._internal.carried.policies.admission import (
     MAX_RESERVATION_S,
     MIN_RESERVATION_S,
     SlotReservation,
