Wait for the restarted sidecar before a test opens a flow

test_sidecar_runs_with_fair_shares failed twice in nine runs beside a load of 20 on 6 cores: its first packet came back as a reset. A balancer refuses a flow that it can't place for 1.3 s (without a sidecar: a reset after 1.32 s), and a start takes longer under such load. The test waits until the sidecar is ready, as the harness does at its own start; it checks what it checked before.

--- a/tests/functional/test_carried_path.py
+++ b/tests/functional/test_carried_path.py
@@ -96,6 +96,8 @@
         self.harness.plugins['opening-policy'] = 'fair-share'
         await self.harness.stop_process('sidecar', signal.SIGKILL)
         await self.harness.start_process('sidecar')
+        # A balancer refuses a flow that it can't place within 1.3 s.
+        await self.harness.wait_ready(SIDECAR_HOST)
         await self._open_flow()
         await self._exchange_packets()
         metrics = await fetch_metrics(SIDECAR_HOST)
