--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,21 +14,21 @@
 
 from attrs import evolve, frozen
 
-from bench.scenario_figures import RunResult
-from bench.scenario_file import (
+from bench.scenarios.figures import RunResult
+from bench.scenarios.file import (
     DIRECTORY,
     Scenario,
     ScenarioError,
     load_scenarios,
 )
-from bench.scenario_limits import check_limits
-from bench.scenario_report import Origin, write_results
-from bench.scenario_run import VERSIONS, run_scenario
-from bench.scenario_steps import check_steps
+from bench.scenarios.limits import check_limits
+from bench.scenarios.report import Origin, write_results
+from bench.scenarios.run import VERSIONS, run_scenario
+from bench.scenarios.steps import check_steps
 from dragonflyshift._internal.kernel.registry import load_modules
 
 RESULTS = Path(__file__).resolve().parent / 'results'
-STEP_MODULES = ('bench.scenario_faults',)
+STEP_MODULES = ('bench.scenarios.faults',)
 LIMIT_SECONDS = 720.0
 USAGE_STATUS = 2
 INCOMPLETE_STATUS = 3
--- a/bench/config_cost.py
+++ b/bench/configuration/cost.py
@@ -1,7 +1,7 @@
 """Measure the costs of decoding, applying and storing configuration.
 
-Run ``python -m bench.config_cost [--json] [--seed N]``. Times are processor
-time; the memory of a store includes the documents that it keeps.
+Run ``python -m bench.configuration.cost [--json] [--seed N]``. Times are
+processor time; the memory of a store includes the documents that it keeps.
 """
 
 import argparse
@@ -12,8 +12,12 @@
 
 from attrs import AttrsInstance, asdict, frozen
 
-from bench.config_documents import Inventory, build_inventory, print_tables
-from bench.micro import US_PER_S, median_us
+from bench.configuration.documents import (
+    Inventory,
+    build_inventory,
+    print_tables,
+)
+from bench.micro.timing import US_PER_S, median_us
 from bench.slopes import fit_line
 from dragonflyshift._internal.config import (
     ConfigurationStore,
--- a/bench/config_herd.py
+++ b/bench/configuration/herd.py
@@ -1,10 +1,10 @@
 """Simulate thundering herds of readers on one platform.
 
-Run ``python -m bench.config_herd [--json] [--seed N]``. The numbers of
+Run ``python -m bench.configuration.herd [--json] [--seed N]``. The numbers of
 readers are those of the design. The daemons' own classes draw the backoff
 and spreading delays; a read takes a fixed time, and the platform refuses
 reads above 2,000 in a second. Processor time isn't simulated: see
-``bench.config_cost``.
+``bench.configuration.cost``.
 """
 
 import argparse
@@ -17,7 +17,7 @@
 import numpy as np
 from attrs import asdict, define, field, frozen
 
-from bench.config_documents import print_tables
+from bench.configuration.documents import print_tables
 from dragonflyshift._internal.config import PlatformRequestError
 from dragonflyshift._internal.config.backoff import Backoff
 from dragonflyshift._internal.config.pulls import CONCURRENT_PULLS, PullRound
--- a/bench/config_readers.py
+++ b/bench/configuration/readers.py
@@ -1,8 +1,8 @@
 """Measure many configuration readers on one platform stand-in.
 
-Run ``python -m bench.config_readers --part PART [--json] [--seed N]``; each
-part takes less than a minute: ``change`` measures idle watches and then one
-change, ``outage`` publishes it while the platform is down, ``fresh`` starts
+Run ``python -m bench.configuration.readers --part PART [--json] [--seed N]``;
+each part takes less than a minute: ``change`` measures idle watches and then
+one change, ``outage`` publishes it while the platform is down, ``fresh`` starts
 readers with empty stores, with and without bundles. The readers are real
 watchers in two processes; the stand-in accepts 2,000 reads a second.
 """
@@ -16,8 +16,8 @@
 import numpy as np
 from attrs import AttrsInstance, asdict, evolve, frozen
 
-from bench.config_documents import build_inventory, print_tables
-from bench.config_rig import (
+from bench.configuration.documents import build_inventory, print_tables
+from bench.configuration.rig import (
     COST_KEYS,
     WATCH_WAIT_S,
     ReaderRig,
--- a/bench/config_rig.py
+++ b/bench/configuration/rig.py
@@ -1,4 +1,4 @@
-"""A platform stand-in and reader processes, for ``bench.config_readers``."""
+"""A platform stand-in and reader processes, for the bench of readers."""
 
 import os
 import signal
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from bench.config_documents import Inventory
+from bench.configuration.documents import Inventory
 from tests.lib import processes
 from tests.lib.control import ControlClient
 
@@ -173,7 +173,7 @@
             words = [f'--{name}={text}' for name, text in options.items()]
             worker = await processes.start(
                 f'readers-{number}',
-                'bench.config_worker',
+                'bench.configuration.worker',
                 [*words, *(['--fresh'] if fresh else [])],
             )
             cleanup.push_async_callback(worker.stop)
--- a/bench/config_worker.py
+++ b/bench/configuration/worker.py
@@ -1,4 +1,4 @@
-"""Run many watchers in one process, for ``bench.config_readers``.
+"""Run many watchers in one process, for ``bench.configuration.readers``.
 
 Prints a JSON line when all watchers have reached a version, and one with the
 costs so far at each SIGUSR1.
@@ -21,7 +21,7 @@
 import httpx
 from attrs import define, field
 
-from bench.config_documents import Inventory, build_inventory
+from bench.configuration.documents import Inventory, build_inventory
 from dragonflyshift._internal.config import (
     ConfigurationChange,
     ConfigurationStore,
--- /dev/null
+++ b/bench/micro/__init__.py
@@ -0,0 +1,1 @@
+"""Costs of single operations, in processor time."""
--- a/bench/micro_admission.py
+++ b/bench/micro/admission.py
@@ -1,6 +1,6 @@
 """Measure the processor time of an admission decision by policy.
 
-    python -m bench.micro_admission
+    python -m bench.micro.admission
 
 A server with one slot gets three times the flows that it can serve, from 8,
 256 or 2,000 client addresses, one of which opens half of them. For each policy
--- a/bench/micro_carried.py
+++ b/bench/micro/carried.py
@@ -1,6 +1,6 @@
 """Measure the processor time of the carried path at several flow counts.
 
-    python -m bench.micro_carried
+    python -m bench.micro.carried
 
 For balancer and sidecar it prints the microseconds per packet of a known flow
 at 1, 1,000 and 100,000 flows, the time of a bare socket pair that sends and
--- a/bench/micro_membership.py
+++ b/bench/micro/membership.py
@@ -1,6 +1,6 @@
 """Measure the costs of membership: digests, merges, probes and changes.
 
-Run ``python -m bench.micro_membership [--json] [--seed N]``.
+Run ``python -m bench.micro.membership [--json] [--seed N]``.
 """
 
 import asyncio
@@ -11,8 +11,8 @@
 
 from attrs import frozen
 
-from bench.membership_mesh import measure_meshes
-from bench.micro import US_PER_S, median_us, parse_options, show
+from bench.micro.mesh import measure_meshes
+from bench.micro.timing import US_PER_S, median_us, parse_options, show
 from bench.slopes import fit_line
 from dragonflyshift._internal.membership import (
     MemberTable,
--- a/bench/micro_packets.py
+++ b/bench/micro/packets.py
@@ -1,6 +1,6 @@
 """Measure the processor time of the balancer's packet path.
 
-Run ``python -m bench.micro_packets [--json] [--seed N]``. Each time is
+Run ``python -m bench.micro.packets [--json] [--seed N]``. Each time is
 compared with a bare loop of ``recvfrom`` and ``sendto`` and with the bare
 codec, both measured in the same run.
 """
@@ -14,9 +14,14 @@
 
 from attrs import astuple, frozen
 
-from bench.micro import REPEATS as CODEC_REPEATS
-from bench.micro import US_PER_S, median_us, parse_options, show
-from bench.packet_rig import ENDPOINTS, PacketRig, PacketStream, open_sockets
+from bench.micro.packet_rig import (
+    ENDPOINTS,
+    PacketRig,
+    PacketStream,
+    open_sockets,
+)
+from bench.micro.timing import REPEATS as CODEC_REPEATS
+from bench.micro.timing import US_PER_S, median_us, parse_options, show
 from dragonflyshift._internal.utils.udp import MAX_DATAGRAM_BYTES, READ_BATCH
 from dragonflyshift._internal.wire import (
     DatagramCodec,
--- a/bench/micro_sidecar.py
+++ b/bench/micro/sidecar.py
@@ -1,7 +1,7 @@
 """Measure the costs of flows and requests at a sidecar and a balancer.
 
 The real programs run on loopback: fabric, one balancer, one sidecar, one
-backend server. Run ``python -m bench.micro_sidecar [--json] [--seed N]``.
+backend server. Run ``python -m bench.micro.sidecar [--json] [--seed N]``.
 """
 
 import asyncio
@@ -11,7 +11,7 @@
 
 from attrs import evolve, frozen
 
-from bench.micro import Options, parse_options, show
+from bench.micro.timing import Options, parse_options, show
 from bench.process_cost import ProcessCost
 from bench.slopes import fit_line
 from tests.lib.cluster import LISTS, Cluster, ClusterPlan
--- a/bench/policy_bound.py
+++ b/bench/policies/bound.py
@@ -8,8 +8,8 @@
 
 from attrs import define
 
-from bench.policy_tally import RunCounters
-from bench.policy_trace import Arrival, Workload
+from bench.policies.tally import RunCounters
+from bench.policies.trace import Arrival, Workload
 
 
 @define
--- a/bench/policy_handover.py
+++ b/bench/policies/handover.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
-from bench.policy_clock import EventClock
-from bench.policy_sidecar import Request, Sidecar, ticket_request
-from bench.policy_tally import RunCounters
+from bench.policies.clock import EventClock
+from bench.policies.sidecar import Request, Sidecar, ticket_request
+from bench.policies.tally import RunCounters
 from dragonflyshift._internal.models import MemberRecord
 from dragonflyshift._internal.routing import PeerChoice
 
--- a/bench/policy_load.py
+++ b/bench/policies/load.py
@@ -1,7 +1,7 @@
 """Simulates load on our policies, the naive ones and a common queue.
 
 Example:
-    python -m bench.policy_load --seed 1 --json policy-load.json
+    python -m bench.policies.load --seed 1 --json policy-load.json
 """
 
 import argparse
@@ -12,17 +12,17 @@
 
 from attrs import asdict, evolve, frozen
 
-from bench.policy_bound import CommonQueue
-from bench.policy_model import Simulation
-from bench.policy_sidecar import Fault, Options, Policies
-from bench.policy_table import render_tables
-from bench.policy_tally import (
+from bench.policies.bound import CommonQueue
+from bench.policies.model import Simulation
+from bench.policies.sidecar import Fault, Options, Policies
+from bench.policies.table import render_tables
+from bench.policies.tally import (
     RunCounters,
     RunStatistics,
     mean_statistics,
     summarize,
 )
-from bench.policy_trace import Workload, build_trace
+from bench.policies.trace import Workload, build_trace
 from dragonflyshift._internal.kernel.registry import load_modules
 from dragonflyshift._internal.models import Locality
 
@@ -148,7 +148,7 @@
 def parse_arguments(arguments: Sequence[str]) -> argparse.Namespace:
     """Parse the command line, which can replace the policies of ours."""
     parser = argparse.ArgumentParser(
-        prog='python -m bench.policy_load',
+        prog='python -m bench.policies.load',
         description=__doc__,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
@@ -187,7 +187,7 @@
 def main(arguments: Sequence[str]) -> int:
     """Run all scenarios, print the tables and write the results."""
     cfg = parse_arguments(arguments)
-    load_modules(('bench.naive', 'bench.policy_alternatives'))
+    load_modules(('bench.naive', 'bench.policies.alternatives'))
     runs = tuple(measure_all(cfg))
     tables = render_tables(runs)
     print(tables)
--- a/bench/policy_model.py
+++ b/bench/policies/model.py
@@ -13,10 +13,10 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 
-from bench.policy_clock import EventClock
-from bench.policy_handover import HOP_SECONDS, HandOvers
-from bench.policy_placement import Placement
-from bench.policy_sidecar import (
+from bench.policies.clock import EventClock
+from bench.policies.handover import HOP_SECONDS, HandOvers
+from bench.policies.placement import Placement
+from bench.policies.sidecar import (
     Options,
     Policies,
     Request,
@@ -24,8 +24,8 @@
     build_sidecars,
     ticket_request,
 )
-from bench.policy_tally import RunCounters
-from bench.policy_trace import Arrival, Workload
+from bench.policies.tally import RunCounters
+from bench.policies.trace import Arrival, Workload
 from dragonflyshift._internal.kernel.registry import find_plugin
 from dragonflyshift._internal.limits import QueueFullError
 from dragonflyshift._internal.routing import PeerChoice
--- a/bench/policy_placement.py
+++ b/bench/policies/placement.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Sequence
 
-from bench.policy_sidecar import Policies, Sidecar
-from bench.policy_trace import REGION, Arrival
+from bench.policies.sidecar import Policies, Sidecar
+from bench.policies.trace import REGION, Arrival
 from dragonflyshift._internal.kernel.registry import find_plugin
 from dragonflyshift._internal.models import Locality
 from dragonflyshift._internal.routing import (
--- a/bench/policy_rank.py
+++ b/bench/policies/rank.py
@@ -1,7 +1,7 @@
 """Measures the time of a candidate choice by number of endpoints.
 
 Example:
-    python -m bench.policy_rank
+    python -m bench.policies.rank
 """
 
 import timeit
--- a/bench/policy_sidecar.py
+++ b/bench/policies/sidecar.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field, frozen
 
-from bench.policy_trace import DATA_CENTERS, REGION, Arrival, Workload
+from bench.policies.trace import DATA_CENTERS, REGION, Arrival, Workload
 from dragonflyshift._internal.kernel.registry import find_plugin
 from dragonflyshift._internal.limits import Admission, Ticket
 from dragonflyshift._internal.models import (
--- a/bench/policy_table.py
+++ b/bench/policies/table.py
@@ -5,7 +5,7 @@
 
 from attrs import frozen
 
-from bench.policy_tally import RunStatistics
+from bench.policies.tally import RunStatistics
 
 
 class RunSummary(Protocol):
--- /dev/null
+++ b/bench/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Runs of real processes, ours against a naive version."""
--- a/bench/scenario_cost.py
+++ b/bench/scenarios/cost.py
@@ -7,8 +7,8 @@
 from attrs import Factory, define, frozen
 
 from bench.process_cost import ProcessCost
-from bench.scenario_figures import RoleCost
-from bench.scenario_status import read_status
+from bench.scenarios.figures import RoleCost
+from bench.scenarios.status import read_status
 from dragonflyshift._internal.models import Address
 from tests.lib.cluster import Cluster
 from tests.lib.processes import Program
--- a/bench/scenario_faults.py
+++ b/bench/scenarios/faults.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from bench.scenario_file import StepPlan
-from bench.scenario_stage import RunContext
-from bench.scenario_steps import FABRIC_UPDATE_DELAY_SECONDS, Step
+from bench.scenarios.file import StepPlan
+from bench.scenarios.stage import RunContext
+from bench.scenarios.steps import FABRIC_UPDATE_DELAY_SECONDS, Step
 from tests.lib.cluster import Instance
 
 COUNT_INTERVAL_SECONDS = 0.3
--- a/bench/scenario_figures.py
+++ b/bench/scenarios/figures.py
@@ -7,8 +7,8 @@
 from attrs import Factory, define, frozen
 from hdrh.histogram import HdrHistogram
 
-from bench.policy_tally import max_to_mean, variation
-from bench.scenario_stage import Leaving
+from bench.policies.tally import max_to_mean, variation
+from bench.scenarios.stage import Leaving
 from tests.lib.cluster import Instance
 from tests.lib.journal import JournalEntry
 from tests.lib.summary import ID_SEPARATOR, Refusal
--- a/bench/scenario_file.py
+++ b/bench/scenarios/file.py
@@ -11,7 +11,7 @@
 
 from tests.lib.declarations import ANYWHERE_RULES, ServicePlan
 
-DIRECTORY = Path(__file__).resolve().parent / 'scenarios'
+DIRECTORY = Path(__file__).resolve().parent
 DEFAULTS = 'defaults.toml'
 MIN_ENDPOINTS = 2
 MIN_CLIENTS = 2
--- a/bench/scenario_limits.py
+++ b/bench/scenarios/limits.py
@@ -2,7 +2,7 @@
 
 import os
 
-from bench.scenario_file import Scenario, ScenarioError
+from bench.scenarios.file import Scenario, ScenarioError
 
 MAX_PROCESSES = 200
 BYTES_PER_PROCESS = 90 * 1024 * 1024
--- a/bench/scenario_plots.py
+++ b/bench/scenarios/plots.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from bench.scenario_figures import RunResult
+from bench.scenarios.figures import RunResult
 
 BAR_WIDTH = 0.4
 INCHES = (11.0, 4.5)
--- a/bench/scenario_report.py
+++ b/bench/scenarios/report.py
@@ -7,9 +7,9 @@
 import cattrs
 from attrs import frozen
 
-from bench.scenario_figures import RoleCost, RunResult
-from bench.scenario_plots import write_plots
-from bench.scenario_scores import (
+from bench.scenarios.figures import RoleCost, RunResult
+from bench.scenarios.plots import write_plots
+from bench.scenarios.scores import (
     FORMULA,
     Score,
     largest,
--- a/bench/scenario_run.py
+++ b/bench/scenarios/run.py
@@ -7,13 +7,13 @@
 from attrs import field, frozen
 
 from bench.naive import NAIVE_FLAGS
-from bench.scenario_cost import (
+from bench.scenarios.cost import (
     Sample,
     client_cpu_share,
     load_average,
     role_costs,
 )
-from bench.scenario_figures import (
+from bench.scenarios.figures import (
     RunResult,
     compare_instances,
     count_wrongly_refused,
@@ -21,9 +21,9 @@
     latency_percentiles,
     load_entries,
 )
-from bench.scenario_file import Scenario, StepPlan
-from bench.scenario_stage import RunContext
-from bench.scenario_steps import find_step
+from bench.scenarios.file import Scenario, StepPlan
+from bench.scenarios.stage import RunContext
+from bench.scenarios.steps import find_step
 from tests.lib.cluster import Cluster, ClusterPlan
 from tests.lib.load import Load
 from tests.lib.summary import Summary, check_journals
--- a/bench/scenario_scores.py
+++ b/bench/scenarios/scores.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from bench.scenario_figures import RoleCost, RunResult
+from bench.scenarios.figures import RoleCost, RunResult
 
 OURS = 'ours'
 NAIVE = 'naive'
--- a/bench/scenario_stage.py
+++ b/bench/scenarios/stage.py
@@ -6,8 +6,8 @@
 
 from attrs import Factory, define, frozen
 
-from bench.scenario_file import Scenario, StepPlan
-from bench.scenario_status import read_status
+from bench.scenarios.file import Scenario, StepPlan
+from bench.scenarios.status import read_status
 from dragonflyshift._internal.models import Address
 from dragonflyshift._internal.models.documents import service_key
 from tests.lib.cluster import Balancer, Cluster, Instance
--- a/bench/scenario_steps.py
+++ b/bench/scenarios/steps.py
@@ -5,8 +5,8 @@
 
 from attrs import evolve
 
-from bench.scenario_file import Scenario, ScenarioError, StepPlan
-from bench.scenario_stage import RunContext
+from bench.scenarios.file import Scenario, ScenarioError, StepPlan
+from bench.scenarios.stage import RunContext
 from dragonflyshift._internal.exceptions import KernelError
 from dragonflyshift._internal.kernel.registry import Plugin, find_plugin
 from tests.lib.cluster import Balancer, Instance
--- a/tests/unit/bench/test_policy_load.py
+++ b/tests/unit/bench/policies/test_load.py
@@ -12,7 +12,7 @@
 import unittest
 from pathlib import Path
 
-from bench.policy_load import (
+from bench.policies.load import (
     COMMON_QUEUE,
     NAIVE,
     OURS,
@@ -21,8 +21,8 @@
     measure,
     parse_arguments,
 )
-from bench.policy_tally import RunStatistics, max_to_mean, variation
-from bench.policy_trace import Workload, build_trace
+from bench.policies.tally import RunStatistics, max_to_mean, variation
+from bench.policies.trace import Workload, build_trace
 from dragonflyshift._internal.kernel.registry import load_modules
 
 SEED = 1
--- a/tests/unit/bench/test_scenario_figures.py
+++ b/tests/unit/bench/scenarios/test_figures.py
@@ -8,21 +8,21 @@
 
 from attrs import evolve
 
-from bench.scenario_figures import (
+from bench.scenarios.figures import (
     Balance,
     RunResult,
     SlotUsage,
     last_start_delays,
     latency_percentiles,
 )
-from bench.scenario_report import Origin, render
-from bench.scenario_scores import (
+from bench.scenarios.report import Origin, render
+from bench.scenarios.scores import (
     Score,
     VersionPair,
     list_regressions,
     pair_runs,
 )
-from bench.scenario_stage import Leaving
+from bench.scenarios.stage import Leaving
 from tests.lib.journal import JournalEntry
 
 
--- a/tests/unit/bench/test_scenario_file.py
+++ b/tests/unit/bench/scenarios/test_file.py
@@ -8,9 +8,9 @@
 import unittest
 from pathlib import Path
 
-from bench.scenario_file import Scenario, ScenarioError, load_scenarios
-from bench.scenario_limits import check_limits
-from bench.scenario_steps import check_steps
+from bench.scenarios.file import Scenario, ScenarioError, load_scenarios
+from bench.scenarios.limits import check_limits
+from bench.scenarios.steps import check_steps
 from dragonflyshift._internal.kernel.registry import load_modules
 
 SERVICE = """
@@ -23,7 +23,7 @@
 
 class ShippedTest(unittest.TestCase):
     def test_shipped_scenarios_are_valid(self) -> None:
-        load_modules(('bench.scenario_faults',))
+        load_modules(('bench.scenarios.faults',))
         scenarios = load_scenarios()
         names = {each.name for each in scenarios}
         self.assertEqual(len(names), len(scenarios))
