Let the arms of an experiment change constants

An arm now names module constants of carried flows with other values; an unknown name, or one that is no number, is an error before the first play.

--- a/bench/experiments/mechanisms.py
+++ b/bench/experiments/mechanisms.py
@@ -1,7 +1,8 @@
 """The mechanisms that the ablation switches off, one at a time."""
 
-__all__ = ('MECHANISMS', 'Mechanism', 'Patch')
+__all__ = ('MECHANISMS', 'Mechanism', 'Patch', 'constant_patch')
 
+import importlib
 import random
 from collections.abc import Sequence
 from contextlib import AbstractContextManager, ExitStack
@@ -51,6 +52,24 @@
         return mock.patch.object(self.target, self.name, self.value)
 
 
+def constant_patch(name: str, value: float) -> Patch:
+    """Return a patch of a module constant of carried flows.
+
+    ``name`` is the path from the package on, such as
+    ``policies.offers.MAX_IDLE_OFFERS``. Raises LookupError if there is no such
+    number.
+    """
+    path, _dot, constant = name.rpartition('.')
+    target = f'{_CARRIED}.{path}'
+    try:
+        present = getattr(importlib.import_module(target), constant)
+    except (ImportError, AttributeError) as exc:
+        raise LookupError(name) from exc
+    if not isinstance(present, int | float):
+        raise LookupError(name)
+    return Patch(target, constant, value)
+
+
 @frozen
 class Mechanism:
     """A mechanism, with the patches that switch it off."""
--- a/bench/experiments/plan.py
+++ b/bench/experiments/plan.py
@@ -20,13 +20,21 @@
     """One of the ways that are compared.
 
     ``plugins`` maps kinds of plug-ins to names, ``without`` lists mechanisms
-    (``bench.experiments.mechanisms``) to switch off; both apply to the
-    emulator. ``revision`` is the git revision that the bench program plays.
+    (``bench.experiments.mechanisms``) to switch off, and ``constants`` maps
+    module constants to other values; these apply to the emulator. ``revision``
+    is the git revision that the bench program plays.
+
+    Example, with the constant named from the package of carried flows on::
+
+        [[arms]]
+        name = "one offer to an idle server"
+        constants = { "policies.offers.MAX_IDLE_OFFERS" = 1 }
     """
 
     name: str
     plugins: dict[str, str] = field(factory=dict)
     without: tuple[str, ...] = ()
+    constants: dict[str, float] = field(factory=dict)
     revision: str = 'HEAD'
 
 
--- a/bench/experiments/players.py
+++ b/bench/experiments/players.py
@@ -17,7 +17,7 @@
 
 from bench.emulator.scenario import ScenarioError, load_scenario
 from bench.emulator.simulation import Simulation
-from bench.experiments.mechanisms import MECHANISMS
+from bench.experiments.mechanisms import MECHANISMS, Patch, constant_patch
 from bench.experiments.plan import Arm, Experiment, ExperimentError, Play
 from bench.experiments.results import PlayResult
 from dragonflyshift._internal.carried.policies.admission import AdmissionPolicy
@@ -62,6 +62,7 @@
             raise ExperimentError(str(exc)) from exc
         for arm in plan.arms:
             _find_plugins(arm)
+            _constant_patches(arm)
             unknown = set(arm.without) - set(_MECHANISMS)
             if unknown:
                 raise ExperimentError(
@@ -73,7 +74,7 @@
         return ProcessPoolExecutor(jobs)
 
     def play(self, arm: Arm, play: Play) -> PlayResult:
-        """Run a scenario with the plug-ins and mechanisms of the arm."""
+        """Run a scenario with the plug-ins and settings of the arm."""
         logging.disable(logging.CRITICAL)
         simulation = Simulation(
             load_scenario(play.day), play.seed, **_find_plugins(arm)
@@ -81,6 +82,8 @@
         with ExitStack() as stack:
             for name in arm.without:
                 stack.enter_context(_MECHANISMS[name].disabled())
+            for patch in _constant_patches(arm):
+                stack.enter_context(patch.applied())
             statistics = simulation.run()
         total = statistics.total()
         figures = {
@@ -114,7 +117,7 @@
         for day in plan.days:
             self._site_and_day(day)
         for arm in plan.arms:
-            if arm.plugins or arm.without:
+            if arm.plugins or arm.without or arm.constants:
                 raise ExperimentError(
                     f'arm {arm.name}: the bench program plays revisions only'
                 )
@@ -179,6 +182,15 @@
     return found
 
 
+def _constant_patches(arm: Arm) -> list[Patch]:
+    try:
+        return [constant_patch(*each) for each in arm.constants.items()]
+    except LookupError as exc:
+        raise ExperimentError(
+            f'arm {arm.name}: unknown constant: {exc.args[0]}'
+        ) from exc
+
+
 def _resolve_revision(arm: Arm) -> str:
     return _run('git', 'rev-parse', f'{arm.revision}^{{commit}}', cwd=ROOT)
 
