Log routine admissions at debug level, and slow placements with their offers

Balancers wrote none about a placement, so a slow request could not be explained. A placement that took as long, or was refused, has one line with each offer: the servers considered, the expected requests, the age of the report, the outcome.

--- a/src/dragonflyshift/_internal/carried/balancer/forwarder.py
+++ b/src/dragonflyshift/_internal/carried/balancer/forwarder.py
@@ -224,7 +224,7 @@
             record = self.view.newest_by_host().get(sidecar[0])
             service = '' if record is None else record.service
             self.owner_cache[key] = CachedOwner(sidecar, service, now)
-        self.placer.stop_placing(key)
+        self.placer.on_accepted(now, key)
         if status is FlowStatus.OWNED:
             self.lookups.on_owned(key, sidecar)
             logger.info(
--- a/src/dragonflyshift/_internal/carried/balancer/placer.py
+++ b/src/dragonflyshift/_internal/carried/balancer/placer.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
 
 from attrs import define, field
 
@@ -21,6 +22,7 @@
 from dragonflyshift._internal.carried.policies.offers import (
     Offer,
     OfferHistory,
+    OfferTrace,
 )
 from dragonflyshift._internal.carried.policies.placement import (
     FlowPlacement,
@@ -29,6 +31,11 @@
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.carried.routes import Route, TransferKind
 
+if TYPE_CHECKING:
+    from dragonflyshift._internal.carried.balancer.placement_log import (
+        PlacementLog,
+    )
+
 # After this time without a reply the sidecar is marked as suspect and the flow
 # is offered again. Covers a round trip and the scheduling delay of the sidecar.
 REPLY_TIMEOUT_S = 0.06
@@ -46,6 +53,10 @@
 # than a local one to precede it. The bytes of large transfers are expensive.
 REMOTE_REQUESTS = 1.2
 REMOTE_REQUESTS_LARGE = 10.0
+# A placement is slow, and is logged, if it takes this share of the latency
+# target of the route.
+SLOW_TARGET_SHARE = 0.25
+ACCEPTED = 'accepted'
 _LARGE_TRANSFERS = frozenset((TransferKind.DOWNLOAD, TransferKind.UPLOAD))
 
 
@@ -53,8 +64,9 @@
 class PendingFlow:
     """A new flow that no sidecar has accepted yet.
 
-    ``offered_to`` is the sidecar whose reply is pending. Times are in seconds
-    of the monotonic clock.
+    ``offered_to`` is the sidecar whose reply is pending, ``traces`` are the
+    offers so far and ``target_ms`` is the latency target of the route, known
+    from the first offer on. Times are in seconds of the monotonic clock.
     """
 
     packet: Packet
@@ -62,6 +74,18 @@
     offers: OfferHistory = field(factory=OfferHistory)
     offered_at: float = field(default=float('-inf'))
     offered_to: SocketAddress | None = field(default=None)
+    traces: list[OfferTrace] = field(factory=list)
+    target_ms: float = 0
+
+    def is_slow(self, now: float) -> bool:
+        """Return whether the placement has taken long."""
+        waited_ms = (now - self.received_at) * MS_PER_S
+        return waited_ms > self.target_ms * SLOW_TARGET_SHARE
+
+    def record_outcome(self, outcome: str) -> None:
+        """Record what became of the last offer."""
+        if self.traces:
+            self.traces[-1].outcome = outcome
 
 
 @define(eq=False, repr=False)
@@ -93,6 +117,7 @@
     pending: dict[FlowKey, PendingFlow] = field(factory=dict)
     # The time since which a service has had no endpoints.
     _empty_since: dict[str, float] = field(factory=dict)
+    _log: 'PlacementLog | None' = field(default=None)
 
     def place(
         self,
@@ -129,9 +154,17 @@
         self.on_refused(now, packet.key, refused_by)
 
     def stop_placing(self, key: FlowKey) -> None:
-        """Stop placing a flow that a sidecar or a server has accepted."""
+        """Stop placing a flow that a server has answered."""
         self.pending.pop(key, None)
 
+    def on_accepted(self, now: float, key: FlowKey) -> None:
+        """Stop placing a flow that a sidecar has accepted or owns."""
+        pending = self.pending.pop(key, None)
+        if pending is not None:
+            pending.record_outcome(ACCEPTED)
+            if pending.is_slow(now):
+                self._log_slow(now, pending, ACCEPTED)
+
     def on_refused(
         self, now: float, key: FlowKey, sidecar: SocketAddress
     ) -> None:
@@ -140,14 +173,14 @@
         if pending is None or pending.offered_to != sidecar:
             return
         pending.offers.record_refusal(sidecar)
+        pending.record_outcome('refused')
         self._offer(now, pending)
 
     def tick(self, now: float) -> None:
         """Retry after timeouts and refuse the flows that are too old."""
-        for key, pending in tuple(self.pending.items()):
+        for pending in tuple(self.pending.values()):
             if now - pending.received_at > PLACEMENT_TIMEOUT_S:
-                self.pending.pop(key)
-                self.callbacks.refuse(key, 'not-placed-in-time')
+                self._refuse(now, pending, 'not-placed-in-time')
             elif pending.offered_to is not None:
                 if now - pending.offered_at > REPLY_TIMEOUT_S:
                     self._on_no_reply(now, pending)
@@ -160,6 +193,24 @@
             if pending.offered_to is None:
                 self._offer(now, pending)
 
+    def _refuse(self, now: float, pending: PendingFlow, reason: str) -> None:
+        """Refuse a flow that no sidecar has accepted."""
+        key = pending.packet.key
+        self.pending.pop(key)
+        self.callbacks.refuse(key, reason)
+        self._log_slow(now, pending, reason)
+
+    def _log_slow(self, now: float, pending: PendingFlow, result: str) -> None:
+        if self._log is None:
+            self._log = _create_log()
+        self._log.record(
+            now,
+            pending.packet.key,
+            pending.received_at,
+            pending.traces,
+            result,
+        )
+
     def _on_no_reply(self, now: float, pending: PendingFlow) -> None:
         if pending.offered_to is not None:
             self.sidecars.mark_suspect(now, pending.offered_to)
@@ -182,9 +233,10 @@
         self._empty_since.pop(service, None)
         offer = pending.offers.next_offer(options)
         if offer is None:
-            self.pending.pop(key)
-            self.callbacks.refuse(key, 'all-refused')
+            self._refuse(now, pending, 'all-refused')
             return
+        pending.traces.append(OfferTrace.of(now, offer, options))
+        pending.target_ms = route.target_ms
         self._send(now, pending, route, service, offer)
 
     def _options(
@@ -276,3 +328,12 @@
         ):
             self.pending.pop(key)
             self.callbacks.refuse(key, 'no-endpoint')
+
+
+def _create_log() -> 'PlacementLog':
+    """Import the module on first use, to keep a balancer's start short."""
+    from dragonflyshift._internal.carried.balancer.placement_log import (
+        PlacementLog,
+    )
+
+    return PlacementLog()
--- a/src/dragonflyshift/_internal/carried/policies/offers.py
+++ b/src/dragonflyshift/_internal/carried/policies/offers.py
@@ -7,7 +7,7 @@
 flow: the first offer then lets the sidecar queue it.
 """
 
-__all__ = ('Offer', 'OfferHistory')
+__all__ = ('Offer', 'OfferHistory', 'OfferTrace')
 
 from collections.abc import Sequence
 
@@ -22,6 +22,8 @@
 # Number of offers for queueing after which a flow is refused. An offer without
 # a reply resets the count.
 MAX_QUEUE_OFFERS = 2
+# How many of the first endpoints of the order a trace holds.
+TRACED_OPTIONS = 3
 
 
 @frozen(eq=False, repr=False)
@@ -32,6 +34,28 @@
     may_queue: bool
 
 
+@define(eq=False, repr=False)
+class OfferTrace:
+    """An offer that was made at ``offered_at``, in monotonic seconds.
+
+    ``first`` are the first endpoints of the order, ``considered`` counts all of
+    them, and ``outcome`` is ``accepted``, ``refused`` or ``no-reply``.
+    """
+
+    offer: Offer
+    offered_at: float
+    first: Sequence[PlacementOption]
+    considered: int
+    outcome: str = 'no-reply'
+
+    @classmethod
+    def of(
+        cls, now: float, offer: Offer, options: Sequence[PlacementOption]
+    ) -> 'OfferTrace':
+        """Return the trace of an offer that was chosen among ``options``."""
+        return cls(offer, now, options[:TRACED_OPTIONS], len(options))
+
+
 @define(eq=False, repr=False)
 class OfferHistory:
     """The offers of a new flow so far.
--- a/src/dragonflyshift/_internal/carried/sidecar/admission.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/admission.py
@@ -46,6 +46,10 @@
 MAX_NOTICE_AGE_MS = 3_600_000
 _EVACUATED = 'evacuated'
 WARMUP_REFUSAL = 'warmup-limit'
+# A flow that starts before this share of its latency target has passed is
+# logged at debug level only: a line takes longer than the decision.
+ROUTINE_TARGET_SHARE = 0.25
+_ROUTINE_OUTCOMES = frozenset(('start', 'wait', 'start-waited'))
 
 
 @define(eq=False, repr=False)
@@ -252,6 +256,8 @@
                 packet.key,
                 new_flow.sender,
                 'no-slot-in-time',
+                # The balancer offers the flow to other servers.
+                logging.INFO if new_flow.is_last else logging.DEBUG,
             )
             return
         if decision is AdmissionDecision.START:
@@ -326,11 +332,15 @@
         key: FlowKey,
         balancer: SocketAddress,
         reason: str,
+        level: int = logging.INFO,
     ) -> None:
         self.counters.incr('refused')
         self.send_flow_status(now, key, FlowStatus.REFUSED, balancer)
+        if not logger.isEnabledFor(level):
+            return
         backend = self.backend
-        logger.info(
+        logger.log(
+            level,
             'opening-refused',
             extra={
                 'flow': flow_name(key),
@@ -351,12 +361,21 @@
         busy: int,
     ) -> None:
         backend = self.backend
-        logger.info(
+        age_ms = new_flow.age_ms(now)
+        is_routine = (
+            outcome in _ROUTINE_OUTCOMES
+            and age_ms < new_flow.target_ms * ROUTINE_TARGET_SHARE
+        )
+        level = logging.DEBUG if is_routine else logging.INFO
+        if not logger.isEnabledFor(level):
+            return
+        logger.log(
+            level,
             'opening-decided',
             extra={
                 'flow': flow_name(new_flow.key),
                 'outcome': outcome,
-                'age_ms': int(new_flow.age_ms(now)),
+                'age_ms': int(age_ms),
                 'busy': busy,
                 'slots': backend.slots,
                 'waiting': backend.policy.waiting,
--- a/src/dragonflyshift/platform/running.py
+++ b/src/dragonflyshift/platform/running.py
@@ -27,6 +27,9 @@
 
 BALANCER_ROLE = 'balancer'
 SIDECAR_ROLE = 'sidecar'
+# Not parsed by a library, since importing one would prolong each start.
+LOG_LEVEL_OPTION = '--log-level'
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 USAGE_STATUS = 2
 FAILURE_STATUS = 1
 # The settings file may change without SIGHUP, so it is also polled.
@@ -36,11 +39,11 @@
 def main(arguments: Sequence[str], sockets: BoundSockets) -> int:
     """Run the role that the arguments name; return the exit status."""
     try:
-        role = _parse_role(arguments)
+        role, log_level = _parse_arguments(arguments)
         path = _settings_path()
         settings = read_settings(path)
         configure_logging(
-            settings.log_level,
+            log_level or settings.log_level,
             node=settings.name,
             role=role,
         )
@@ -55,13 +58,26 @@
     return 0
 
 
-def _parse_role(arguments: Sequence[str]) -> str:
+def _parse_arguments(arguments: Sequence[str]) -> tuple[str, str]:
+    """Return the role and the log level, which is empty if none is given."""
+    log_level = ''
+    if len(arguments) == 3 and arguments[1] == LOG_LEVEL_OPTION:
+        log_level = arguments[2]
+        if log_level not in LOG_LEVELS:
+            raise SettingsError(
+                f'{log_level!r} is not a log level',
+                hint=f'choose one of {", ".join(LOG_LEVELS)}',
+            )
+        arguments = arguments[:1]
     if len(arguments) != 1 or arguments[0] not in (BALANCER_ROLE, SIDECAR_ROLE):
         raise SettingsError(
             f'expected one role instead of {" ".join(arguments)!r}',
-            hint=f'name {BALANCER_ROLE} or {SIDECAR_ROLE}',
+            hint=(
+                f'name {BALANCER_ROLE} or {SIDECAR_ROLE}, and then '
+                f'{LOG_LEVEL_OPTION} LEVEL if needed'
+            ),
         )
-    return arguments[0]
+    return arguments[0], log_level
 
 
 def _settings_path() -> str:
