--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -68,6 +68,9 @@
     backends: Sequence[SoakBackend]
     rng: random.Random
     violations: Violations
+    requests_per_flow: int = REQUESTS_PER_FLOW
+    # Whether all packets of a flow go to one balancer as long as it is ready.
+    is_steady: bool = False
     answered_at: list[float] = field(factory=list)
     failed_at: list[float] = field(factory=list)
     _flows: dict[FlowKey, _Flow] = field(factory=dict)
@@ -113,7 +116,8 @@
 
     async def _open_flow(self, flow: _Flow) -> bool:
         for copy in range(FIRST_PACKET_COPIES):
-            self._send_raw(build_packet(flow.key, SYN, acknowledged=copy))
+            raw = build_packet(flow.key, SYN, acknowledged=copy)
+            self._send_raw(flow, raw)
             received = await self._receive(flow, RETRANSMISSION_S * (copy + 1))
             if received is not None and received[0].is_rst:
                 return False
@@ -124,14 +128,14 @@
         return False
 
     async def _send_requests(self, flow: _Flow) -> None:
-        for number in range(REQUESTS_PER_FLOW):
+        for number in range(self.requests_per_flow):
             payload = b'%d:%d' % (flow.port, number)
             if not await self._send_request(flow, payload, number + 1):
                 self._record_time(self.failed_at)
                 return
             self._record_time(self.answered_at)
             await asyncio.sleep(PAUSE_S)
-        self._send_packet(flow, FIN | ACK, REQUESTS_PER_FLOW + 1, b'')
+        self._send_packet(flow, FIN | ACK, self.requests_per_flow + 1, b'')
 
     async def _send_request(
         self,
@@ -184,19 +188,25 @@
         payload: bytes,
     ) -> None:
         self._send_raw(
+            flow,
             build_packet(
                 flow.key,
                 flags,
                 sequence=sequence,
                 acknowledged=flow.acknowledged,
                 payload=payload,
-            )
+            ),
         )
 
-    def _send_raw(self, raw: bytes) -> None:
+    def _send_raw(self, flow: _Flow, raw: bytes) -> None:
         balancers = self.ready_balancers()
-        if self._sock is not None and balancers:
-            self._sock.send(raw, self.rng.choice(balancers))
+        if self._sock is None or not balancers:
+            return
+        if self.is_steady:
+            balancer = balancers[flow.port % len(balancers)]
+        else:
+            balancer = self.rng.choice(balancers)
+        self._sock.send(raw, balancer)
 
     def _on_packet(self, raw: bytes, _pair: SocketAddress) -> None:
         packet = _CODEC.from_backend(raw)
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -48,6 +48,9 @@
     folder: Path
     violations: Violations
     subnet: int = 61
+    # Options of the interpreter before the module of a role; ``{name}`` in
+    # them stands for the daemon.
+    python_options: tuple[str, ...] = ()
     ports: dict[str, int] = field(factory=dict)
     store: FakeStore = field(factory=FakeStore)
     backends: list[SoakBackend] = field(factory=list)
@@ -177,6 +180,7 @@
         with log_path.open('wb') as log:
             return await asyncio.create_subprocess_exec(
                 sys.executable,
+                *[option.format(name=name) for option in self.python_options],
                 '-m',
                 'dragonflyshift.platform',
                 role,
