--- a/bench/micro/processes.py
+++ b/bench/micro/processes.py
@@ -7,8 +7,9 @@
 each role, the time of a start, the share of a core at rest and the time for
 each request. At rest, two balancers read the store, whose stand-in answers far
 more watches than a store does. With ``--profile`` the functions of one balancer
-and one sidecar that take most of the time are listed as well; a profiler makes the processes about twice as slow, so these figures
-are for comparison with each other only.
+and one sidecar that take most of the time are listed as well; a profiler makes
+the processes about twice as slow, so these figures are for comparison with each
+other only.
 """
 
 import argparse
