Split the flow table of carried flows from its flows

FlowTable stands in flow_table.py; the interface of a store moves beside the reader that uses it, so a start loads as many modules as before. No change of behaviour.

--- a/bench/naive_carried/__main__.py
+++ b/bench/naive_carried/__main__.py
@@ -18,7 +18,7 @@
 
 import xxhash
 
-from dragonflyshift._internal.carried.fleet.source import HistoryLostError
+from dragonflyshift._internal.carried.fleet.reader import HistoryLostError
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.carried.http_pages import HttpPages, Page
 from dragonflyshift._internal.carried.node_settings import NodeSettings
--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -11,7 +11,7 @@
     ForwarderCallbacks,
 )
 from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
-from dragonflyshift._internal.carried.fleet.source import ViewSource
+from dragonflyshift._internal.carried.fleet.reader import ViewSource
 from dragonflyshift._internal.carried.load import LoadReport
 from dragonflyshift._internal.carried.messages import (
     DaemonStatus,
--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -17,8 +17,10 @@
     GossipCallbacks,
 )
 from dragonflyshift._internal.carried.fleet.peers import PeerTable
-from dragonflyshift._internal.carried.fleet.reader import StoreReader
-from dragonflyshift._internal.carried.fleet.source import ViewSource
+from dragonflyshift._internal.carried.fleet.reader import (
+    StoreReader,
+    ViewSource,
+)
 from dragonflyshift._internal.carried.fleet.status_recipients import (
     StatusRecipients,
 )
--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -1,20 +1,17 @@
 """The task that reads the store while this daemon is an elected reader."""
 
-__all__ = ('StoreReader',)
+__all__ = ('HistoryLostError', 'StoreReader', 'ViewSource')
 
 import asyncio
 import logging
 import random
 import time
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 from attrs import define, field
 
 from dragonflyshift._internal.carried.fleet.revisions import epoch_of
-from dragonflyshift._internal.carried.fleet.source import (
-    HistoryLostError,
-    ViewSource,
-)
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.carried.policies.evacuation import (
     EvacuationRecord,
@@ -36,6 +33,33 @@
 READ_INTERVAL_S = 0.05
 
 
+class HistoryLostError(PlatformError):
+    """The store no longer holds the changes since a revision."""
+
+
+class ViewSource(ABC):
+    """A store that can be read and watched.
+
+    Both calls raise PlatformError when the store sends no valid response.
+    """
+
+    @abstractmethod
+    async def read_all(self) -> ViewUpdate:
+        """Return the complete state, an update whose base is zero."""
+
+    @abstractmethod
+    async def wait(self, after: int) -> ViewUpdate:
+        """Return the changes after a revision, once there are any.
+
+        After some seconds without a change the update is empty. Raises
+        HistoryLostError when the store's history starts after the revision.
+        """
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connection."""
+
+
 @define(eq=False, repr=False)
 class StoreReader:
     """Reads the complete state once, then waits for changes.
--- a/src/dragonflyshift/_internal/carried/node.py
+++ b/src/dragonflyshift/_internal/carried/node.py
@@ -13,7 +13,7 @@
     FleetMember,
     MemberCallbacks,
 )
-from dragonflyshift._internal.carried.fleet.source import ViewSource
+from dragonflyshift._internal.carried.fleet.reader import ViewSource
 from dragonflyshift._internal.carried.listeners import (
     DaemonPages,
     Listeners,
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -14,7 +14,7 @@
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
 from dragonflyshift._internal.carried.policies.admission import AdmissionPolicy
 from dragonflyshift._internal.carried.records import EndpointRecord
-from dragonflyshift._internal.carried.sidecar.flows import FlowTable
+from dragonflyshift._internal.carried.sidecar.flow_table import FlowTable
 from dragonflyshift._internal.carried.sidecar.service_time import (
     ServiceTimeEstimator,
 )
--- a/src/dragonflyshift/_internal/carried/sidecar/failure_monitor.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/failure_monitor.py
@@ -14,8 +14,8 @@
     FailureDetector,
 )
 from dragonflyshift._internal.carried.routes import SERVICE_ADDRESS_SLICE
+from dragonflyshift._internal.carried.sidecar.flow_table import FlowTable
 from dragonflyshift._internal.carried.sidecar.flows import (
-    FlowTable,
     OutcomeKind,
     RequestOutcome,
 )
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from dragonflyshift._internal.carried.fleet.source import ViewSource
+from dragonflyshift._internal.carried.fleet.reader import ViewSource
 from dragonflyshift._internal.carried.load import LoadReport
 from dragonflyshift._internal.carried.messages import (
     AdmissionRequest,
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -11,15 +11,15 @@
 from dragonflyshift._internal.carried.fleet.evacuation_rows import (
     is_reserved_name,
 )
+from dragonflyshift._internal.carried.fleet.reader import (
+    HistoryLostError,
+    ViewSource,
+)
 from dragonflyshift._internal.carried.fleet.revisions import (
     epoch_of,
     join_revision,
     split_revision,
 )
-from dragonflyshift._internal.carried.fleet.source import (
-    HistoryLostError,
-    ViewSource,
-)
 from dragonflyshift._internal.carried.fleet.view import ViewUpdate
 from dragonflyshift._internal.carried.packet import SocketAddress
 from dragonflyshift._internal.carried.policies.evacuation import (
--- a/tests/unit/carried/test_reader.py
+++ b/tests/unit/carried/test_reader.py
@@ -8,13 +8,11 @@
 
 from dragonflyshift._internal.carried.fleet.reader import (
     REMOVAL_GRACE_S,
-    StoreReader,
-)
-from dragonflyshift._internal.carried.fleet.revisions import join_revision
-from dragonflyshift._internal.carried.fleet.source import (
     HistoryLostError,
+    StoreReader,
     ViewSource,
 )
+from dragonflyshift._internal.carried.fleet.revisions import join_revision
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.exceptions import PlatformError
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -1,7 +1,7 @@
 import unittest
 
+from dragonflyshift._internal.carried.fleet.reader import HistoryLostError
 from dragonflyshift._internal.carried.fleet.revisions import split_revision
-from dragonflyshift._internal.carried.fleet.source import HistoryLostError
 from dragonflyshift._internal.carried.policies.evacuation import (
     EvacuationRecord,
 )
