End a stopping balancer once the fabric sends it nothing more

Change: a balancer that stops ends after two failed checks and half a second without a packet, at the latest when its grace period ends.

--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -28,6 +28,7 @@
     client_host,
 )
 from dragonflyshift._internal.carried.policies.placement import FlowPlacement
+from dragonflyshift._internal.carried.policies.rotation import RotationWatch
 from dragonflyshift._internal.exceptions import SettingsError
 from dragonflyshift._internal.kernel.registry import find_plugin
 from dragonflyshift._internal.utils.datagrams import PlainUdpSocket
@@ -37,6 +38,7 @@
 
 # Part of the grace period that is reserved for closing down.
 STOP_MARGIN_S = 0.8
+DRAIN_CHECK_S = 0.05
 # A balancer that receives nothing from any daemon for this long is isolated.
 # Readers send their status to all balancers twice a second.
 ISOLATION_S = 1.2
@@ -78,6 +80,7 @@
         )
         self._fabric: PlainUdpSocket | None = None
         self._evacuated: frozenset[str] = frozenset()
+        self._rotation: RotationWatch | None = None
 
     def open_role_sockets(self) -> None:
         """Open the socket for packets from the fabric."""
@@ -92,15 +95,28 @@
         )
 
     def leave(self) -> None:
-        """Do nothing; the fabric stops sending when readiness fails."""
+        """Watch for the fabric to stop sending, as readiness fails now."""
+        self._rotation = RotationWatch()
+        self._rotation.record_packet(time.monotonic())
 
     async def wait_until_unused(self) -> None:
-        """Wait for most of the grace period.
+        """Return once the fabric sends nothing more, or the grace period ends.
 
         The fabric keeps sending packets to a data centre even if most of its
         balancers are stopping.
         """
-        await asyncio.sleep(self.settings.stop_grace_s - STOP_MARGIN_S)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self.settings.stop_grace_s - STOP_MARGIN_S
+        while loop.time() < deadline:
+            await asyncio.sleep(DRAIN_CHECK_S)
+            if self.is_unused(time.monotonic()):
+                return
+
+    def is_unused(self, now: float) -> bool:
+        """Return whether this balancer is stopping and may end now."""
+        if self._rotation is None or self.has_waiting():
+            return False
+        return self._rotation.is_unused(now)
 
     def is_ready(self) -> bool:
         """Return whether the fabric may send flows to this balancer.
@@ -108,6 +124,9 @@
         A balancer that receives nothing from other daemons doesn't reach any
         sidecar either, so the fabric should use other balancers.
         """
+        if self._rotation is not None:
+            self._rotation.record_failed_check()
+            return False
         since_contact_s = time.monotonic() - self.last_datagram_at
         return super().is_ready() and since_contact_s < ISOLATION_S
 
@@ -166,7 +185,10 @@
         self.forwarder.sweep(now)
 
     def _on_fabric_packet(self, raw: bytes, _address: SocketAddress) -> None:
-        self.forwarder.on_client_packet(time.monotonic(), raw)
+        now = time.monotonic()
+        if self._rotation is not None:
+            self._rotation.record_packet(now)
+        self.forwarder.on_client_packet(now, raw)
         if self.has_waiting():
             self.ticker.activate()
 
--- a/tests/unit/carried/test_balancer_node.py
+++ b/tests/unit/carried/test_balancer_node.py
@@ -54,3 +54,14 @@
         self.assertFalse(self.node.is_ready())
         self.node.last_datagram_at = time.monotonic()
         self.assertTrue(self.node.is_ready())
+
+    def test_stopping_node_ends_once_the_fabric_sends_nothing(self) -> None:
+        """A longer wait keeps more balancers out of rotation at a time."""
+        now = time.monotonic()
+        self.assertFalse(self.node.is_unused(now + 60))
+        self.node.leave()
+        self.assertFalse(self.node.is_ready())
+        self.assertFalse(self.node.is_unused(now + 60))
+        self.assertFalse(self.node.is_ready())
+        self.assertFalse(self.node.is_unused(now))
+        self.assertTrue(self.node.is_unused(now + 60))
