--- a/bench/experiments/plan.py
+++ b/bench/experiments/plan.py
@@ -21,8 +21,9 @@
 
     ``plugins`` maps kinds of plug-ins to names, ``without`` lists mechanisms
     (``bench.experiments.mechanisms``) to switch off, and ``constants`` maps
-    module constants to other values; these apply to the emulator. ``revision``
-    is the git revision that the bench program plays.
+    module constants to other values; these apply to the emulator. A constant
+    that is the default of a field keeps its value there. ``revision`` is the
+    git revision that the bench program plays.
 
     Example, with the constant named from the package of carried flows on::
 
