--- a/src/dragonflyshift/_internal/carried/policies/admission.py
+++ b/src/dragonflyshift/_internal/carried/policies/admission.py
@@ -54,13 +54,9 @@
 # idle during the round trip between two requests.
 OVERCOMMIT = 1
 # Bounds of the reservation. A packet that was lost is sent again within the
-# maximum.
+# maximum, which applies until a request was observed.
 MIN_RESERVATION_S = 0.01
 MAX_RESERVATION_S = 0.3
-# The reservation until a request was observed. After an outage, the first flows
-# at a new sidecar are often those of clients that have given up, and a longer
-# one would keep the slots of the server empty.
-INITIAL_RESERVATION_S = 0.05
 # Weights of a sample and the factor of the deviation, as in the retransmission
 # timer of TCP (RFC 6298).
 MEAN_WEIGHT = 1 / 8
@@ -347,7 +343,7 @@
         True
     """
 
-    seconds: float = INITIAL_RESERVATION_S
+    seconds: float = MAX_RESERVATION_S
     _mean_s: float | None = field(default=None)
     _deviation_s: float = field(default=0)
 
