Try the most recently seen balancers when a reply gets no response

Cause: a sidecar that got no response through the balancer that delivered last went on to the last four that had delivered packets of the same connection. If all of these have been replaced, each takes a retransmission, and these follow each other at doubling intervals: the fifth comes after the client's idle timeout. This is one way to lose a flow in test_balancers_replaced_one_by_one_then_together, which failed once beside load.

--- a/src/dragonflyshift/_internal/recovery/return_path.py
+++ b/src/dragonflyshift/_internal/recovery/return_path.py
@@ -2,7 +2,10 @@
 
 Balancers keep no state of a flow, so each of them can forward any reply. The
 balancer that delivered the last datagram is preferred, because it is known to
-work. Its failure is detected only by the lack of datagrams after a reply.
+work. Its failure is detected only by the lack of datagrams after a reply. Then
+the balancer from which the process most recently received a datagram is tried:
+retransmissions follow each other at growing intervals, so few balancers can be
+tried before the client's idle timeout.
 """
 
 from collections import OrderedDict
@@ -81,9 +84,14 @@
         return next(reversed(self._delivering_balancers), None)
 
     def _usable_balancers(self, now: float) -> Iterator[Address]:
+        """Yield the balancers that are not leaving, the best first.
+
+        Balancers that delivered packets of this connection may have been
+        replaced since, so the most recently seen ones of the process come
+        first.
+        """
+        recent = tuple(self.directory.recent(now))
+        yield from recent
         for address in reversed(self._delivering_balancers):
-            if not self.directory.is_leaving(address):
+            if address not in recent and not self.directory.is_leaving(address):
                 yield address
-        for other in self.directory.recent(now):
-            if other not in self._delivering_balancers:
-                yield other
