Report balancers between the sidecars of a service

Cause: a sidecar learns of balancers from the datagrams that they deliver. If the only one that it knows dies after the client's last packet was acknowledged, it retransmits the response through that one for good; the client has nothing to send, and its flow ends by the idle timeout.

Change: every 0.5 s a sidecar reports the balancers from which it has received datagrams to one peer.

--- a/src/dragonflyshift/_internal/sidecar/link.py
+++ b/src/dragonflyshift/_internal/sidecar/link.py
@@ -27,11 +27,12 @@
 
 @frozen
 class LinkHandlers:
-    """Handlers for packets of flows, membership messages and offers."""
+    """Handlers for packets of flows and for messages of other sidecars."""
 
     on_forward: Callable[[ForwardEnvelope], None]
     on_membership: Callable[[DatagramKind, bytes, Address, float], None]
     on_offer: Callable[[Address], None]
+    on_balancers: Callable[[bytes, float], None]
 
 
 class DatagramLink:
@@ -67,13 +68,13 @@
         if self._socket is not None:
             self._socket.send(datagram, address)
 
-    def send_membership(
+    def send_to_peer(
         self,
         address: Address,
         kind: DatagramKind,
         body: bytes,
     ) -> None:
-        """Send a membership message to a peer."""
+        """Send a message of this kind to another sidecar."""
         datagram = self.codec.seal(kind, body)
         self._metrics.incr('control-bytes', len(datagram))
         self.send(datagram, address)
@@ -99,16 +100,20 @@
             logger.debug('datagram-refused', extra={'reason': exc.message})
 
     def _dispatch(self, opened: VerifiedDatagram, sender: Address) -> None:
-        if opened.kind is DatagramKind.REPLY:
-            raise WireError('a sidecar accepts no replies')
-        if opened.kind in {DatagramKind.FORWARD, DatagramKind.RELAY}:
-            if self._handlers is not None:
+        if self._handlers is None:
+            return
+        match opened.kind:
+            case DatagramKind.REPLY:
+                raise WireError('a sidecar accepts no replies')
+            case DatagramKind.FORWARD | DatagramKind.RELAY:
                 self._handlers.on_forward(ForwardEnvelope.decode(opened.body))
-        elif opened.kind is DatagramKind.OFFER:
-            self._receive_offer(opened.body, sender)
-        elif self._handlers is not None:
-            now = time.monotonic()
-            self._handlers.on_membership(opened.kind, opened.body, sender, now)
+            case DatagramKind.OFFER:
+                self._receive_offer(opened.body, sender)
+            case DatagramKind.BALANCERS:
+                self._handlers.on_balancers(opened.body, time.monotonic())
+            case kind:
+                now = time.monotonic()
+                self._handlers.on_membership(kind, opened.body, sender, now)
 
     def _receive_offer(self, body: bytes, sender: Address) -> None:
         if body != _OFFER.pack(self._tag):
--- a/src/dragonflyshift/_internal/sidecar/node.py
+++ b/src/dragonflyshift/_internal/sidecar/node.py
@@ -31,6 +31,7 @@
 )
 from dragonflyshift._internal.routing import FlowDecision, LoadSnapshot
 from dragonflyshift._internal.sidecar.backend_watch import BackendWatch
+from dragonflyshift._internal.sidecar.balancer_reports import BalancerReports
 from dragonflyshift._internal.sidecar.components import (
     Telemetry,
     create_admission,
@@ -107,6 +108,12 @@
             tasks,
         )
         self._directory = BalancerDirectory()
+        self._balancer_reports = BalancerReports(
+            self._directory,
+            self._peer_addresses,
+            self._link.send_to_peer,
+            random.Random(),
+        )
         self._evacuation = create_evacuation(
             settings,
             lambda: self._service,
@@ -131,7 +138,7 @@
         self._prober = Prober(
             self._members,
             self._peer_addresses,
-            self._link.send_membership,
+            self._link.send_to_peer,
             random.Random(),
             tag=service.tag,
             version=lambda: self._service.version,
@@ -159,6 +166,7 @@
                 self._handle_forward,
                 self._prober.handle,
                 self._requests.finder.handle_offer,
+                self._balancer_reports.receive,
             ),
         )
         await self._control.start()
@@ -169,6 +177,7 @@
             ('backend-watch', self._backend_watch.run()),
             ('queue', self._run_dispatch()),
             ('metrics', self._metrics.run()),
+            ('balancer-reports', self._balancer_reports.run()),
             (
                 'pauses',
                 watch_pauses(
--- a/src/dragonflyshift/_internal/wire/datagram.py
+++ b/src/dragonflyshift/_internal/wire/datagram.py
@@ -39,6 +39,7 @@
     ACK = 5
     PROBE_VIA = 6
     OFFER = 7
+    BALANCERS = 8
 
 
 @frozen
