Send keepalive pings by the shorter idle timeout of both ends

Cause: pings followed a third of the sidecar's own idle timeout, 3.3 s by default. A client with an idle timeout below that ended its connection while its request ran. Found while the timeouts of the return path were read.

Before: with a timeout of 2 s at the client and a service time of 4 s the response was lost (test_response_arrives_after_the_idle_timeout_of_the_client). After: it arrives. A client gets at most five pings a second.

--- a/src/dragonflyshift/_internal/sidecar/flow.py
+++ b/src/dragonflyshift/_internal/sidecar/flow.py
@@ -39,6 +39,8 @@
 
 MAX_STREAMS_PER_FLOW = 64
 KEEPALIVES_PER_IDLE_TIMEOUT = 3
+# Whatever timeout a client states, it gets no more pings than one in this time.
+MIN_KEEPALIVE_PERIOD_S = 0.2
 MAX_STREAM_ID = (1 << 62) - 4
 STREAM_ID_STEP = 4
 
@@ -58,7 +60,6 @@
         handler: RequestHandler,
         original_id: bytes,
         client_host: str,
-        idle_timeout: float,
     ) -> None:
         """Create the server's end of a connection.
 
@@ -70,15 +71,11 @@
         self.original_id = original_id
         self.client_id = socket.inet_aton(client_host) + original_id
         self._handler = handler
-        self._keepalive_period = idle_timeout / KEEPALIVES_PER_IDLE_TIMEOUT
         self._http: H3Connection | None = None
         self._sender: StreamSender | None = None
         self._bodies: dict[int, RequestBody] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
-        self._keepalive = self._loop.call_later(
-            self._keepalive_period,
-            self._send_keepalive,
-        )
+        self._keepalive: asyncio.TimerHandle | None = None
         self._rejecting = False
         self._next_stream_id = 0
         self.last_request_at = time.monotonic()
@@ -103,6 +100,7 @@
         elif isinstance(event, HandshakeCompleted):
             self.handshake_completed = True
             self.quic.drop_handshake_buffers()
+            self._schedule_keepalive()
         elif isinstance(event, ConnectionTerminated):
             self._handle_termination()
         elif isinstance(event, (StreamReset, StopSendingReceived)):
@@ -234,7 +232,8 @@
 
     def _handle_termination(self) -> None:
         self.ended = True
-        self._keepalive.cancel()
+        if self._keepalive is not None:
+            self._keepalive.cancel()
         if self._sender is not None:
             self._sender.mark_closed()
         for stream_id in tuple(self._tasks):
@@ -249,7 +248,16 @@
         if self._tasks and not self.ended:
             self.quic.send_ping(id(self))
             self.transmit()
+        self._schedule_keepalive()
+
+    def _schedule_keepalive(self) -> None:
+        """Schedule the next ping.
+
+        A client may give up sooner than the sidecar, so the period follows the
+        timeout that both have agreed on in the handshake.
+        """
+        period_s = self.quic.idle_timeout / KEEPALIVES_PER_IDLE_TIMEOUT
         self._keepalive = self._loop.call_later(
-            self._keepalive_period,
+            max(period_s, MIN_KEEPALIVE_PERIOD_S),
             self._send_keepalive,
         )
--- a/src/dragonflyshift/_internal/sidecar/flows.py
+++ b/src/dragonflyshift/_internal/sidecar/flows.py
@@ -260,7 +260,6 @@
             self._handler,
             header.destination,
             forward.client.host,
-            self._configuration.idle_timeout,
         )
         path = self._sender.open_path(forward)
         flow.bind(path)
--- a/src/dragonflyshift/_internal/sidecar/quic.py
+++ b/src/dragonflyshift/_internal/sidecar/quic.py
@@ -91,6 +91,17 @@
         """The connection ids under which packets may arrive."""
         return tuple(item.cid for item in self._host_cids)
 
+    @property
+    def idle_timeout(self) -> float:
+        """The seconds without a packet after which either end gives up.
+
+        The client's own timeout is known after the handshake.
+        """
+        own: float = self._configuration.idle_timeout
+        remote = self._remote_max_idle_timeout
+        # A client without a timeout omits it or states zero.
+        return min(own, remote) if remote else own
+
     def drop_handshake_buffers(self) -> None:
         """Free 48 KiB that the library allocates for the handshake.
 
--- a/tests/functional/test_silence.py
+++ b/tests/functional/test_silence.py
@@ -51,6 +51,16 @@
         self.assertEqual(journal[0].state, 'abandoned')
 
 
+class ShortIdleTimeoutTest(ClusterTest):
+    """A client gives up on a connection sooner than the sidecar does."""
+
+    async def test_response_arrives_after_the_idle_timeout_of_the_client(self):
+        await self.set_delay(2 * IDLE_SECONDS)
+        conn = await self.cluster.connect(LISTS, idle_timeout=IDLE_SECONDS)
+        response = await conn.request('GET', '/lists/1')
+        self.assertEqual(response.body, answers.list_body(LISTS, '1'))
+
+
 class PausedPeerTest(ClusterTest):
     """A sidecar is paused while it runs a request for a peer."""
 
--- a/tests/unit/sidecar/test_quic.py
+++ b/tests/unit/sidecar/test_quic.py
@@ -41,7 +41,7 @@
 class ConnectionPair:
     """A client and a server connection; ``exchange`` moves the packets."""
 
-    def __init__(self) -> None:
+    def __init__(self, client_idle_timeout: float = 60) -> None:
         issued = certificates.issue()
         self.codec = ConnectionIdCodec(FleetKeys.parse(FLEET_KEYS_TEXT))
         self.identity = SidecarIdentity(Address(*SERVER), TAG, BOOT, self.codec)
@@ -62,6 +62,7 @@
                 alpn_protocols=['h3'],
                 cadata=issued.ca.encode(),
                 server_name=certificates.SERVER_NAME,
+                idle_timeout=client_idle_timeout,
             ),
         )
         self.client.connect(SERVER, now=0)
@@ -119,6 +120,16 @@
         self.assertEqual(pair.server.count_undelivered_streams(), 0)
 
 
+class IdleTimeoutTest(unittest.TestCase):
+    def test_shorter_timeout_of_both_ends_applies(self):
+        """Pings that follow the sidecar's own timeout come too late."""
+        for client_s, expected_s in ((1.5, 1.5), (500, 60), (0, 60)):
+            with self.subTest(client_s=client_s):
+                pair = ConnectionPair(client_idle_timeout=client_s)
+                pair.exchange()
+                self.assertEqual(pair.server.idle_timeout, expected_s)
+
+
 class SpoofedClientTest(unittest.TestCase):
     def test_amplification_to_a_silent_client_is_limited(self):
         pair = ConnectionPair()
