--- a/tests/unit/carried/test_admission_policy.py
+++ b/tests/unit/carried/test_admission_policy.py
@@ -16,47 +16,28 @@
     AdmissionDecision,
     AdmissionPolicy,
     InTimeOnly,
-    NewFlow,
 )
 from dragonflyshift._internal.carried.policies.target_first import TargetFirst
+from tests.lib import admission_cases
 from tests.lib.carried import build_new_flow
 
-_SERVICE_MS = 50.0
-_SLOTS = 3
 
-
-class InTimeOnlyTest(unittest.TestCase):
+class InTimeOnlyTest(admission_cases.QueuedAdmissionCases):
     def setUp(self) -> None:
         self.policy = InTimeOnly()
 
-    def test_flow_starts_at_once_in_a_free_slot(self) -> None:
-        decision = self._offer(0, build_new_flow(1), busy=2)
-        self.assertIs(decision, AdmissionDecision.START)
-
     def test_late_flow_starts_in_a_free_slot(self) -> None:
         late = build_new_flow(1, waited_ms=600)
-        self.assertIs(self._offer(0, late, busy=2), AdmissionDecision.START)
+        self.assertIs(self.offer(0, late, busy=2), AdmissionDecision.START)
 
     def test_late_flow_is_refused_by_a_full_server(self) -> None:
         late = build_new_flow(1, waited_ms=600)
-        self.assertIs(self._offer(0, late, busy=4), AdmissionDecision.REFUSE)
+        self.assertIs(self.offer(0, late, busy=4), AdmissionDecision.REFUSE)
         self.assertEqual(self.policy.waiting, 0)
 
-    def test_flow_waits_at_a_full_server(self) -> None:
-        decision = self._offer(0, build_new_flow(1), busy=4)
-        self.assertIs(decision, AdmissionDecision.WAIT)
-        self.assertIsNone(self._next(0, busy=4))
-        chosen = self._next(0, busy=3)
-        assert chosen is not None
-
-    def test_busy_server_refuses_while_another_may_be_idle(self) -> None:
-        flow = build_new_flow(1, is_last=False)
-        decision = self._offer(0, flow, busy=_SLOTS)
-        self.assertIs(decision, AdmissionDecision.REFUSE)
-
     def test_queue_length_is_limited_by_the_latency_target(self) -> None:
         decisions = [
-            self._offer(0, build_new_flow(number), busy=4)
+            self.offer(0, build_new_flow(number), busy=4)
             for number in range(200)
         ]
         waiting = decisions.count(AdmissionDecision.WAIT)
@@ -69,56 +50,49 @@
     def test_oldest_flow_starts_first(self) -> None:
         older = build_new_flow(1, waited_ms=60)
         younger = build_new_flow(2)
-        self._offer(0, younger, busy=4)
-        self._offer(0, older, busy=4)
-        self.assertIs(self._next(0.01, busy=3), older)
+        self.offer(0, younger, busy=4)
+        self.offer(0, older, busy=4)
+        self.assertIs(self.next_ready(0.01, busy=3), older)
 
     def test_youngest_flow_starts_first_when_time_is_short(self) -> None:
         """The wait exceeds the prediction, so the oldest will be late."""
         older = build_new_flow(1, waited_ms=115)
         younger = build_new_flow(2, waited_ms=100)
-        self.assertIs(self._offer(0, older, busy=4), AdmissionDecision.WAIT)
-        self.assertIs(self._offer(0, younger, busy=4), AdmissionDecision.WAIT)
-        self.assertIs(self._next(0.05, busy=3), younger)
+        self.assertIs(self.offer(0, older, busy=4), AdmissionDecision.WAIT)
+        self.assertIs(self.offer(0, younger, busy=4), AdmissionDecision.WAIT)
+        self.assertIs(self.next_ready(0.05, busy=3), younger)
 
     def test_urgent_flow_starts_before_older_ones(self) -> None:
         older = build_new_flow(1, waited_ms=40)
         urgent = build_new_flow(2, priority=1)
-        self._offer(0, older, busy=4)
-        self._offer(0, urgent, busy=4)
-        self.assertIs(self._next(0.01, busy=3), urgent)
+        self.offer(0, older, busy=4)
+        self.offer(0, urgent, busy=4)
+        self.assertIs(self.next_ready(0.01, busy=3), urgent)
 
     def test_urgent_flow_waits_where_others_are_refused(self) -> None:
         for number in range(200):
-            self._offer(0, build_new_flow(number), busy=4)
+            self.offer(0, build_new_flow(number), busy=4)
         urgent = build_new_flow(300, priority=1)
-        self.assertIs(self._offer(0, urgent, busy=4), AdmissionDecision.WAIT)
+        self.assertIs(self.offer(0, urgent, busy=4), AdmissionDecision.WAIT)
 
     def test_late_flow_expires(self) -> None:
         flow = build_new_flow(1)
-        self._offer(0, flow, busy=4)
-        self.assertEqual(self.policy.expire(0.17, _SERVICE_MS), [])
-        self.assertEqual(self.policy.expire(0.18, _SERVICE_MS), [flow])
+        self.offer(0, flow, busy=4)
+        self.assertEqual(
+            self.policy.expire(0.17, admission_cases.SERVICE_MS), []
+        )
+        self.assertEqual(
+            self.policy.expire(0.18, admission_cases.SERVICE_MS), [flow]
+        )
 
     def test_flow_does_not_wait_longer_than_its_client(self) -> None:
         """Clients give up after 1.4 s even if the target is 5 s."""
         decisions = [
-            self._offer(0, build_new_flow(number, target_ms=5000), busy=4)
+            self.offer(0, build_new_flow(number, target_ms=5000), busy=4)
             for number in range(200)
         ]
         self.assertLess(decisions.count(AdmissionDecision.WAIT), 80)
-        self.assertTrue(self.policy.expire(1.21, _SERVICE_MS))
-
-    def _offer(
-        self,
-        now: float,
-        flow: NewFlow,
-        busy: int,
-    ) -> AdmissionDecision:
-        return self.policy.decide(now, flow, busy, _SLOTS, _SERVICE_MS)
-
-    def _next(self, now: float, busy: int) -> NewFlow | None:
-        return self.policy.next_ready(now, busy, _SLOTS, _SERVICE_MS)
+        self.assertTrue(self.policy.expire(1.21, admission_cases.SERVICE_MS))
 
 
 class OverloadTest(unittest.TestCase):
--- a/tests/unit/carried/test_target_first.py
+++ b/tests/unit/carried/test_target_first.py
@@ -5,7 +5,6 @@
 """
 
 import random
-import unittest
 
 from dragonflyshift._internal.carried.policies.admission import (
     AdmissionDecision,
@@ -14,37 +13,17 @@
     NewFlow,
 )
 from dragonflyshift._internal.carried.policies.target_first import TargetFirst
+from tests.lib import admission_cases
 from tests.lib.carried import build_new_flow
 
-_SERVICE_MS = 50.0
-_SLOTS = 3
 
-
-class TargetFirstTest(unittest.TestCase):
+class TargetFirstTest(admission_cases.QueuedAdmissionCases):
     def setUp(self) -> None:
         self.policy = TargetFirst()
 
-    def test_flow_starts_at_once_in_a_free_slot(self) -> None:
-        decision = self._offer(0, build_new_flow(1), busy=2)
-        self.assertIs(decision, AdmissionDecision.START)
-
-    def test_flow_waits_at_a_full_server(self) -> None:
-        decision = self._offer(0, build_new_flow(1), busy=4)
-        self.assertIs(decision, AdmissionDecision.WAIT)
-        self.assertIsNone(self._next(0, busy=4))
-        chosen = self._next(0, busy=3)
-        assert chosen is not None
-
-    def test_busy_server_refuses_while_another_may_be_idle(self) -> None:
-        """With one slot per server at 70 % utilization others may be idle."""
-        flow = build_new_flow(1, is_last=False)
-        decision = self._offer(0, flow, busy=_SLOTS)
-        self.assertIs(decision, AdmissionDecision.REFUSE)
-        self.assertEqual(self.policy.waiting, 0)
-
     def test_last_sidecar_queues_flows_that_can_still_be_served(self) -> None:
         decisions = [
-            self._offer(0, build_new_flow(number), busy=4)
+            self.offer(0, build_new_flow(number), busy=4)
             for number in range(200)
         ]
         waiting = decisions.count(AdmissionDecision.WAIT)
@@ -54,23 +33,27 @@
     def test_flow_in_time_starts_before_a_late_one(self) -> None:
         late = build_new_flow(1, waited_ms=600)
         new = build_new_flow(2)
-        self._offer(0, late, busy=4)
-        self._offer(0, new, busy=4)
-        self.assertIs(self._next(0.01, busy=3), new)
-        self.assertIs(self._next(0.01, busy=3), late)
+        self.offer(0, late, busy=4)
+        self.offer(0, new, busy=4)
+        self.assertIs(self.next_ready(0.01, busy=3), new)
+        self.assertIs(self.next_ready(0.01, busy=3), late)
 
     def test_higher_priority_starts_first_among_flows_in_time(self) -> None:
         normal = build_new_flow(1)
         urgent = build_new_flow(2, now=0.01, priority=1)
-        self._offer(0, normal, busy=4)
-        self._offer(0.01, urgent, busy=4)
-        self.assertIs(self._next(0.02, busy=3), urgent)
+        self.offer(0, normal, busy=4)
+        self.offer(0.01, urgent, busy=4)
+        self.assertIs(self.next_ready(0.02, busy=3), urgent)
 
     def test_flow_expires_before_its_client_gives_up(self) -> None:
         flow = build_new_flow(1)
-        self._offer(0, flow, busy=4)
-        self.assertEqual(self.policy.expire(1.0, _SERVICE_MS), [])
-        self.assertEqual(self.policy.expire(1.2, _SERVICE_MS), [flow])
+        self.offer(0, flow, busy=4)
+        self.assertEqual(
+            self.policy.expire(1.0, admission_cases.SERVICE_MS), []
+        )
+        self.assertEqual(
+            self.policy.expire(1.2, admission_cases.SERVICE_MS), [flow]
+        )
         self.assertEqual(self.policy.waiting, 0)
 
     def test_late_flows_are_a_small_part_of_the_reported_backlog(self) -> None:
@@ -80,10 +63,10 @@
         where more flows in time are ahead of it.
         """
         for number in range(10):
-            self._offer(0, build_new_flow(number, waited_ms=600), busy=4)
-        self.assertEqual(self.policy.backlog(0, _SERVICE_MS), 1)
-        self._offer(0, build_new_flow(10), busy=4)
-        self.assertEqual(self.policy.backlog(0, _SERVICE_MS), 2)
+            self.offer(0, build_new_flow(number, waited_ms=600), busy=4)
+        self.assertEqual(self.policy.backlog(0, admission_cases.SERVICE_MS), 1)
+        self.offer(0, build_new_flow(10), busy=4)
+        self.assertEqual(self.policy.backlog(0, admission_cases.SERVICE_MS), 2)
         self.assertEqual(self.policy.waiting, 11)
 
     def test_cold_servers_refuse_no_returning_client(self) -> None:
@@ -114,20 +97,9 @@
         # No order can serve more than 1 / 1.3 of the arrivals.
         self.assertGreater(min(shares), 0.7)
 
-    def _offer(
-        self,
-        now: float,
-        flow: NewFlow,
-        busy: int,
-    ) -> AdmissionDecision:
-        return self.policy.decide(now, flow, busy, _SLOTS, _SERVICE_MS)
-
-    def _next(self, now: float, busy: int) -> NewFlow | None:
-        return self.policy.next_ready(now, busy, _SLOTS, _SERVICE_MS)
-
 
 _TICKS = 200
-_TICK_S = _SERVICE_MS / 1000
+_TICK_S = admission_cases.SERVICE_MS / 1000
 _BACKLOG = 120
 _NEW_PER_TICK = 2
 
@@ -148,7 +120,7 @@
     met = [
         flow
         for at, flow in new
-        if flow.age_ms(at) + _SERVICE_MS <= flow.target_ms
+        if flow.age_ms(at) + admission_cases.SERVICE_MS <= flow.target_ms
     ]
     return len(met) / (_TICKS * _NEW_PER_TICK)
 
@@ -161,11 +133,17 @@
         now = tick * _TICK_S
         while remaining and remaining[0].arrived_at <= now:
             policy.decide(
-                now, remaining.pop(0), _SLOTS + 1, _SLOTS, _SERVICE_MS
+                now,
+                remaining.pop(0),
+                admission_cases.SLOTS + 1,
+                admission_cases.SLOTS,
+                admission_cases.SERVICE_MS,
+            )
+        policy.expire(now, admission_cases.SERVICE_MS)
+        for busy in range(admission_cases.SLOTS):
+            chosen = policy.next_ready(
+                now, busy, admission_cases.SLOTS, admission_cases.SERVICE_MS
             )
-        policy.expire(now, _SERVICE_MS)
-        for busy in range(_SLOTS):
-            chosen = policy.next_ready(now, busy, _SLOTS, _SERVICE_MS)
             if chosen is not None:
                 started.append((now, chosen))
     return _in_time(started)
@@ -176,7 +154,7 @@
     started = []
     for tick in range(_TICKS):
         now = tick * _TICK_S
-        for _ in range(_SLOTS):
+        for _ in range(admission_cases.SLOTS):
             if remaining and remaining[0].arrived_at <= now:
                 started.append((now, remaining.pop(0)))
     return _in_time(started)
@@ -184,8 +162,8 @@
 
 _RETURNING = 40
 _RETURN_S = 0.3
-_COLD_SERVICE_MS = 110.0
-_COLD_SLOTS = 4
+_COLDSERVICE_MS = 110.0
+_COLDSLOTS = 4
 
 
 def _refused_after_a_return(policy: AdmissionPolicy) -> int:
@@ -202,15 +180,15 @@
         while arrivals and arrivals[0].arrived_at <= now:
             flow = arrivals.pop(0)
             decision = policy.decide(
-                now, flow, len(ends), _COLD_SLOTS, _COLD_SERVICE_MS
+                now, flow, len(ends), _COLDSLOTS, _COLDSERVICE_MS
             )
             refused += decision is AdmissionDecision.REFUSE
             if decision is AdmissionDecision.START:
-                ends.append(now + _COLD_SERVICE_MS / 1000)
-        refused += len(policy.expire(now, _COLD_SERVICE_MS))
-        while len(ends) < _COLD_SLOTS and policy.waiting:
-            policy.next_ready(now, len(ends), _COLD_SLOTS, _COLD_SERVICE_MS)
-            ends.append(now + _COLD_SERVICE_MS / 1000)
+                ends.append(now + _COLDSERVICE_MS / 1000)
+        refused += len(policy.expire(now, _COLDSERVICE_MS))
+        while len(ends) < _COLDSLOTS and policy.waiting:
+            policy.next_ready(now, len(ends), _COLDSLOTS, _COLDSERVICE_MS)
+            ends.append(now + _COLDSERVICE_MS / 1000)
     return refused
 
 
@@ -235,13 +213,26 @@
         ends = [end for end in ends if end > now]
         while arrivals and arrivals[0].arrived_at <= now:
             flow = arrivals.pop(0)
-            policy.decide(now, flow, _SLOTS + 1, _SLOTS, _SERVICE_MS)
-        policy.expire(now, _SERVICE_MS)
-        while len(ends) < _SLOTS:
-            chosen = policy.next_ready(now, len(ends), _SLOTS, _SERVICE_MS)
+            policy.decide(
+                now,
+                flow,
+                admission_cases.SLOTS + 1,
+                admission_cases.SLOTS,
+                admission_cases.SERVICE_MS,
+            )
+        policy.expire(now, admission_cases.SERVICE_MS)
+        while len(ends) < admission_cases.SLOTS:
+            chosen = policy.next_ready(
+                now,
+                len(ends),
+                admission_cases.SLOTS,
+                admission_cases.SERVICE_MS,
+            )
             if chosen is None:
                 break
-            ran_ms = _SERVICE_MS * rng.lognormvariate(-0.125, 0.5)
+            ran_ms = admission_cases.SERVICE_MS * rng.lognormvariate(
+                -0.125, 0.5
+            )
             ends.append(now + ran_ms / 1000)
             in_time += chosen.age_ms(now) + ran_ms <= chosen.target_ms
     return in_time / total
