Restart the detection of failed balancers after a pause

Cause: after a pause of the process, a reply from before it looked unanswered for longer than the response timeout, so its balancer was suspected and a retransmission went to another one, which may have ended long ago.

Change: each path restarts its detection once the directory of balancers has been reset. test_pause_of_the_process_suspects_no_balancer fails before and passes now.

--- a/src/dragonflyshift/_internal/recovery/balancers.py
+++ b/src/dragonflyshift/_internal/recovery/balancers.py
@@ -24,10 +24,14 @@
 
 
 class BalancerDirectory:
-    """Recently seen balancers, shared by the connections of a process."""
+    """Recently seen balancers, shared by the connections of a process.
+
+    ``resets`` counts the pauses after which all balancers were removed.
+    """
 
     def __init__(self) -> None:
         """Create an empty directory."""
+        self.resets = 0
         self._balancers: OrderedDict[Address, _Balancer] = OrderedDict()
 
     def record(
@@ -84,6 +88,7 @@
 
     def reset(self) -> None:
         """Remove all balancers; they are outdated after a pause."""
+        self.resets += 1
         self._balancers.clear()
 
     def _add(self, address: Address, balancer: _Balancer) -> None:
--- a/src/dragonflyshift/_internal/recovery/return_path.py
+++ b/src/dragonflyshift/_internal/recovery/return_path.py
@@ -37,6 +37,7 @@
     _suspected: set[Address] = field(factory=set)
     _chosen: Address | None = None
     _unanswered_since: float | None = None
+    _observed_resets: int = 0
 
     def record_delivery(self, balancer: Address, now: float) -> None:
         """Record that a balancer delivered a datagram of the client."""
@@ -55,6 +56,8 @@
 
     def choose(self, now: float) -> Address | None:
         """Return the balancer to send through, or None if none is known."""
+        if self._observed_resets != self.directory.resets:
+            self._restart_detection()
         if self._is_response_overdue(now) and self._chosen is not None:
             self._suspected.add(self._chosen)
             self._unanswered_since = now
@@ -63,8 +66,9 @@
             self._chosen = self._select(now)
         return self._chosen
 
-    def reset(self) -> None:
-        """Restart the detection of failures, as required after a pause."""
+    def _restart_detection(self) -> None:
+        """Forget timeouts: after a pause, responses may wait in the socket."""
+        self._observed_resets = self.directory.resets
         self._suspected.clear()
         self._unanswered_since = None
 
--- a/tests/unit/recovery/test_return_path.py
+++ b/tests/unit/recovery/test_return_path.py
@@ -81,6 +81,18 @@
         self.path.record_delivery(FIRST, 0.1)
         self.assertEqual(self.path.choose(AFTER_RESPONSE_TIMEOUT_S), FIRST)
 
+    def test_pause_of_the_process_suspects_no_balancer(self):
+        # The client's response may wait in the socket's buffer.
+        self.path.record_delivery(FIRST, 0)
+        self.path.record_delivery(SECOND, 0)
+        self.path.record_sent(0)
+        self.directory.reset()
+        resumed_at = AFTER_RESPONSE_TIMEOUT_S
+        self.assertEqual(self.path.choose(resumed_at), SECOND)
+        self.path.record_sent(resumed_at)
+        overdue_at = resumed_at + AFTER_RESPONSE_TIMEOUT_S
+        self.assertEqual(self.path.choose(overdue_at), FIRST)
+
     def test_leaving_balancer_is_used_only_without_another(self):
         self.path.record_delivery(FIRST, 0)
         self.directory.record(FIRST, 1, leaving=True)
