--- a/src/dragonflyshift/_internal/recovery/balancers.py
+++ b/src/dragonflyshift/_internal/recovery/balancers.py
@@ -2,9 +2,9 @@
 
 import operator
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
-from attrs import define
+from attrs import define, frozen
 
 from dragonflyshift._internal.models import Address
 
@@ -12,6 +12,8 @@
 RECENT_S = 30.0
 # A balancer that was seen longer ago is not reported to peers.
 REPORTED_S = 2.0
+_seen_at = operator.attrgetter('last_seen_at')
+_received_at = operator.attrgetter('received_at')
 
 
 @define(eq=False)
@@ -23,6 +25,14 @@
     leaving: bool
 
 
+@frozen
+class BalancerSighting:
+    """A balancer and when a datagram of it arrived, in monotonic seconds."""
+
+    address: Address
+    at: float
+
+
 class BalancerDirectory:
     """Recently seen balancers, shared by the connections of a process.
 
@@ -66,25 +76,15 @@
 
     def recent(self, now: float) -> Iterator[Address]:
         """Yield the usable balancers, the most recently seen first."""
-        usable = [
-            (address, balancer.last_seen_at)
-            for address, balancer in self._balancers.items()
-            if not balancer.leaving
-        ]
-        for address, _seen_at in _newest_first(usable, now - RECENT_S):
-            yield address
+        for sighting in self._newest_first(_seen_at, now - RECENT_S):
+            yield sighting.address
 
-    def received(self, now: float) -> Sequence[tuple[Address, float]]:
-        """Return the usable balancers and when they sent a datagram here.
+    def received(self, now: float) -> Sequence[BalancerSighting]:
+        """Return the usable balancers that sent a datagram to this process.
 
-        Balancers that only peers have seen are left out.
+        The most recent one comes first.
         """
-        usable = [
-            (address, balancer.received_at)
-            for address, balancer in self._balancers.items()
-            if not balancer.leaving
-        ]
-        return _newest_first(usable, now - REPORTED_S)
+        return self._newest_first(_received_at, now - REPORTED_S)
 
     def reset(self) -> None:
         """Remove all balancers; they are outdated after a pause."""
@@ -97,9 +97,12 @@
         if len(self._balancers) > MAX_BALANCERS:
             self._balancers.popitem(last=False)
 
-
-def _newest_first(
-    times: Iterable[tuple[Address, float]], since: float
-) -> Sequence[tuple[Address, float]]:
-    recent = [pair for pair in times if pair[1] >= since]
-    return sorted(recent, key=operator.itemgetter(1), reverse=True)
+    def _newest_first(
+        self, time_of: Callable[[_Balancer], float], since: float
+    ) -> list[BalancerSighting]:
+        sightings = [
+            BalancerSighting(address, time_of(balancer))
+            for address, balancer in self._balancers.items()
+            if not balancer.leaving and time_of(balancer) >= since
+        ]
+        return sorted(sightings, key=operator.attrgetter('at'), reverse=True)
--- a/src/dragonflyshift/_internal/sidecar/balancer_reports.py
+++ b/src/dragonflyshift/_internal/sidecar/balancer_reports.py
@@ -18,6 +18,7 @@
 from dragonflyshift._internal.wire.balancer_report import (
     MAX_REPORTED_BALANCERS,
     BalancerReport,
+    ReportedBalancer,
 )
 
 PERIOD_S = 0.5
@@ -54,9 +55,9 @@
         """Report to a random peer unless no balancer was seen recently."""
         peers = self._peers()
         balancers = tuple(
-            (address, int((now - received_at) * MS_PER_S))
-            for address, received_at in self._directory.received(now)
-        )[:MAX_REPORTED_BALANCERS]
+            ReportedBalancer(each.address, int((now - each.at) * MS_PER_S))
+            for each in self._directory.received(now)[:MAX_REPORTED_BALANCERS]
+        )
         if peers and balancers:
             body = BalancerReport(balancers).encode()
             self._send(self._rng.choice(peers), DatagramKind.BALANCERS, body)
@@ -66,5 +67,6 @@
 
         Raises WireError if the report is malformed.
         """
-        for address, age_ms in BalancerReport.decode(body).balancers:
-            self._directory.record_report(address, now - age_ms / MS_PER_S)
+        for each in BalancerReport.decode(body).balancers:
+            seen_at = now - each.age_ms / MS_PER_S
+            self._directory.record_report(each.address, seen_at)
--- a/src/dragonflyshift/_internal/wire/balancer_report.py
+++ b/src/dragonflyshift/_internal/wire/balancer_report.py
@@ -21,23 +21,34 @@
 _ENTRY = struct.Struct('!6sH')
 
 
+@frozen
+class ReportedBalancer:
+    """A balancer and the milliseconds since its last datagram."""
+
+    address: Address
+    age_ms: int
+
+
 @frozen
 class BalancerReport:
-    """Balancers with the milliseconds since their last datagram.
+    """The balancers that a sidecar has seen, at least one.
 
     Example:
-        >>> report = BalancerReport(((Address('192.0.2.1', 7000), 120),))
+        >>> balancer = ReportedBalancer(Address('192.0.2.1', 7000), 120)
+        >>> report = BalancerReport((balancer,))
         >>> BalancerReport.decode(report.encode()) == report
         True
     """
 
-    balancers: tuple[tuple[Address, int], ...]
+    balancers: tuple[ReportedBalancer, ...]
 
     def encode(self) -> bytes:
         """Return the datagram body."""
         return b''.join(
-            _ENTRY.pack(pack_address(address), min(age_ms, MAX_AGE_MS))
-            for address, age_ms in self.balancers
+            _ENTRY.pack(
+                pack_address(each.address), min(each.age_ms, MAX_AGE_MS)
+            )
+            for each in self.balancers
         )
 
     @classmethod
@@ -50,7 +61,7 @@
             )
         return cls(
             tuple(
-                (require_address(raw), age_ms)
+                ReportedBalancer(require_address(raw), age_ms)
                 for raw, age_ms in _ENTRY.iter_unpack(body)
             )
         )
--- a/tests/unit/sidecar/test_balancer_reports.py
+++ b/tests/unit/sidecar/test_balancer_reports.py
@@ -21,6 +21,7 @@
 from dragonflyshift._internal.wire.balancer_report import (
     MAX_REPORTED_BALANCERS,
     BalancerReport,
+    ReportedBalancer,
 )
 from tests.lib.members import address_of
 
@@ -56,7 +57,7 @@
         self.assertEqual((address, kind), (PEER, DatagramKind.BALANCERS))
         self.assertEqual(
             BalancerReport.decode(body).balancers,
-            ((LIVE, 500), (FAILED, 1000)),
+            (ReportedBalancer(LIVE, 500), ReportedBalancer(FAILED, 1000)),
         )
 
     def test_reported_old_and_leaving_balancers_are_not_reported_on(self):
