--- a/bench/replies/flow.py
+++ b/bench/replies/flow.py
@@ -48,8 +48,10 @@
 
 @frozen
 class Keys:
-    """The certificate authority that the client trusts, in PEM, and the
-    configuration of the sidecar's end.
+    """What both ends need for a handshake.
+
+    ``authority`` is the certificate that the client trusts, in PEM, and
+    ``sidecar`` the configuration of the sidecar's end.
     """
 
     authority: str
