Show that open flows are not found after a route moved and all restarted

Cause: a balancer that started after the change queries the sidecars of the new service first; unsure ones get the packets as flow probes, and the owner, which answers later, gets none.

--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -254,7 +254,7 @@
         after = int(query['after'])
         deadline = time.monotonic() + min(30_000, int(query['waitMs'])) / 1000
         while True:
-            if self.modes.get(name, 'ok') == 'reset':
+            if self.modes.get(name, 'ok') != 'ok':
                 return 503, b'{}'
             events = [
                 event
@@ -268,7 +268,7 @@
                 return 200, json.dumps(body).encode()
             changed = self._changed
             try:
-                await asyncio.wait_for(changed.wait(), left_s)
+                await asyncio.wait_for(changed.wait(), min(left_s, 0.2))
             except TimeoutError:
                 pass
 
@@ -408,14 +408,17 @@
                 self._send(key, RST, pkt.ack, 0)
             return
         if flow is None:
+            self.fleet.on_stray(self, key)
             self._bounce(pkt)
             return
         if not flow.is_open:
             if (pkt.ack - flow.isn) & MASK > RESET_WINDOW:
+                self.fleet.on_stray(self, key)
                 self._bounce(pkt)
                 return
             flow.is_open = True
             self.fleet.on_open(self, key)
+        self.fleet.on_held(self, key)
         self._on_flow_packet(key, flow, pkt)
 
     def _on_syn(self, key, pkt):
@@ -494,6 +497,9 @@
             flow.unacked.append((flow.next, payload))
             self._send(key, ACK, flow.next, flow.expected, payload)
             flow.next = (flow.next + len(payload)) & MASK
+            if self.state == 'draining':
+                self._send(key, ACK | FIN, flow.next, flow.expected)
+                flow.has_fin = True
             self._arm(key, flow)
         self._start_next()
 
@@ -512,6 +518,8 @@
             return
         seq, payload = flow.unacked[0]
         self._send(key, ACK, seq, flow.expected, payload)
+        if flow.has_fin:
+            self._send(key, ACK | FIN, flow.next, flow.expected)
         flow.delay_s = min(MAX_RETRANSMISSION_S, flow.delay_s * 2)
         self._arm(key, flow)
 
@@ -539,6 +547,7 @@
         self.received = b''
         self.acked = self.next
         self.resets = []
+        self.server_closed = False
 
     def send(self, flags, seq, ack, payload=b''):
         host, port, service, service_port = self.key
@@ -578,6 +587,8 @@
         send_at = time.monotonic()
         while time.monotonic() < deadline and self.outcome == 'open':
             if b'\r\n\r\n' in self.received:
+                if self.server_closed:
+                    self.close()
                 return self.received
             if self.acked != self.next and time.monotonic() >= send_at:
                 self.send(ACK, seq, self.expected, payload)
@@ -629,6 +640,8 @@
                 self.received += pkt.payload
             if pkt.payload:
                 self.send(ACK, self.next, self.expected)
+            if pkt.flags & FIN and self.received and pkt.seq == self.expected:
+                self.server_closed = True
         self.changed.set()
 
     def _on_reset(self, pkt):
@@ -715,6 +728,8 @@
         self.takes = []
         self.runs = []
         self.resets = []
+        self.held = []
+        self.strays = []
         self.opens = {}
         self.router_ready = {}
         self._misses = {}
@@ -745,6 +760,14 @@
     def on_open(self, endpoint, key):
         self.opens[key] = endpoint
 
+    def on_held(self, endpoint, key):
+        self.held.append((time.monotonic(), endpoint, key))
+
+    def on_stray(self, endpoint, key):
+        """Record a later packet at an endpoint that doesn't hold its flow."""
+        self.strays.append((time.monotonic(), endpoint, key))
+        self.record.write('stray-packet', flow=key, at=endpoint.name)
+
     def on_run(self, endpoint, key, request_id):
         self.runs.append((time.monotonic(), endpoint, key, request_id))
         self.record.write(
@@ -804,6 +827,15 @@
             daemon.process.send_signal(number)
         self.record.write('signal', daemon=daemon.name, signal=number.name)
 
+    async def stop(self, daemon):
+        """Stop a daemon as planned work: SIGTERM, then SIGKILL after graceS."""
+        self.signal(daemon, signal.SIGTERM)
+        try:
+            await asyncio.wait_for(daemon.process.wait(), self.bounds['graceS'])
+        except TimeoutError:
+            await self.kill(daemon)
+        self.record.write('stopped', daemon=daemon.name)
+
     async def kill(self, daemon):
         self.signal(daemon, signal.SIGKILL)
         await daemon.process.wait()
