Refuse values of the store that peers can not decode

Cause: the decoder of entries took any float and any text. The entry's born of 1e30 became an integer beyond 64 bits, and half of a surrogate pair became a service name. msgpack encodes neither, so publishing the change raised OverflowError or UnicodeEncodeError in the task that reads the store, and serving a pull raised it for each peer.

Fix: what a field may hold is stated in one place: valid Unicode, at most 1024 bytes in an entry, whole numbers up to 2^53 - 1 in any notation of JSON. Keys are checked the same way. Searching related paths by fuzzing found three more values that ended the reader: a port above 65535 in a route (struct.error), a value that is no string (TypeError in base64), and a revision beyond 64 bits.

--- a/src/dragonflyshift/_internal/carried/fleet/revisions.py
+++ b/src/dragonflyshift/_internal/carried/fleet/revisions.py
@@ -12,9 +12,11 @@
     (2, 300)
 """
 
-__all__ = ('epoch_of', 'join_revision', 'split_revision')
+__all__ = ('MAX_REVISION', 'epoch_of', 'join_revision', 'split_revision')
 
 _REVISION_BITS = 40
+# The highest revision that all peers can decode, of whatever epoch.
+MAX_REVISION = 2**63 - 1
 
 
 def join_revision(epoch: int, revision: int) -> int:
--- a/src/dragonflyshift/platform/documents.py
+++ b/src/dragonflyshift/platform/documents.py
@@ -36,6 +36,10 @@
 _PORT = struct.Struct('!H')
 MAX_PORT = 65535
 MAX_SLOTS = 100_000
+# All implementations of JSON read integers up to this one alike (RFC 8259).
+MAX_INTEGER = 2**53 - 1
+# Bounds the views that peers pull, as a value of the store may have a megabyte.
+MAX_ENTRY_TEXT_BYTES = 1024
 _INFINITY = float('inf')
 _DECODE_ERRORS = (
     ValueError,
@@ -60,9 +64,9 @@
         routes = [_route(row) for row in body['routes']]
         limits = body.get('limits') or {}
         return RouteTable(
-            version=_non_negative_int(body['version']),
+            version=_integer(body['version']),
             routes={route.address: route for route in routes},
-            idle_timeout_ms=_non_negative_int(
+            idle_timeout_ms=_truncated(
                 limits.get('idleTimeoutMs', DEFAULT_IDLE_TIMEOUT_MS)
             ),
             warmups=_warmups(body.get('services')),
@@ -93,45 +97,44 @@
 def _endpoint(name: str, revision: int, body: Any) -> EndpointRecord:
     if body['state'] not in _ENDPOINT_STATES:
         raise ValueError(f'endpoint state {body["state"]!r} is unknown')
-    host, _colon, port_text = _string(body['address']).rpartition(':')
+    host, _colon, port_text = _text(body['address']).rpartition(':')
     socket.inet_pton(socket.AF_INET, host)
-    port = int(port_text)
-    slots = _non_negative_int(body['maxConcurrency'])
+    slots = _integer(body['maxConcurrency'])
     # These two fields are only checked: an entry that lacks one of them is no
     # endpoint.
-    _string(body['version'])
-    _non_negative_int(body['sequence'])
-    if not 0 < port <= MAX_PORT or not 0 < slots <= MAX_SLOTS:
-        raise ValueError(f'port {port} or {slots} slots are out of range')
+    _text(body['version'])
+    _integer(body['sequence'])
+    if not 0 < slots <= MAX_SLOTS:
+        raise ValueError(f'{slots} slots are out of range')
     return EndpointRecord(
         name=name,
         revision=revision,
-        service=_string(body['service']),
+        service=_entry_name(body['service']),
         host=host,
-        port=port,
-        data_center=_string(body['zone']),
+        port=_port(port_text),
+        data_center=_entry_name(body['zone']),
         slots=slots,
         is_leaving=body['state'] == 'draining',
         # How much longer the server is slow after the entry was written.
-        warmup_ms=_non_negative_int(body['warmupLeftMs']),
+        warmup_ms=_truncated(body['warmupLeftMs']),
         # The platform's name for the start time in Unix milliseconds.
-        started_ms=_non_negative_int(body.get('born', 0)),
+        started_ms=_integer(body.get('born', 0)),
     )
 
 
 def _route(row: Any) -> Route:
     # The prefix is a port between slashes; the type decides whether requests
     # may be repeated.
-    port = int(_string(row['prefix']).strip('/'))
+    port = _port(_text(row['prefix']).strip('/'))
     address = socket.inet_pton(socket.AF_INET, row['host']) + _PORT.pack(port)
     return Route(
-        name=_string(row['name']),
+        name=_text(row['name']),
         address=address,
         services=_services(row),
         kind=_KINDS.get(row.get('type', ''), TransferKind.NON_IDEMPOTENT),
-        target_ms=_non_negative_int(row['sloMs']),
-        timeout_ms=_non_negative_int(row['timeoutMs']),
-        priority=_non_negative_int(row.get('priority', 0)),
+        target_ms=_truncated(row['sloMs']),
+        timeout_ms=_truncated(row['timeoutMs']),
+        priority=_truncated(row.get('priority', 0)),
     )
 
 
@@ -140,12 +143,12 @@
     if backends:
         return tuple(
             WeightedService(
-                _string(backend['service']),
-                _non_negative_int(backend['weight']),
+                _text(backend['service']),
+                _truncated(backend['weight']),
             )
             for backend in backends
         )
-    return (WeightedService(_string(row['service']), 1),)
+    return (WeightedService(_text(row['service']), 1),)
 
 
 def _warmups(rows: Any) -> dict[str, Warmup]:
@@ -196,15 +199,45 @@
         return _INFINITY
 
 
-def _string(value: Any) -> str:
+def _text(value: Any) -> str:
+    """Return a text that other processes can decode.
+
+    JSON can escape one half of a surrogate pair, which UTF-8 can't encode.
+    """
     if not isinstance(value, str):
         raise TypeError(f'expected a string instead of {type(value).__name__}')
+    value.encode()
     return value
 
 
-def _non_negative_int(value: Any) -> int:
+def _entry_name(value: Any) -> str:
+    name = _text(value)
+    if len(name.encode()) > MAX_ENTRY_TEXT_BYTES:
+        raise ValueError(f'text has more than {MAX_ENTRY_TEXT_BYTES} bytes')
+    return name
+
+
+def _port(text: str) -> int:
+    if not (text.isascii() and text.isdecimal()):
+        raise ValueError(f'port {text!r} is not a decimal number')
+    port = int(text)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f'port {port} is out of range')
+    return port
+
+
+def _integer(value: Any) -> int:
+    """Return a whole number, in any notation of JSON: 3, 3.0 or 3e0."""
+    integer = _truncated(value)
+    if integer != value:
+        raise ValueError(f'number {value!r} is not whole')
+    return integer
+
+
+def _truncated(value: Any) -> int:
+    """Return the whole part of a number that any process can encode."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f'expected a number instead of {type(value).__name__}')
-    if value != value or value < 0 or value == float('inf'):
+    if not 0 <= value <= MAX_INTEGER:
         raise ValueError(f'number {value!r} is out of range')
     return int(value)
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -16,6 +16,7 @@
     ViewSource,
 )
 from dragonflyshift._internal.carried.fleet.revisions import (
+    MAX_REVISION,
     epoch_of,
     join_revision,
     split_revision,
@@ -53,6 +54,9 @@
 WATCH_WAIT_MS = 2500
 WATCH_TIMEOUT_MARGIN_S = 0.7
 MAX_PAGES = 200
+MAX_KEY_BYTES = 200
+# Further ignored entries are not logged.
+MAX_IGNORED_ENTRIES = 1000
 MS_PER_S = 1000
 # The platform's name for the number of times that the store was restored from a
 # copy. A store that was never restored sends the first value.
@@ -129,13 +133,15 @@
         items: list[Any],
     ) -> ViewUpdate:
         # Of several changes of one key only the last one counts.
-        newest = {entry.get('key'): entry for entry in items}
+        newest = {
+            entry['key']: entry for entry in items if self._has_valid_key(entry)
+        }
         configuration = newest.pop(CONFIGURATION_KEY, {})
         evacuations = _pop_evacuations(newest)
         records: list[EndpointRecord] = []
         removed: list[tuple[str, int]] = []
         for key, entry in newest.items():
-            if not isinstance(key, str) or not key.startswith(ENDPOINT_PREFIX):
+            if not key.startswith(ENDPOINT_PREFIX):
                 continue
             name = key.removeprefix(ENDPOINT_PREFIX)
             record = self._decode_record(name, entry)
@@ -179,10 +185,30 @@
             record = decode_endpoint(name, revision, _decode_value(entry))
         except ValueError:
             record = None
-        if record is None and name not in self._ignored_entries:
+        if record is None:
+            self._log_ignored(name)
+        return record
+
+    def _has_valid_key(self, entry: dict[str, Any]) -> bool:
+        """Return whether peers can decode the key of an entry."""
+        key = entry.get('key')
+        try:
+            is_valid = (
+                isinstance(key, str) and len(key.encode()) <= MAX_KEY_BYTES
+            )
+        except UnicodeEncodeError:
+            is_valid = False
+        if not is_valid:
+            self._log_ignored(ascii(key)[:MAX_KEY_BYTES])
+        return is_valid
+
+    def _log_ignored(self, name: str) -> None:
+        """Log an entry that is no endpoint, once for each name."""
+        if len(self._ignored_entries) >= MAX_IGNORED_ENTRIES:
+            return
+        if name not in self._ignored_entries:
             self._ignored_entries.add(name)
             logger.info('entry-ignored', extra={'entry': name})
-        return record
 
     async def _request(
         self,
@@ -217,14 +243,10 @@
 
 
 def _pop_evacuations(
-    newest: dict[Any, dict[str, Any]],
+    newest: dict[str, dict[str, Any]],
 ) -> tuple[EvacuationRecord, ...]:
     """Remove the evacuations from the entries by key and return them."""
-    keys = [
-        key
-        for key in newest
-        if isinstance(key, str) and key.startswith(EVACUATION_PREFIX)
-    ]
+    keys = [key for key in newest if key.startswith(EVACUATION_PREFIX)]
     return tuple(
         EvacuationRecord(
             data_center=key.removeprefix(EVACUATION_PREFIX),
@@ -241,14 +263,15 @@
 
 def _encode_query(query: dict[str, Any]) -> str:
     values = [str(parameter) for parameter in query.values()]
-    if all(not value or value.isalnum() for value in values):
+    if all(not part or part.isascii() and part.isalnum() for part in values):
         pairs = zip(query, values, strict=True)
         return '&'.join(f'{name}={value}' for name, value in pairs)
     # Imported only when needed, after a truncated page, as the import would
     # prolong each start.
     from urllib.parse import urlencode
 
-    return urlencode(query)
+    # The key of another writer's entry may not be valid Unicode.
+    return urlencode(query, errors='surrogatepass')
 
 
 def _decode_response(path: str, response: 'HttpResponse') -> dict[str, Any]:
@@ -267,7 +290,7 @@
     try:
         body = json.loads(response.body)
         epoch = int(response.headers.get(_EPOCH_HEADER, _FIRST_EPOCH))
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise PlatformError(
             f'response of the store is malformed: {exc}'
         ) from exc
@@ -313,10 +336,19 @@
 
 def _revision(body: dict[str, Any], name: str) -> int:
     revision = body.get(name)
-    if not isinstance(revision, int):
+    if isinstance(revision, bool) or not isinstance(revision, int):
         raise PlatformError(f'response of the store lacks the number {name}')
+    if not 0 <= revision <= MAX_REVISION:
+        raise PlatformError(
+            f'response of the store has the {name} {revision!r}, '
+            'which is out of range'
+        )
     return revision
 
 
-def _decode_value(entry: Any) -> bytes:
-    return base64.b64decode(entry['value'], validate=True)
+def _decode_value(entry: dict[str, Any]) -> bytes:
+    """Return the value of an entry; raise ValueError if it isn't base64."""
+    encoded = entry['value']
+    if not isinstance(encoded, str):
+        raise ValueError(f'value is not a string: {type(encoded).__name__}')
+    return base64.b64decode(encoded, validate=True)
--- a/tests/lib/kvstore.py
+++ b/tests/lib/kvstore.py
@@ -46,11 +46,9 @@
     return build_item('op/config', revision, {**_CONFIGURATION, **changes})
 
 
-def build_entry_item(
-    name: str, revision: int, **changes: Any
-) -> dict[str, Any]:
-    """Return the item of an endpoint."""
-    entry = {
+def build_entry_body(**changes: Any) -> dict[str, Any]:
+    """Return what an endpoint writes into its entry."""
+    return {
         'service': 'lists',
         'address': '127.0.0.1:8080',
         'zone': 'klang',
@@ -62,6 +60,13 @@
         'born': 1_767_678_649_300,
         **changes,
     }
+
+
+def build_entry_item(
+    name: str, revision: int, **changes: Any
+) -> dict[str, Any]:
+    """Return the item of an endpoint."""
+    entry = build_entry_body(**changes)
     return build_item(f'servers/{name}', revision, entry)
 
 
