Leave invalid records out of pulls instead of failing them

Cause: a notice and the response to a pull were encoded, and a pull was decoded, all or nothing. A peer that holds such a record, of whatever origin, couldn't send anything whose range includes it, and a daemon that receives one dropped the whole view.

Fix: rows that msgpack can't encode are left out of a pull and logged; a notice with one is not sent, so that its recipients pull. Rows and route tables that can't be decoded are left out as well. Views of one revision that differ in such a row cause a full pull a second, the bound of MIN_FULL_PULL_INTERVAL_S.

The format of messages is unchanged.

--- a/src/dragonflyshift/_internal/carried/fleet/evacuation_rows.py
+++ b/src/dragonflyshift/_internal/carried/fleet/evacuation_rows.py
@@ -5,7 +5,12 @@
 sent as the removal of an endpoint with a reserved name.
 """
 
-__all__ = ('encode_evacuations', 'is_reserved_name', 'split_removals')
+__all__ = (
+    'RemovalRow',
+    'encode_evacuations',
+    'is_reserved_name',
+    'split_removals',
+)
 
 from collections.abc import Iterable
 
--- a/src/dragonflyshift/_internal/carried/fleet/exchange.py
+++ b/src/dragonflyshift/_internal/carried/fleet/exchange.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import logging
+from collections.abc import Iterator
+from typing import Any, TypeVar
 
 import msgpack
 from attrs import define
 
 from dragonflyshift._internal.carried.fleet.evacuation_rows import (
+    RemovalRow,
     encode_evacuations,
     split_removals,
 )
@@ -29,6 +32,8 @@
 MAX_VIEW_BYTES = 4 << 20
 _REQUEST_BYTES = 64
 _PULL_FAILURES = (OSError, ValueError, TypeError, EOFError)
+_ENCODE_ERRORS = (ValueError, TypeError, OverflowError)
+_Row = TypeVar('_Row', list[Any], RemovalRow)
 
 
 @define(eq=False, repr=False)
@@ -103,36 +108,83 @@
 def encode_update(view: FleetView, base: int, version: int) -> bytes:
     """Return a view's changes after ``base`` as msgpack.
 
-    The route table is included if it is newer than ``version``.
+    The route table is included if it is newer than ``version``. Records that
+    can't be encoded are left out, so that the others reach the peer.
     """
     update = view.since(base)
+    records = [encode_row(record) for record in update.records]
+    removed = [*update.removed, *encode_evacuations(update.evacuations)]
     table = view.routes.encode() if view.routes.version > version else None
-    encoded = msgpack.packb(
-        (
-            update.base,
-            update.revision,
-            [encode_row(record) for record in update.records],
-            update.removed + encode_evacuations(update.evacuations),
-            table,
-        )
-    )
-    return bytes(encoded)
+    try:
+        return _pack(update, records, removed, table)
+    except _ENCODE_ERRORS:
+        return _pack(update, _encodable(records), _encodable(removed), table)
 
 
 def decode_update(raw: bytes) -> ViewUpdate:
-    """Decode a view's changes; raise ConfigurationError if malformed."""
+    """Decode a view's changes; raise ConfigurationError if malformed.
+
+    Records and route tables that can't be decoded are left out.
+    """
     try:
-        base, revision, records, rows, table = msgpack.unpackb(raw)
-        removed, evacuations = split_removals(
-            (str(name), int(removed_at)) for name, removed_at in rows
-        )
+        base, revision, rows, removal_rows, table = msgpack.unpackb(raw)
+        removed, evacuations = split_removals(_decode_removals(removal_rows))
         return ViewUpdate(
             base=int(base),
             revision=int(revision),
-            records=tuple(decode_row(EndpointRecord, row) for row in records),
+            records=tuple(_decode_records(rows)),
             removed=removed,
-            routes=None if table is None else RouteTable.decode(table),
+            routes=None if table is None else _decode_routes(table),
             evacuations=evacuations,
         )
     except (ValueError, TypeError, msgpack.UnpackException) as exc:
         raise ConfigurationError(f'view is malformed: {exc}') from exc
+
+
+def _pack(update: ViewUpdate, *parts: Any) -> bytes:
+    return bytes(msgpack.packb((update.base, update.revision, *parts)))
+
+
+def _encodable(rows: list[_Row]) -> list[_Row]:
+    """Return the rows that msgpack can encode, and log the others."""
+    encodable = []
+    for row in rows:
+        try:
+            msgpack.packb(row)
+        except _ENCODE_ERRORS as exc:
+            logger.error(
+                'record-not-sent',
+                extra={'record': ascii(row[0]), 'reason': repr(exc)},
+            )
+        else:
+            encodable.append(row)
+    return encodable
+
+
+def _decode_records(rows: Any) -> Iterator[EndpointRecord]:
+    for row in rows:
+        try:
+            yield decode_row(EndpointRecord, row)
+        except (ValueError, TypeError) as exc:
+            _log_dropped('endpoint', exc)
+
+
+def _decode_removals(rows: Any) -> Iterator[RemovalRow]:
+    for row in rows:
+        try:
+            name, revision = row
+            yield str(name), int(revision)
+        except (ValueError, TypeError) as exc:
+            _log_dropped('removal', exc)
+
+
+def _decode_routes(raw: Any) -> RouteTable | None:
+    try:
+        return RouteTable.decode(raw)
+    except ConfigurationError as exc:
+        _log_dropped('routes', exc)
+        return None
+
+
+def _log_dropped(part: str, exc: Exception) -> None:
+    logger.error('record-dropped', extra={'part': part, 'reason': str(exc)})
--- a/src/dragonflyshift/_internal/carried/fleet/gossip.py
+++ b/src/dragonflyshift/_internal/carried/fleet/gossip.py
@@ -245,7 +245,11 @@
             records=update.records,
             removed=update.removed + evacuations + removed,
         )
-        datagram = notice.encode()
+        try:
+            datagram = notice.encode()
+        except (ValueError, TypeError, OverflowError):
+            # The peer pulls instead, and gets all records but the invalid one.
+            return None
         return datagram if len(datagram) <= MAX_NOTICE_BYTES else None
 
     def _record_peer_confirmation(
