Restart the duties of a daemon after unforeseen exceptions

Cause: the task of StoreReader.run ended by the OverflowError of a publication, and nothing awaits it, so no line was logged; is_reading stayed set. The health check of a server and the watch of the settings file could end in the same way, a Ticker didn't reschedule after an exception, an exception in one part of a tick skipped the others, and an exception in the response to a pull left the connection open until the timeout of the peer, which pulls from one peer at a time.

Fix: TaskSupervisor restarts these tasks with backoff (0.2 to 5 s), logs task-failed with the traceback and counts it. The reader withdraws, so that another daemon takes over, and begins with a full read. Ending the process was weighed and dropped: docs/design/unforeseen-exceptions.md.

--- a/src/dragonflyshift/_internal/carried/balancer/node.py
+++ b/src/dragonflyshift/_internal/carried/balancer/node.py
@@ -92,6 +92,7 @@
         self._fabric = PlainUdpSocket(
             self.sockets.take(self.settings.fabric),
             self._on_fabric_packet,
+            self.count_datagram_failure,
         )
 
     def leave(self) -> None:
--- a/src/dragonflyshift/_internal/carried/fleet/exchange.py
+++ b/src/dragonflyshift/_internal/carried/fleet/exchange.py
@@ -8,7 +8,7 @@
 from typing import Any, TypeVar
 
 import msgpack
-from attrs import define
+from attrs import define, field
 
 from dragonflyshift._internal.carried.fleet.evacuation_rows import (
     RemovalRow,
@@ -38,9 +38,13 @@
 
 @define(eq=False, repr=False)
 class ViewServer:
-    """Serves this daemon's view to peers that pull it."""
+    """Serves this daemon's view to peers that pull it.
+
+    ``failures`` counts pulls that ended by an unforeseen exception.
+    """
 
     view: FleetView
+    failures: int = field(default=0)
 
     async def handle(
         self,
@@ -54,6 +58,11 @@
         except _PULL_FAILURES as exc:
             logger.info('view-not-sent', extra={'reason': repr(exc)})
             writer.transport.abort()
+        except Exception:
+            # Closed at once, as the peer makes one pull at a time.
+            logger.exception('task-failed', extra={'task': 'view-server'})
+            self.failures += 1
+            writer.transport.abort()
 
     async def _send_view(
         self,
--- a/src/dragonflyshift/_internal/carried/fleet/gossip.py
+++ b/src/dragonflyshift/_internal/carried/fleet/gossip.py
@@ -75,11 +75,11 @@
     # The revision and time of a confirmation that is newer than this view.
     _pending_confirmation: tuple[int, float] = field(default=(0, float('-inf')))
     _sent_at: float = field(default=float('-inf'))
-    _puller: ViewPuller = field(init=False)
+    puller: ViewPuller = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the puller."""
-        self._puller = ViewPuller(self.view, self._on_pulled)
+        self.puller = ViewPuller(self.view, self._on_pulled)
 
     def age_s(self, now: float) -> float:
         """Return the time since the store confirmed this view."""
@@ -124,13 +124,13 @@
         if status.wants_reply:
             self._send_status(now, address, wants_reply=False)
         if _is_behind(self.view, status.revision, status.version):
-            self._puller.pull(now, address)
+            self.puller.pull(now, address)
         elif _is_ahead(self.view, status):
             # Earlier notices may be lost, so the peer's own revision counts.
             peer.sent_revision = status.revision
             self._send_changes(now, address)
         elif status.digest != _digest(self.view) and status.revision:
-            self._puller.pull_all(now, address)
+            self.puller.pull_all(now, address)
 
     def on_notice(
         self, now: float, notice: ChangeNotice, address: SocketAddress
@@ -150,7 +150,7 @@
         if changed:
             self._on_view_changed(now, 'notice', address)
         if _is_behind(self.view, notice.revision, notice.version):
-            self._puller.pull(now, address)
+            self.puller.pull(now, address)
 
     def own_status(self, now: float, *, wants_reply: bool) -> DaemonStatus:
         """Return this daemon's status."""
--- a/src/dragonflyshift/_internal/carried/fleet/puller.py
+++ b/src/dragonflyshift/_internal/carried/fleet/puller.py
@@ -25,10 +25,12 @@
     """Updates the view from peers that are ahead.
 
     ``on_pulled(changed, address)`` is called after each successful pull.
+    ``failures`` counts pulls that ended by an unforeseen exception.
     """
 
     view: FleetView
     on_pulled: Callable[[bool, SocketAddress], None]
+    failures: int = field(default=0)
     _started_at: float = field(default=float('-inf'))
     _task: asyncio.Task[None] | None = field(default=None)
 
@@ -60,4 +62,15 @@
         except PeerError as exc:
             logger.info('view-pull-failed', extra={'reason': str(exc)})
             return
-        self.on_pulled(self.view.apply(update), address)
+        except Exception:
+            self._on_failure()
+            return
+        try:
+            self.on_pulled(self.view.apply(update), address)
+        except Exception:
+            self._on_failure()
+
+    def _on_failure(self) -> None:
+        # The next status of a peer starts another pull.
+        logger.exception('task-failed', extra={'task': 'view-pull'})
+        self.failures += 1
--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -83,13 +83,19 @@
     _grace_until: float = field(default=0)
 
     async def run(self) -> None:
-        """Read until the task is cancelled."""
-        while True:
-            if self.should_read():
-                await self._read_once()
-            else:
-                self._stop_reading()
-                await asyncio.sleep(IDLE_CHECK_S)
+        """Read until the task is cancelled, or fails unexpectedly.
+
+        The daemon then counts as no reader, so that another one takes over.
+        The next run begins with a full read, as an update may have been
+        applied in part.
+        """
+        try:
+            await self._read_while_elected()
+        except Exception:
+            self.is_reading = False
+            self._needs_full_read = True
+            self.source.close()
+            raise
 
     def confirm_removals(self, now: float) -> tuple[str, ...]:
         """Drop the endpoints that did not return after an outage.
@@ -115,6 +121,14 @@
         """Treat removals as tentative right after a pause of this process."""
         self._grace_until = max(self._grace_until, now + REMOVAL_GRACE_S)
 
+    async def _read_while_elected(self) -> None:
+        while True:
+            if self.should_read():
+                await self._read_once()
+            else:
+                self._stop_reading()
+                await asyncio.sleep(IDLE_CHECK_S)
+
     async def _read_once(self) -> None:
         self.calls += 1
         try:
--- a/src/dragonflyshift/_internal/carried/node.py
+++ b/src/dragonflyshift/_internal/carried/node.py
@@ -2,12 +2,17 @@
 
 __all__ = ('BaseNode',)
 
-import asyncio
 import logging
 import random
 import time
 from abc import ABC, abstractmethod
+from collections.abc import Callable
+from functools import partial
 
+from dragonflyshift._internal.carried.background import (
+    TaskSupervisor,
+    Ticker,
+)
 from dragonflyshift._internal.carried.fleet.exchange import ViewServer
 from dragonflyshift._internal.carried.fleet.member import (
     FleetMember,
@@ -31,7 +36,6 @@
     SocketAddress,
 )
 from dragonflyshift._internal.carried.telemetry import Counters
-from dragonflyshift._internal.carried.ticker import Ticker
 from dragonflyshift._internal.exceptions import WireError
 from dragonflyshift._internal.utils.datagrams import PlainUdpSocket
 from dragonflyshift._internal.utils.early_binding import BoundSockets
@@ -73,7 +77,15 @@
         )
         self.view = self.member.view
         self._pauses = PauseDetector(PAUSE_LIMIT_S)
-        self._tasks: list[asyncio.Task[None]] = []
+        self.tasks = TaskSupervisor(self.counters, self.rng)
+        self._views = ViewServer(self.view)
+        self.counters.gauge(
+            'failed_pulls',
+            lambda: self.member.gossip.puller.failures + self._views.failures,
+        )
+        self.count_datagram_failure = partial(
+            self.counters.incr, 'datagram_failures'
+        )
         self._listeners = Listeners()
         self._peer_socket: PlainUdpSocket | None = None
         self._last_sweep_at: float = 0
@@ -86,16 +98,16 @@
         self._peer_socket = PlainUdpSocket(
             self.sockets.take(self.settings.peers),
             self._on_peer_datagram,
+            self.count_datagram_failure,
         )
         self.open_role_sockets()
-        loop = asyncio.get_running_loop()
         if self.member.reader is not None:
-            self._tasks.append(loop.create_task(self.member.reader.run()))
+            self.tasks.start('store-reader', self.member.reader.run)
         self.ticker.start()
         await self._listeners.open(
             self.settings,
             DaemonPages(self.is_ready, self.counters),
-            ViewServer(self.view),
+            self._views,
         )
         self.member.gossip.request_statuses(time.monotonic())
         logger.info(
@@ -121,8 +133,7 @@
     def close(self) -> None:
         """Stop the tasks and close the listeners at once."""
         self.ticker.stop()
-        for task in self._tasks:
-            task.cancel()
+        self.tasks.cancel()
         self._listeners.close()
 
     def send_to_peer(self, datagram: bytes, address: SocketAddress) -> None:
@@ -200,20 +211,26 @@
         """Do the periodic work; return whether any work waits."""
         now = time.monotonic()
         pause_s = self._pauses.observe(now)
-        try:
-            if pause_s:
-                self.member.on_pause(now, pause_s)
-            self.member.tick(now)
-            self.tick(now)
-            if now - self._last_sweep_at > SWEEP_PERIOD_S:
-                self._last_sweep_at = now
-                self.sweep(now)
-        except Exception:
-            # The daemon goes on with the next tick: if it stopped, it could
-            # serve no flow at all.
-            logger.exception('tick-failed')
+        if pause_s:
+            _run_part(self.counters, self.member.on_pause, now, pause_s)
+        _run_part(self.counters, self.member.tick, now)
+        _run_part(self.counters, self.tick, now)
+        if now - self._last_sweep_at > SWEEP_PERIOD_S:
+            self._last_sweep_at = now
+            _run_part(self.counters, self.sweep, now)
         return self.has_waiting()
 
     def is_ready(self) -> bool:
         """Return whether the network may send flows to this daemon."""
         return self.view.is_usable and not self.is_leaving
+
+
+def _run_part(
+    counters: Counters, work: Callable[..., None], *times: float
+) -> None:
+    """Do a part of the periodic work, whose failure stops no other."""
+    try:
+        work(*times)
+    except Exception:
+        logger.exception('tick-failed')
+        counters.incr('tick_failures')
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -142,9 +142,9 @@
         self._outbound = PlainUdpSocket(
             self.sockets.take(self.settings.outbound),
             self._on_backend_packet,
+            self.count_datagram_failure,
         )
-        loop = asyncio.get_running_loop()
-        self._tasks.append(loop.create_task(self._health_check.run()))
+        self.tasks.start('health-check', self._health_check.run)
 
     def leave(self) -> None:
         """Refuse new flows and return the waiting ones."""
--- a/src/dragonflyshift/_internal/utils/datagrams.py
+++ b/src/dragonflyshift/_internal/utils/datagrams.py
@@ -22,10 +22,19 @@
     report ICMP errors.
     """
 
-    def __init__(self, sock: socket.socket, handler: DatagramHandler) -> None:
-        """Start reading a bound, non-blocking socket on the running loop."""
+    def __init__(
+        self,
+        sock: socket.socket,
+        handler: DatagramHandler,
+        on_failure: Callable[[], None] | None = None,
+    ) -> None:
+        """Start reading a bound, non-blocking socket on the running loop.
+
+        ``on_failure()`` is called after an exception of the handler.
+        """
         self._sock = sock
         self._handler = handler
+        self._on_failure = on_failure
         self._loop = asyncio.get_running_loop()
         self._loop.add_reader(sock.fileno(), self._read_batch)
         self.dropped = 0
@@ -55,3 +64,5 @@
             except Exception:
                 # A datagram that can't be handled must not stop the socket.
                 logger.exception('datagram-failed')
+                if self._on_failure is not None:
+                    self._on_failure()
--- a/src/dragonflyshift/platform/running.py
+++ b/src/dragonflyshift/platform/running.py
@@ -118,9 +118,8 @@
     await node.start()
     gc.freeze()
     gc.enable()
-    reload_task = asyncio.create_task(_watch_settings(node, path, reload))
+    node.tasks.start('settings', lambda: _watch_settings(node, path, reload))
     await stop.wait()
-    reload_task.cancel()
     await node.drain()
 
 
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -14,7 +14,14 @@
 METRICS_PORT = 9464
 MAX_PORT = 65535
 _WARMUP_BOUNDS = frozenset(('warmupOverage', 'warmupSlack'))
-_DECODE_ERRORS = (ValueError, TypeError, LookupError, AttributeError)
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 def read_settings(path: str) -> NodeSettings:
--- a/tests/lib/waiting.py
+++ b/tests/lib/waiting.py
@@ -22,6 +22,17 @@
         raise AssertionError(f'{what}: timed out after {timeout} s') from exc
 
 
+async def wait_until(
+    condition: Callable[[], bool], timeout: float = 5.0
+) -> None:
+    """Wait until ``condition()`` is True; raise AssertionError after a time."""
+
+    async def check() -> bool:
+        return condition()
+
+    await eventually(check, timeout)
+
+
 async def _poll(check: Callable[[], Awaitable[bool]]) -> None:
     while True:
         if await check():
