Search open flows whose route moved at servers of other services too

Cause: the former services of a route are in the memory of daemons that saw the change. Without them the sidecars of the present service alone were "likely" owners, and flow probes went to likely owners only, once a lookup. Each retransmission began anew.

Fix: once the likely servers have bounced the packet, or don't reply, unsure sidecars of other services receive probes, 16 at a time and 500 a second a daemon. A view older than the history of routes shows all services that may matter, so a daemon with such a view sends none to others. A sidecar denies flows that its server has bounced: each server gets the packets of one lookup and not one for each retransmission, and a flow that all servers bounced is reset instead of being silent for a minute.

Upgrades: no message changes; a probe is a forwarded packet with the service of the sidecar, which the build before delivers as well.

Tests: test_no_probe_goes_to_a_service_without_the_route now states that its view has a complete history, which it took for granted; what it checks is unchanged.

--- a/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
+++ b/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
@@ -242,6 +242,7 @@
                 'asked': len(lookup.queried),
                 'answered': len(lookup.answered),
                 'unsure': len(lookup.unsure),
+                'probed': len(lookup.probed),
                 'revision': self.view.revision,
             },
         )
--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -13,7 +13,7 @@
 import zlib
 from collections.abc import Callable, Iterable, Mapping
 
-from attrs import define, evolve, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from dragonflyshift._internal.carried.fleet.revisions import epoch_of
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
@@ -78,8 +78,11 @@
     tentative_removals: dict[str, int] = field(factory=dict)
     evacuations: EvacuationTable = field(factory=EvacuationTable)
     clock: Callable[[], float] = field(default=time.monotonic)
-    _route_history: RouteHistory = field(
-        factory=lambda: RouteHistory(ROUTE_HISTORY_S),
+    route_history: RouteHistory = field(
+        default=Factory(
+            lambda view: RouteHistory(ROUTE_HISTORY_S, since=view.clock()),
+            takes_self=True,
+        ),
     )
     _by_service: dict[str, tuple[EndpointRecord, ...]] = field(factory=dict)
     # The endpoints that aren't evacuated, with the evacuations at that time.
@@ -147,7 +150,7 @@
     def routed_services(self, key: FlowKey) -> set[str]:
         """Return the services to which a flow's route leads or has led."""
         address = key[SERVICE_ADDRESS_SLICE]
-        services = set(self._route_history.services(self.clock(), address))
+        services = set(self.route_history.services(self.clock(), address))
         route = self.routes.find(key)
         if route is not None:
             services.update(service.name for service in route.services)
@@ -240,7 +243,7 @@
             # A build without warm-up rates may have sent this version first.
             if not routes.warmups or self.routes.warmups:
                 return False
-        self._route_history.record_change(self.clock(), self.routes, routes)
+        self.route_history.record_change(self.clock(), self.routes, routes)
         self.routes = routes
         return True
 
--- a/src/dragonflyshift/_internal/carried/lookups.py
+++ b/src/dragonflyshift/_internal/carried/lookups.py
@@ -4,10 +4,13 @@
 query. The owner replies and receives the packets. A sidecar that has just
 restarted may have no record of flows that its server holds, and replies that
 it is unsure. Unless another sidecar replies that it owns the flow, the packets
-go to the unsure sidecars as flow probes of their servers.
+go to the unsure sidecars as flow probes of their servers. A server that doesn't
+hold the flow bounces them, and its sidecar replies that it doesn't own it.
 
 When all likely owners reply that they don't own the flow, all other sidecars
-are queried, as the flow may be older than its route. When these deny it too,
+are queried, as the flow may be older than its route. Those that are unsure
+receive probes, a few at a time, if the view may lack a former route. When these
+deny it too,
 the readers of the store are requested to send their status, as the view may
 lack a sidecar. If it then lists no further one, the flow's server has ended.
 """
@@ -37,6 +40,8 @@
 )
 from dragonflyshift._internal.carried.policies.owner_search import (
     OwnerCandidates,
+    ProbeBudget,
+    choose_probes,
 )
 from dragonflyshift._internal.carried.records import EndpointRecord
 
@@ -50,6 +55,11 @@
 LOOKUP_LIFETIME_S = 0.3
 # Time for a reader of the store to report an endpoint that this view lacks.
 VIEW_CONFIRMATION_S = 0.05
+# Probes of one lookup to unlikely owners that wait for a reply. The owner is
+# found before most servers have received a packet that isn't theirs.
+MAX_UNLIKELY_PROBES = 16
+# A probe and its reply take 0.1 to 0.4 ms of a small share of a core.
+UNLIKELY_PROBES_PER_S = 500
 MAX_LOOKUPS = 2048
 MAX_HELD_PACKETS = 16
 
@@ -70,6 +80,7 @@
             for record in view.newest_by_host().values()
         ),
         view.routed_services(key),
+        is_complete=view.route_history.is_complete(view.clock()),
     )
 
 
@@ -88,7 +99,8 @@
     ``is_widened`` is set once also the unlikely owners received a query.
     ``queried`` are the sidecars that received a query, ``answered`` those that
     replied that they don't own the flow or are unsure, ``unsure`` the latter.
-    ``is_probed`` is set once the unsure sidecars received flow probes.
+    ``probed`` are the sidecars that received flow probes, ``awaited`` those of
+    them that have not replied to the probes.
     ``denied_at`` is when all sidecars had replied that they don't own the flow.
     """
 
@@ -98,14 +110,15 @@
     queried: set[SocketAddress] = field(factory=set)
     unsure: set[SocketAddress] = field(factory=set)
     answered: set[SocketAddress] = field(factory=set)
+    probed: set[SocketAddress] = field(factory=set)
+    awaited: set[SocketAddress] = field(factory=set)
     is_widened: bool = field(default=False)
-    is_probed: bool = field(default=False)
     denied_at: float | None = field(default=None)
 
     @property
-    def probed(self) -> list[SocketAddress]:
-        """The unsure sidecars whose servers may receive flow probes."""
-        return sorted(self.unsure.intersection(self.candidates.likely))
+    def is_answered(self) -> bool:
+        """Whether all queried sidecars have replied."""
+        return self.answered >= self.queried
 
 
 @define(eq=False, repr=False)
@@ -128,13 +141,18 @@
 class LookupTable:
     """The lookups under way, by flow key.
 
-    ``started`` counts lookups, ``dropped`` packets beyond the limits.
+    ``started`` counts lookups, ``dropped`` packets beyond the limits,
+    ``unlikely_probes`` the sidecars of other services that received probes.
     """
 
     callbacks: LookupCallbacks
     pending: dict[FlowKey, PendingLookup] = field(factory=dict)
     started: int = field(default=0)
     dropped: int = field(default=0)
+    unlikely_probes: int = field(default=0)
+    _budget: ProbeBudget = field(
+        factory=lambda: ProbeBudget(UNLIKELY_PROBES_PER_S),
+    )
 
     def start(
         self,
@@ -161,7 +179,7 @@
         lookup = self.pending.pop(key, None)
         if lookup is None:
             return
-        if lookup.is_probed and address in lookup.probed:
+        if address in lookup.awaited:
             # The owner already received the packets as probes.
             return
         for packet in lookup.packets:
@@ -174,15 +192,20 @@
         lookup = self.pending.get(key)
         if lookup is not None:
             lookup.unsure.discard(address)
+            lookup.awaited.discard(address)
             lookup.answered.add(address)
             self._check_replies(now, lookup)
 
     def on_unsure(
         self, now: float, key: FlowKey, address: SocketAddress
     ) -> None:
-        """Record the reply that a sidecar may own the flow."""
+        """Record the reply that a sidecar may own the flow.
+
+        In reply to a probe it says that the probe wasn't delivered.
+        """
         lookup = self.pending.get(key)
         if lookup is not None:
+            lookup.awaited.discard(address)
             lookup.unsure.add(address)
             lookup.answered.add(address)
             self._check_replies(now, lookup)
@@ -198,34 +221,47 @@
                 self.pending.pop(key)
                 self.callbacks.unanswered(lookup)
             elif now - lookup.started_at > QUERY_TIMEOUT_S:
-                self._send_probes(lookup)
+                self._send_probes(now, lookup)
                 self._widen(lookup)
 
     def _check_replies(self, now: float, lookup: PendingLookup) -> None:
-        if not lookup.answered >= lookup.queried:
+        """Take the next step of a lookup once all replies have arrived."""
+        if not lookup.is_answered:
             return
-        if lookup.unsure:
-            self._send_probes(lookup)
-        elif not lookup.is_widened:
+        self._send_probes(now, lookup)
+        if lookup.awaited:
+            return
+        if not lookup.is_widened:
             self._widen(lookup)
             self._check_replies(now, lookup)
-        elif lookup.denied_at is None:
+        elif not lookup.unsure and lookup.denied_at is None:
             lookup.denied_at = now
             self.callbacks.request_reader_statuses()
 
-    def _send_probes(self, lookup: PendingLookup) -> None:
-        """Send the held packets as probes to the unsure sidecars, once.
+    def _send_probes(self, now: float, lookup: PendingLookup) -> None:
+        """Send the held packets as probes to unsure sidecars, once to each.
 
         A sidecar that may have no record of some flows delivers a forwarded
         packet of an unknown flow to its server as a flow probe.
         """
-        if lookup.is_probed or not lookup.unsure:
-            return
-        lookup.is_probed = True
-        for packet in lookup.packets:
-            for address in lookup.probed:
+        for address in self._next_probes(now, lookup):
+            lookup.probed.add(address)
+            lookup.awaited.add(address)
+            for packet in lookup.packets:
                 self._forward(lookup, packet, address)
 
+    def _next_probes(
+        self, now: float, lookup: PendingLookup
+    ) -> list[SocketAddress]:
+        targets = choose_probes(lookup.candidates, lookup.unsure, lookup.probed)
+        if not targets or targets[0] in lookup.candidates.likely:
+            return targets
+        if lookup.awaited or not lookup.is_widened:
+            return []
+        count = self._budget.take(now, min(len(targets), MAX_UNLIKELY_PROBES))
+        self.unlikely_probes += count
+        return targets[:count]
+
     def _widen(self, lookup: PendingLookup) -> None:
         """Send ownership queries also to the unlikely owners, once."""
         if not lookup.is_widened:
@@ -258,6 +294,5 @@
             self.dropped += 1
             return
         lookup.packets.append(packet)
-        if lookup.is_probed:
-            for address in lookup.probed:
-                self._forward(lookup, packet, address)
+        for address in sorted(lookup.awaited):
+            self._forward(lookup, packet, address)
--- a/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flow_handler.py
@@ -14,6 +14,7 @@
     OwnershipQuery,
 )
 from dragonflyshift._internal.carried.packet import (
+    FlowKey,
     Packet,
     PacketCodec,
     SocketAddress,
@@ -129,7 +130,7 @@
         flow = self.backend.table.get(message.key)
         if flow is not None and flow.matches_ack(message.acknowledged):
             status = FlowStatus.OWNED
-        elif self._knows_all():
+        elif _lacks(self.backend, self._probes, message.key):
             status = FlowStatus.NOT_OWNED
         else:
             status = FlowStatus.UNSURE
@@ -177,6 +178,8 @@
         idle_ms = self.backend.view.routes.idle_timeout_ms
         self.backend.table.sweep(now, idle_ms / MS_PER_S)
         self._probes.sweep(now)
+        if self.backend.knows_all:
+            self._probes.forget_bounced()
         self.reporter.sweep(now)
 
     def view_changed(self, now: float) -> None:
@@ -222,9 +225,6 @@
         logger.info('backend-found')
         self.reporter.report_change(now)
 
-    def _knows_all(self) -> bool:
-        return self.backend.knows_all or self.backend.is_down
-
     def _handle_unknown_flow(
         self,
         now: float,
@@ -232,7 +232,7 @@
         balancer: SocketAddress,
         service: str,
     ) -> None:
-        if packet.is_first or self._knows_all():
+        if packet.is_first or _lacks(self.backend, self._probes, packet.key):
             self.admission.reply_not_owned(now, packet, balancer)
             return
         if service not in ('', self.backend.service):
@@ -249,6 +249,7 @@
     def _adopt(self, now: float, packet: Packet) -> BackendFlow:
         """Add a flow that the server holds and the flow table lacks."""
         probe = self._probes.pop(packet.key)
+        self._probes.forget_bounced(packet.key)
         balancer = _NO_BALANCER if probe is None else probe.balancer
         # The client may accept another server's answer to a first packet.
         phase = FlowPhase.HANDSHAKE if packet.is_syn else FlowPhase.OPEN
@@ -278,18 +279,22 @@
         self.counters.incr('bounced')
         probe = self._probes.pop(packet.key)
         flow = self.backend.table.get(packet.key)
-        if probe is not None and packet.hop_mark == PROBE_MARK:
-            self.admission.send_flow_status(
-                now,
-                packet.key,
-                FlowStatus.NOT_OWNED,
-                probe.balancer,
-            )
-        elif flow is not None and flow.phase is FlowPhase.HANDSHAKE:
+        if packet.hop_mark == PROBE_MARK and (probe or not flow):
+            self._probes.record_bounce(packet.key)
+            if probe is not None:
+                self.admission.send_flow_status(
+                    now, packet.key, FlowStatus.NOT_OWNED, probe.balancer
+                )
+        elif flow is not None:
+            self._on_flow_bounced(now, flow, packet)
+
+    def _on_flow_bounced(
+        self, now: float, flow: BackendFlow, packet: Packet
+    ) -> None:
+        if flow.phase is FlowPhase.HANDSHAKE:
             self._on_handshake_packet_bounced(now, flow, packet)
-        elif flow is not None and flow.phase is FlowPhase.OPEN:
-            if not packet.is_first:
-                self._reset_flow(flow, 'flow-unknown-to-server')
+        elif flow.phase is FlowPhase.OPEN and not packet.is_first:
+            self._reset_flow(flow, 'flow-unknown-to-server')
 
     def _on_handshake_packet_bounced(
         self,
@@ -337,3 +342,8 @@
         except WireError as exc:
             self.admission.record_malformed(exc)
         return None
+
+
+def _lacks(backend: BackendTracker, probes: FlowProbes, key: FlowKey) -> bool:
+    """Return whether a server certainly lacks a flow that its table lacks."""
+    return backend.knows_all or backend.is_down or probes.is_bounced(key)
--- a/src/dragonflyshift/_internal/carried/sidecar/flow_probes.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/flow_probes.py
@@ -3,7 +3,8 @@
 After a restart of the sidecar, the server may hold flows from before it. A
 packet of an unknown flow is then delivered to the server as a flow probe. If
 the server answers it, the sidecar adopts the flow; otherwise the server
-bounces the packet.
+bounces the packet. Flows don't move between servers, so no further packet of
+a flow that the server bounced is delivered to it.
 """
 
 __all__ = ('FlowProbe', 'FlowProbes')
@@ -15,6 +16,7 @@
 # Hop mark of a packet that is delivered as a flow probe.
 PROBE_MARK = 1
 MAX_PROBES = 4096
+MAX_BOUNCED_FLOWS = 16_384
 # A server that holds the flow acknowledges the packet within this time.
 PROBE_LIFETIME_S = 1.0
 
@@ -29,9 +31,13 @@
 
 @define(eq=False, repr=False)
 class FlowProbes:
-    """The flow probes that the server has not answered yet."""
+    """The flow probes that the server has not answered, and the bounced ones.
+
+    Of the bounced flows the latest ``MAX_BOUNCED_FLOWS`` are kept.
+    """
 
     _pending: dict[FlowKey, FlowProbe] = field(factory=dict)
+    _bounced: dict[FlowKey, None] = field(factory=dict)
 
     def add(self, now: float, key: FlowKey, balancer: SocketAddress) -> None:
         """Record that a packet is delivered as a flow probe.
@@ -45,6 +51,23 @@
         """Remove and return the probe of a flow, or return None."""
         return self._pending.pop(key, None)
 
+    def record_bounce(self, key: FlowKey) -> None:
+        """Record that the server doesn't hold a flow."""
+        while len(self._bounced) >= MAX_BOUNCED_FLOWS:
+            self._bounced.pop(next(iter(self._bounced)))
+        self._bounced[key] = None
+
+    def is_bounced(self, key: FlowKey) -> bool:
+        """Return whether the server has bounced a probe of a flow."""
+        return key in self._bounced
+
+    def forget_bounced(self, key: FlowKey | None = None) -> None:
+        """Forget that a flow was bounced, or all of them."""
+        if key is None:
+            self._bounced.clear()
+        else:
+            self._bounced.pop(key, None)
+
     def sweep(self, now: float) -> None:
         """Remove probes whose lifetime has passed without an answer."""
         for key, probe in tuple(self._pending.items()):
--- a/tests/unit/carried/test_owner_search.py
+++ b/tests/unit/carried/test_owner_search.py
@@ -20,10 +20,16 @@
 from dragonflyshift._internal.carried.packet import SocketAddress
 from dragonflyshift._internal.carried.policies.owner_search import (
     OwnerCandidates,
+    ProbeBudget,
     RouteHistory,
+    choose_probes,
     is_server_lost,
 )
 from dragonflyshift._internal.carried.routes import RouteTable, WeightedService
+from dragonflyshift._internal.carried.sidecar.flow_probes import (
+    MAX_BOUNCED_FLOWS,
+    FlowProbes,
+)
 from dragonflyshift._internal.carried.sidecar.lookup_delegate import (
     LookupDelegate,
     LookupDelegateCallbacks,
@@ -31,6 +37,7 @@
 from dragonflyshift.platform.packets import PlatformCodec
 from tests.lib.carried import (
     ACK,
+    BOUNCED,
     PEER_PORT,
     SERVICE,
     Outbox,
@@ -52,6 +59,7 @@
 _FORMER = 'lists-before'
 _UNRELATED = 'parts'
 _LARGE = 30
+_FLAGS_OFFSET = 8
 
 
 def _routes(version: int, *services: str) -> RouteTable:
@@ -159,6 +167,8 @@
         )
 
     def test_no_probe_goes_to_a_service_without_the_route(self) -> None:
+        """The view is older than all open flows and has seen all routes."""
+        self.view.route_history.since = float('-inf')
         self.forwarder.on_client_packet(0, _DATA)
         for address in _queried(self.outbox):
             self._answer(address, FlowStatus.NOT_OWNED)
@@ -168,6 +178,65 @@
         self.assertEqual(_forwarded(self.outbox), [])
         self.assertEqual(self.outbox.to_client, [])
 
+    def test_probes_follow_to_other_services_if_a_former_route_may_lack(
+        self,
+    ) -> None:
+        """Lost the flow: the only probes went to servers that bounced them.
+
+        The route moved, and then all daemons restarted, so that no view has
+        its former service and no sidecar has a record of the flow.
+        """
+        view = _build_view()
+        view.routes = _routes(2, SERVICE)
+        self.forwarder = build_forwarder(view, self.outbox)
+        self.forwarder.on_client_packet(0, _DATA)
+        likely = set(_queried(self.outbox))
+        for address in likely:
+            self._answer(address, FlowStatus.UNSURE)
+        self.forwarder.tick(0.04)
+        for address in (_FORMER_SIDECAR, _UNRELATED_SIDECAR):
+            self._answer(address, FlowStatus.UNSURE)
+        self.assertEqual({at for _, at in _forwarded(self.outbox)}, likely)
+        for address in likely:
+            self._answer(address, FlowStatus.NOT_OWNED)
+        others = [
+            row for row in _forwarded(self.outbox) if row[1] not in likely
+        ]
+        self.assertEqual(
+            sorted(others),
+            [(_FORMER, _FORMER_SIDECAR), (_UNRELATED, _UNRELATED_SIDECAR)],
+        )
+        self._answer(_UNRELATED_SIDECAR, FlowStatus.NOT_OWNED)
+        self._answer(_FORMER_SIDECAR, FlowStatus.OWNED)
+        self.assertEqual(len(_forwarded(self.outbox)), len(likely) + 2)
+        self.assertEqual(self.forwarder.lookups.pending, {})
+
+    def test_silent_likely_owner_does_not_prevent_other_probes(self) -> None:
+        """Its entry may stay listed for as long as the store is down."""
+        view = _build_view()
+        view.routes = _routes(2, SERVICE)
+        self.forwarder = build_forwarder(view, self.outbox)
+        self.forwarder.on_client_packet(0, _DATA)
+        self.forwarder.tick(0.04)
+        self._answer(_FORMER_SIDECAR, FlowStatus.UNSURE)
+        self.forwarder.tick(0.06)
+        self.assertEqual(_forwarded(self.outbox), [(_FORMER, _FORMER_SIDECAR)])
+
+    def test_flow_that_all_servers_bounce_is_reset(self) -> None:
+        view = _build_view()
+        view.routes = _routes(2, SERVICE)
+        self.forwarder = build_forwarder(view, self.outbox)
+        self.forwarder.on_client_packet(0, _DATA)
+        for status in (FlowStatus.UNSURE, FlowStatus.NOT_OWNED):
+            for number in (3, 4, 1, 2):
+                self._answer(sidecar_address(build_record(number)), status)
+            self.forwarder.tick(0.04)
+        for number in (1, 2):
+            address = sidecar_address(build_record(number))
+            self._answer(address, FlowStatus.NOT_OWNED)
+        self.forwarder.tick(0.2)
+        self.assertEqual(len(self.outbox.to_client), 1)
+
     def test_flow_is_not_reset_while_no_endpoint_is_listed(self) -> None:
         for number in range(1, 5):
             self.view.remove(f'instance-{number}', 50)
@@ -317,6 +386,94 @@
         self.assertIn(_FORMER_SIDECAR, _queried(outbox))
 
 
+class BouncedFlowTest(unittest.TestCase):
+    """A flow whose packets a server bounced repeatedly reached it for good.
+
+    Each retransmission was delivered as a further probe.
+    """
+
+    def setUp(self) -> None:
+        handler, outbox = build_flow_handler(knows_all=False)
+        self.handler = handler
+        self.outbox = outbox
+        self.handler.on_forwarded_packet(
+            0, ForwardedPacket(SERVICE, _DATA), _BALANCER
+        )
+        bounced = bytearray(self.outbox.to_backend[0])
+        bounced[_FLAGS_OFFSET] |= BOUNCED
+        self.handler.on_backend_packet(0.1, bytes(bounced))
+        self.outbox.clear()
+
+    def test_bounced_flow_is_denied(self) -> None:
+        self.handler.on_ownership_query(
+            0.2, OwnershipQuery(SERVICE, _KEY, 7000), _BALANCER
+        )
+        self.assertIs(self._status(), FlowStatus.NOT_OWNED)
+
+    def test_bounced_flow_is_not_delivered_again(self) -> None:
+        self.handler.on_forwarded_packet(
+            0.2, ForwardedPacket(SERVICE, _DATA), _BALANCER
+        )
+        self.assertEqual(self.outbox.to_backend, [])
+        self.assertIs(self._status(), FlowStatus.NOT_OWNED)
+
+    def test_flow_that_the_server_opens_later_is_owned(self) -> None:
+        """Its client used the port again."""
+        answer = build_packet(_KEY, ACK, from_backend=True, payload=b'200')
+        self.handler.on_backend_packet(0.3, answer)
+        self.outbox.clear()
+        self.handler.on_ownership_query(
+            0.4, OwnershipQuery(SERVICE, _KEY, 7000), _BALANCER
+        )
+        self.assertIs(self._status(), FlowStatus.OWNED)
+
+    def _status(self) -> FlowStatus:
+        self.assertEqual(len(self.outbox.to_daemon), 1)
+        reply = self.outbox.to_daemon[0][0]
+        assert isinstance(reply, FlowReply)
+        return reply.status
+
+
+class FlowProbesTest(unittest.TestCase):
+    def test_oldest_bounced_flows_are_forgotten(self) -> None:
+        probes = FlowProbes()
+        for number in range(MAX_BOUNCED_FLOWS + 1):
+            probes.record_bounce(number.to_bytes(12, 'big'))
+        first, last = (0).to_bytes(12, 'big'), MAX_BOUNCED_FLOWS
+        self.assertFalse(probes.is_bounced(first))
+        self.assertTrue(probes.is_bounced(last.to_bytes(12, 'big')))
+
+
+class ChooseProbesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.likely = ('10.1.0.1', 1)
+        self.other = ('10.1.0.2', 1)
+        self.rows = [(self.likely, 'one'), (self.other, 'two')]
+
+    def test_likely_servers_come_first(self) -> None:
+        candidates = OwnerCandidates.split(self.rows, {'one'})
+        unsure = {self.likely, self.other}
+        self.assertEqual(
+            choose_probes(candidates, unsure, set()), [self.likely]
+        )
+        self.assertEqual(
+            choose_probes(candidates, unsure, {self.likely}), [self.other]
+        )
+        self.assertEqual(choose_probes(candidates, unsure, unsure), [])
+
+    def test_servers_without_the_route_get_none_if_the_view_shows_it(
+        self,
+    ) -> None:
+        candidates = OwnerCandidates.split(self.rows, {'one'}, is_complete=True)
+        self.assertEqual(choose_probes(candidates, {self.other}, set()), [])
+
+    def test_budget_limits_the_probes_after_a_loss_of_all_daemons(self) -> None:
+        """Each flow whose server ended costs a probe at every server."""
+        budget = ProbeBudget(per_s=500)
+        taken = sum(budget.take(step / 100, 16) for step in range(200))
+        self.assertAlmostEqual(taken, 500 + 2 * 500, delta=16)
+
+
 class RouteHistoryTest(unittest.TestCase):
     def setUp(self) -> None:
         self.history = RouteHistory(lifetime_s=60)
@@ -341,6 +498,11 @@
         self._record(0, _routes(1, 'one'), _routes(2, 'one'))
         self.assertEqual(self._services(10), set())
 
+    def test_history_is_complete_once_it_is_older_than_any_flow(self) -> None:
+        history = RouteHistory(lifetime_s=60, since=100)
+        self.assertFalse(history.is_complete(159))
+        self.assertTrue(history.is_complete(160))
+
     def _record(
         self, now: float, before: RouteTable, after: RouteTable
     ) -> None:
