Take entries of services that are not named for no servers

Cause: FleetView.find_by_address returned the newest entry with the address of the server, of whatever service, and the sidecar took over its state before it compared the services.

Fix: a sidecar looks up entries of its own service alone. Related paths: a balancer took the newest entry of a host, so a foreign one hid the service of the server, and with it the likely owners of flows; hosts of foreign entries got statuses and ownership queries, could be delegates of lookups, and as nobody replies there, no flow of a lost server was reset any more. Now the route table lists the services that the configuration names, and entries of others are kept, but are no servers.

Upgrades: the list is a row of the route table at an address that no packet has, as warm-up rates are; the build before keeps and passes it on. From a reader of the build before it is missing, and all entries count, as before.

--- a/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
+++ b/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
@@ -142,8 +142,8 @@
         """
         # The placer's endpoints, as the ring of candidates is cached for one
         # list of endpoints a service.
-        endpoints = self.view.placeable_endpoints(service) or tuple(
-            self.view.records.values()
+        endpoints = (
+            self.view.placeable_endpoints(service) or self.view.listed_servers()
         )
         candidates = [
             self.callbacks.sidecar_of(record)
--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -69,7 +69,7 @@
         self._data_centers = frozenset(settings.regions)
         self._evacuated: frozenset[str] = frozenset()
         self._sidecars: dict[SocketAddress, str] = {}
-        self._sidecars_checksum = 0
+        self._listed: tuple[EndpointRecord, ...] = ()
         recipients = StatusRecipients(
             is_balancer,
             settings.data_center,
@@ -104,11 +104,12 @@
 
     def sidecar_data_centers(self) -> dict[SocketAddress, str]:
         """Return the data centres of all sidecars in the view, by address."""
-        if self._sidecars_checksum != self.view.checksum:
-            self._sidecars_checksum = self.view.checksum
+        listed = self.view.listed_servers()
+        if self._listed is not listed:
+            self._listed = listed
             self._sidecars = {
                 self.sidecar_address(record): record.data_center
-                for record in self.view.records.values()
+                for record in listed
             }
         return self._sidecars
 
--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -89,6 +89,7 @@
     _placeable_by_service: dict[
         str, tuple[frozenset[str], tuple[EndpointRecord, ...]]
     ] = field(factory=dict)
+    _listed: tuple[EndpointRecord, ...] | None = field(default=None)
     _newest_by_host: dict[str, EndpointRecord] | None = field(default=None)
     _checksum: int | None = field(default=None)
 
@@ -140,10 +141,28 @@
             self._placeable_by_service[service] = cached
         return cached[1]
 
+    def listed_servers(self) -> tuple[EndpointRecord, ...]:
+        """Return the endpoints of services that the configuration names.
+
+        Other writers may list entries of further services, which stand for no
+        endpoint. A service that was named until lately is included, as its
+        servers may hold open flows.
+        """
+        if self._listed is None:
+            named = self.routes.services
+            if named:
+                named |= self.route_history.dropped_services(self.clock())
+            self._listed = tuple(
+                record
+                for record in self.records.values()
+                if not named or record.service in named
+            )
+        return self._listed
+
     def newest_by_host(self) -> Mapping[str, EndpointRecord]:
         """Return the newest endpoint of each host."""
         if self._newest_by_host is None:
-            records = sorted(self.records.values(), key=_start_order)
+            records = sorted(self.listed_servers(), key=_start_order)
             self._newest_by_host = {record.host: record for record in records}
         return self._newest_by_host
 
@@ -156,13 +175,20 @@
             services.update(service.name for service in route.services)
         return services
 
-    def find_by_address(self, address: SocketAddress) -> EndpointRecord | None:
-        """Return the newest endpoint whose backend server has this address.
+    def find_by_address(
+        self, address: SocketAddress, service: str
+    ) -> EndpointRecord | None:
+        """Return the newest endpoint of a service at a server's address.
 
-        Returns None if there is none.
+        Returns None if there is none. Entries of other services at the address
+        are those of earlier servers, or of other writers.
         """
         return max(
-            (rec for rec in self.records.values() if rec.address == address),
+            (
+                record
+                for record in self.records.values()
+                if record.address == address and record.service == service
+            ),
             key=_start_order,
             default=None,
         )
@@ -197,7 +223,7 @@
             changed = changed or has_ended
         for record in update.records:
             changed = self.merge(record) or changed
-        for name, revision in self._removals(update):
+        for name, revision in _removals(self.records, update):
             changed = (
                 self.remove(name, revision, is_tentative=is_tentative)
                 or changed
@@ -217,7 +243,7 @@
 
     def since(self, base: int) -> ViewUpdate:
         """Return the changes after a revision, the complete state for zero."""
-        removed = () if base == 0 else self._removed_since(base)
+        removed = () if base == 0 else _removed_since(self.removed, base)
         return ViewUpdate(
             base=base,
             revision=self.revision,
@@ -233,6 +259,7 @@
     def _invalidate(self) -> None:
         self._by_service.clear()
         self._placeable_by_service.clear()
+        self._listed = None
         self._newest_by_host = None
         self._checksum = None
 
@@ -240,11 +267,14 @@
         if routes is None or routes.version < self.routes.version:
             return False
         if routes.version == self.routes.version:
-            # A build without warm-up rates may have sent this version first.
-            if not routes.warmups or self.routes.warmups:
+            # A build without these parts may have sent this version first.
+            has_warmups = routes.warmups and not self.routes.warmups
+            has_services = routes.services and not self.routes.services
+            if not has_warmups and not has_services:
                 return False
         self.route_history.record_change(self.clock(), self.routes, routes)
         self.routes = routes
+        self._invalidate()
         return True
 
     def merge(self, record: EndpointRecord) -> bool:
@@ -265,16 +295,6 @@
         self._invalidate()
         return True
 
-    def _removals(self, update: ViewUpdate) -> Iterable[tuple[str, int]]:
-        if update.base:
-            return update.removed
-        listed = {record.name for record in update.records}
-        return [
-            (name, update.revision)
-            for name, record in self.records.items()
-            if name not in listed and record.revision <= update.revision
-        ]
-
     def remove(
         self, name: str, revision: int, *, is_tentative: bool = False
     ) -> bool:
@@ -302,12 +322,29 @@
             self.removed.pop(next(iter(self.removed)))
         self.removed[name] = revision
 
-    def _removed_since(self, base: int) -> tuple[tuple[str, int], ...]:
-        return tuple(
-            (name, revision)
-            for name, revision in self.removed.items()
-            if revision > base
-        )
+
+def _removals(
+    records: Mapping[str, EndpointRecord], update: ViewUpdate
+) -> Iterable[tuple[str, int]]:
+    """Return the removals of an update of these records."""
+    if update.base:
+        return update.removed
+    listed = {record.name for record in update.records}
+    return [
+        (name, update.revision)
+        for name, record in records.items()
+        if name not in listed and record.revision <= update.revision
+    ]
+
+
+def _removed_since(
+    removed: Mapping[str, int], base: int
+) -> tuple[tuple[str, int], ...]:
+    return tuple(
+        (name, revision)
+        for name, revision in removed.items()
+        if revision > base
+    )
 
 
 def _has_left(current: EndpointRecord, newer: EndpointRecord) -> bool:
--- a/src/dragonflyshift/_internal/carried/policies/owner_search.py
+++ b/src/dragonflyshift/_internal/carried/policies/owner_search.py
@@ -130,19 +130,22 @@
     """The services to which routes led before, by service address.
 
     ``lifetime_s`` is the time for which a service is kept after a route
-    stopped leading to it, on the clock of the ``now`` arguments. ``since`` is
-    when the history began on that clock.
+    stopped leading to it, or the configuration stopped naming it, on the clock
+    of the ``now`` arguments. ``since`` is when the history began on that clock.
     """
 
     lifetime_s: float
     since: float = field(default=float('-inf'))
     _expirations: dict[bytes, dict[str, float]] = field(factory=dict)
+    _dropped: dict[str, float] = field(factory=dict)
 
     def record_change(
         self, now: float, before: RouteTable, after: RouteTable
     ) -> None:
         """Keep the services to which the routes no longer lead."""
         self._drop_expired(now)
+        for name in before.services - after.services:
+            self._dropped[name] = now + self.lifetime_s
         for address, route in before.routes.items():
             present = after.routes.get(address)
             if present is not None and present.services == route.services:
@@ -160,6 +163,10 @@
         former = self._expirations.get(address, {})
         return [name for name, expires_at in former.items() if now < expires_at]
 
+    def dropped_services(self, now: float) -> set[str]:
+        """Return the services that were named within the lifetime."""
+        return {name for name, at in self._dropped.items() if now < at}
+
     def _drop_expired(self, now: float) -> None:
         for address, former in tuple(self._expirations.items()):
             if now >= max(former.values()):
--- a/src/dragonflyshift/_internal/carried/routes.py
+++ b/src/dragonflyshift/_internal/carried/routes.py
@@ -11,6 +11,7 @@
 
 import enum
 import struct
+from collections.abc import Iterable
 
 import msgpack
 from attrs import field, frozen
@@ -29,6 +30,8 @@
 # so builds without warm-up rates keep the row and propagate it.
 _WARMUP_MARK = b'warmup:'
 _WARMUP_VALUES = struct.Struct('!dd')
+# The address of the route row that lists the services, for the same reason.
+_SERVICES_ADDRESS = b'services:'
 
 
 class TransferKind(enum.IntEnum):
@@ -124,13 +127,16 @@
     """All routes of one configuration version, by service address.
 
     ``idle_timeout_ms`` is the time after which an idle flow expires.
-    ``warmups`` holds the warm-up rates by service.
+    ``warmups`` holds the warm-up rates by service. ``services`` are the names
+    of all services, also of those without a route; it is empty if they are
+    unknown, as builds without them may have sent the table.
     """
 
     version: int = 0
     routes: dict[bytes, Route] = field(factory=dict)
     idle_timeout_ms: int = DEFAULT_IDLE_TIMEOUT_MS
     warmups: dict[str, Warmup] = field(factory=dict)
+    services: frozenset[str] = field(default=frozenset())
 
     def find(self, key: FlowKey) -> Route | None:
         """Return the route of a flow, or None if this version has none."""
@@ -140,6 +146,8 @@
         """Return the table as msgpack, for other processes."""
         rows = [encode_row(route) for route in self.routes.values()]
         rows += [encode_row(warm.to_route()) for warm in self.warmups.values()]
+        if self.services:
+            rows.append(encode_row(_services_to_route(self.services)))
         return bytes(msgpack.packb((self.version, self.idle_timeout_ms, rows)))
 
     @classmethod
@@ -153,10 +161,26 @@
             raise ConfigurationError(
                 f'route table is malformed: {exc}'
             ) from exc
-        table = cls(int(version), idle_timeout_ms=int(idle_timeout_ms))
+        listed = [rt for rt in routes if rt.address == _SERVICES_ADDRESS]
+        table = cls(
+            int(version),
+            idle_timeout_ms=int(idle_timeout_ms),
+            services=frozenset(
+                service.name for route in listed for service in route.services
+            ),
+        )
         for route, warmup in zip(routes, warmups, strict=True):
+            if route in listed:
+                continue
             if warmup is None:
                 table.routes[route.address] = route
             else:
                 table.warmups[warmup.service] = warmup
         return table
+
+
+def _services_to_route(names: Iterable[str]) -> Route:
+    """Return a route at an address that no packet has, for the wire."""
+    services = tuple(WeightedService(name, 0) for name in sorted(names))
+    kind = TransferKind.IDEMPOTENT
+    return Route('services', _SERVICES_ADDRESS, services, kind, 0, 0, 0)
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -205,7 +205,7 @@
         It sets the configured slots and whether the server is leaving. It
         sets ``knows_all`` if the server started together with this process.
         """
-        listed = self.view.find_by_address(self.address)
+        listed = self.view.find_by_address(self.address, self.service)
         if listed is None:
             # A server without a record accepts flows if it has never had one
             # and has left if it had one before.
@@ -213,12 +213,11 @@
             self._update_pace()
             return
         self._is_listed_leaving = listed.is_leaving
-        if listed.service == self.service:
-            self._was_listed = True
-            self.slots = max(1, listed.slots)
-            if listed.started_ms > self.listening_since_ms - MAX_START_LEAD_MS:
-                self.knows_all = True
-            self._record_listed(listed)
+        self._was_listed = True
+        self.slots = max(1, listed.slots)
+        if listed.started_ms > self.listening_since_ms - MAX_START_LEAD_MS:
+            self.knows_all = True
+        self._record_listed(listed)
         self._update_pace()
 
     def may_start(self, now: float) -> bool:
--- a/src/dragonflyshift/platform/documents.py
+++ b/src/dragonflyshift/platform/documents.py
@@ -12,6 +12,7 @@
 import logging
 import socket
 import struct
+from collections.abc import Iterable
 from typing import Any
 
 from dragonflyshift._internal.carried.records import EndpointRecord
@@ -70,6 +71,7 @@
                 limits.get('idleTimeoutMs', DEFAULT_IDLE_TIMEOUT_MS)
             ),
             warmups=_warmups(body.get('services')),
+            services=_named_services(body.get('services'), routes),
         )
     except _DECODE_ERRORS as exc:
         raise ConfigurationError(
@@ -109,10 +111,10 @@
     return EndpointRecord(
         name=name,
         revision=revision,
-        service=_entry_name(body['service']),
+        service=_text(body['service'], MAX_ENTRY_TEXT_BYTES),
         host=host,
         port=_port(port_text),
-        data_center=_entry_name(body['zone']),
+        data_center=_text(body['zone'], MAX_ENTRY_TEXT_BYTES),
         slots=slots,
         is_leaving=body['state'] == 'draining',
         # How much longer the server is slow after the entry was written.
@@ -151,6 +153,16 @@
     return (WeightedService(_text(row['service']), 1),)
 
 
+def _named_services(rows: Any, routes: Iterable[Route]) -> frozenset[str]:
+    """Return all services that the configuration names, if it lists any."""
+    listed = frozenset(row['name'] for row in _named_rows(rows))
+    if not listed:
+        return listed
+    return listed.union(
+        service.name for route in routes for service in route.services
+    )
+
+
 def _warmups(rows: Any) -> dict[str, Warmup]:
     """Decode the warm-up rates by service; log those that are no number.
 
@@ -178,10 +190,18 @@
     return [
         row
         for row in rows
-        if isinstance(row, dict) and isinstance(row.get('name'), str)
+        if isinstance(row, dict) and _is_text(row.get('name'))
     ]
 
 
+def _is_text(value: Any) -> bool:
+    try:
+        _text(value)
+    except (TypeError, UnicodeEncodeError):
+        return False
+    return True
+
+
 def _float(value: Any) -> float | None:
     """Return a number, zero if it is absent, or None if it is no number.
 
@@ -199,24 +219,18 @@
         return _INFINITY
 
 
-def _text(value: Any) -> str:
+def _text(value: Any, max_bytes: float = _INFINITY) -> str:
     """Return a text that other processes can decode.
 
     JSON can escape one half of a surrogate pair, which UTF-8 can't encode.
     """
     if not isinstance(value, str):
         raise TypeError(f'expected a string instead of {type(value).__name__}')
-    value.encode()
+    if len(value.encode()) > max_bytes:
+        raise ValueError(f'text has more than {max_bytes} bytes')
     return value
 
 
-def _entry_name(value: Any) -> str:
-    name = _text(value)
-    if len(name.encode()) > MAX_ENTRY_TEXT_BYTES:
-        raise ValueError(f'text has more than {MAX_ENTRY_TEXT_BYTES} bytes')
-    return name
-
-
 def _port(text: str) -> int:
     if not (text.isascii() and text.isdecimal()):
         raise ValueError(f'port {text!r} is not a decimal number')
--- a/tests/unit/carried/test_flow_handler.py
+++ b/tests/unit/carried/test_flow_handler.py
@@ -138,6 +138,23 @@
         )
         self.assertEqual(outbox.to_backend, [])
 
+    def test_entry_of_another_service_does_not_stop_the_server(self) -> None:
+        """Another writer listed the server's address as draining.
+
+        All sidecars with such an entry refused new flows for good.
+        """
+        self.handler.backend.view.merge(
+            build_record(
+                9,
+                service='machine-watch',
+                host=build_record().host,
+                is_leaving=True,
+                started_ms=2000,
+            )
+        )
+        self.handler.view_changed(0)
+        self.assertIs(self.handler.backend.state(0), BackendState.SERVING)
+
     def test_displaced_flow_is_returned_and_not_delivered(self) -> None:
         """A flow that gives way must not run, nor be lost in silence."""
         handler, outbox = build_flow_handler(policy=FairShare())
--- a/tests/unit/carried/test_owner_search.py
+++ b/tests/unit/carried/test_owner_search.py
@@ -7,6 +7,8 @@
 
 import unittest
 
+from attrs import evolve
+
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.carried.messages import (
     FlowReply,
@@ -237,6 +239,20 @@
         self.forwarder.tick(0.2)
         self.assertEqual(len(self.outbox.to_client), 1)
 
+    def test_entries_of_other_writers_do_not_prevent_a_reset(self) -> None:
+        """No sidecar runs at their addresses that could deny the flow."""
+        self.view.merge(build_record(9, service='machine-watch'))
+        named = frozenset((SERVICE, _FORMER, _UNRELATED))
+        routes = evolve(_routes(3, SERVICE), services=named)
+        self.view.apply(ViewUpdate(base=1, revision=1, routes=routes))
+        self.forwarder.on_client_packet(0, _DATA)
+        for address in _queried(self.outbox):
+            self._answer(address, FlowStatus.NOT_OWNED)
+        for address in _queried(self.outbox):
+            self._answer(address, FlowStatus.NOT_OWNED)
+        self.forwarder.tick(0.2)
+        self.assertEqual(len(self.outbox.to_client), 1)
+
     def test_flow_is_not_reset_while_no_endpoint_is_listed(self) -> None:
         for number in range(1, 5):
             self.view.remove(f'instance-{number}', 50)
