--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -21,8 +21,8 @@
 from bench.soak.proxy import StoreProxy
 from dragonflyshift._internal.carried.packet import SocketAddress
 from dragonflyshift.platform.binding import SETTINGS_VARIABLE
-from tests.lib.carried_harness import find_free_port
 from tests.lib.kvstore import FakeStore, build_entry_item, build_item
+from tests.lib.ports import find_free_port
 
 ROOT = Path(__file__).resolve().parents[2]
 BALANCER_COUNT = 3
--- a/tests/lib/carried_harness.py
+++ b/tests/lib/carried_harness.py
@@ -7,7 +7,6 @@
 import asyncio
 import json
 import signal
-import socket
 import sys
 import time
 from pathlib import Path
@@ -31,6 +30,7 @@
     build_config_item,
     build_entry_item,
 )
+from tests.lib.ports import find_free_port
 
 ROOT = Path(__file__).resolve().parents[2]
 BALANCER_HOST = '127.0.31.1'
@@ -41,13 +41,6 @@
 _CODEC = PlatformCodec()
 
 
-def find_free_port() -> int:
-    """Return the number of a free port on loopback."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return int(sock.getsockname()[1])
-
-
 async def fetch_metrics(host: str) -> dict[str, float]:
     """Return the values of a daemon's metrics page by name and labels.
 
--- a/tests/lib/fleet_harness.py
+++ b/tests/lib/fleet_harness.py
@@ -24,7 +24,7 @@
 from dragonflyshift._internal.carried.node_settings import NodeSettings
 from dragonflyshift._internal.carried.packet import SocketAddress
 from tests.lib.carried import DATA_CENTER
-from tests.lib.carried_harness import find_free_port
+from tests.lib.ports import find_free_port
 
 TICK_INTERVAL_S = 0.05
 
--- a/tests/unit/bench/test_soak_fleet.py
+++ b/tests/unit/bench/test_soak_fleet.py
@@ -21,7 +21,7 @@
 from dragonflyshift._internal.utils.early_binding import BoundSockets
 from dragonflyshift.platform.packets import PlatformCodec
 from tests.lib.carried import ACK, SYN, build_key, build_packet
-from tests.lib.carried_harness import find_free_port
+from tests.lib.ports import find_free_port
 from tests.lib.waiting import eventually
 
 _NAME = 'lists-0'
