Say how a call to a stand-in timed out

KNOWN-RED.txt lists a call to a stand-in that was not answered in time, and the report doesn't show whether the connection was accepted or the test itself stood still. The error now has the kind of timeout and the time it took.

Ruled out by reading tests/lib/http.py: the task that watches for the end of a connection can't lose bytes of the next request. A cancellation between the arrival of data and the wake-up of the task leaves the data in the reader, and nothing is awaited after the read.

--- a/tests/lib/control.py
+++ b/tests/lib/control.py
@@ -1,6 +1,7 @@
 """Client for the control ports of stand-ins."""
 
 import json
+import time
 from typing import Any
 
 import httpx
@@ -42,6 +43,16 @@
         body: bytes | None,
     ) -> httpx.Response:
         url = self._base + path
-        response = await self._http.request(method, url, content=body)
+        started_at = time.monotonic()
+        try:
+            response = await self._http.request(method, url, content=body)
+        except httpx.TimeoutException as exc:
+            # The kind shows whether the stand-in accepted the connection, and
+            # the time beyond the limit how long this process stood still.
+            elapsed_s = time.monotonic() - started_at
+            exc.add_note(
+                f'{method} {url}: {type(exc).__name__} after {elapsed_s:.1f} s'
+            )
+            raise
         response.raise_for_status()
         return response
