Send no further probe to a server that bounced a flow lately

Cause: a sidecar of the build before replies unsure again after its server has bounced a probe. While the owner of a flow restarted, each copy of its packets was a lookup, and each lookup a further probe.

Fix: the lookup table keeps which sidecars had a probe bounced, for five seconds and 2,048 flows. They stay unsure, so that nothing is reset by it.

Measured: test_server_that_bounced_a_flow_gets_no_further_probe.

--- a/src/dragonflyshift/_internal/carried/lookups.py
+++ b/src/dragonflyshift/_internal/carried/lookups.py
@@ -24,7 +24,7 @@
 )
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from attrs import define, field
 
@@ -60,7 +60,11 @@
 MAX_UNLIKELY_PROBES = 16
 # A probe and its reply take 0.1 to 0.4 ms of a small share of a core.
 UNLIKELY_PROBES_PER_S = 500
+# A server that has bounced a flow gets no further probe of it for this time,
+# whatever its sidecar replies: builds before forget the bounce.
+BOUNCE_MEMORY_S = 5.0
 MAX_LOOKUPS = 2048
+MAX_BOUNCED_FLOWS = 2048
 MAX_HELD_PACKETS = 16
 
 
@@ -150,6 +154,8 @@
     started: int = field(default=0)
     dropped: int = field(default=0)
     unlikely_probes: int = field(default=0)
+    # When servers bounced probes, by flow and sidecar.
+    _bounced: dict[FlowKey, dict[SocketAddress, float]] = field(factory=dict)
     _budget: ProbeBudget = field(
         factory=lambda: ProbeBudget(UNLIKELY_PROBES_PER_S),
     )
@@ -169,6 +175,7 @@
             self.dropped += 1
             return
         lookup = PendingLookup(candidates, now, [packet])
+        lookup.probed.update(self._bounced_lately(now, packet.key))
         self.pending[packet.key] = lookup
         self.started += 1
         self._send_queries(lookup, candidates.likely)
@@ -191,6 +198,8 @@
         """Record the reply that a sidecar doesn't own the flow."""
         lookup = self.pending.get(key)
         if lookup is not None:
+            if address in lookup.awaited:
+                self._record_bounce(now, key, address)
             lookup.unsure.discard(address)
             lookup.awaited.discard(address)
             lookup.answered.add(address)
@@ -224,6 +233,20 @@
                 self._send_probes(now, lookup)
                 self._widen(lookup)
 
+    def _record_bounce(
+        self, now: float, key: FlowKey, address: SocketAddress
+    ) -> None:
+        while len(self._bounced) >= MAX_BOUNCED_FLOWS:
+            self._bounced.pop(next(iter(self._bounced)))
+        self._bounced.setdefault(key, {})[address] = now
+
+    def _bounced_lately(
+        self, now: float, key: FlowKey
+    ) -> Iterator[SocketAddress]:
+        for address, bounced_at in self._bounced.get(key, {}).items():
+            if now - bounced_at < BOUNCE_MEMORY_S:
+                yield address
+
     def _check_replies(self, now: float, lookup: PendingLookup) -> None:
         """Take the next step of a lookup once all replies have arrived."""
         if not lookup.is_answered:
--- a/tests/unit/carried/test_owner_search.py
+++ b/tests/unit/carried/test_owner_search.py
@@ -213,6 +213,27 @@
         self.assertEqual(len(_forwarded(self.outbox)), len(likely) + 2)
         self.assertEqual(self.forwarder.lookups.pending, {})
 
+    def test_server_that_bounced_a_flow_gets_no_further_probe(self) -> None:
+        """A sidecar of the build before is unsure again after the bounce.
+
+        Each retransmission reached the servers of all such sidecars while the
+        owner of the flow restarted.
+        """
+        bouncing = sidecar_address(build_record(3))
+        for started_at in (0, 0.4, 0.8):
+            self.forwarder.on_client_packet(started_at, _DATA)
+            self._answer(bouncing, FlowStatus.UNSURE)
+            self.forwarder.tick(started_at + 0.04)
+            self._answer(bouncing, FlowStatus.NOT_OWNED)
+            self.forwarder.tick(started_at + 0.36)
+        probed = [address for _, address in _forwarded(self.outbox)]
+        self.assertEqual(probed, [bouncing])
+        self.assertEqual(self.outbox.to_client, [])
+        self.forwarder.on_client_packet(9, _DATA)
+        self._answer(bouncing, FlowStatus.UNSURE)
+        self.forwarder.tick(9.04)
+        self.assertEqual(len(_forwarded(self.outbox)), 2)
+
     def test_silent_likely_owner_does_not_prevent_other_probes(self) -> None:
         """Its entry may stay listed for as long as the store is down."""
         view = _build_view()
