--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -97,9 +97,13 @@
                 await self._send_requests(flow)
             else:
                 self._record_time(self.failed_at)
-            self._flows.pop(flow.key, None)
+            self.drop_flow(flow)
             await asyncio.sleep(PAUSE_S)
 
+    def drop_flow(self, flow: SoakFlow) -> None:
+        """Ignore further packets of a flow."""
+        self._flows.pop(flow.key, None)
+
     def new_flow(self, service_port: int | None = None) -> SoakFlow:
         """Return a flow to a service port, by default to a random one."""
         self._port += 1
