Remove what a peer's complete view lacks only tentatively

Cause: a daemon that starts at the return of the store reads a listing without the entries that lapsed. Views of one revision that differ are pulled completely by both sides, and a complete view removes what it lacks at once, also endpoints whose removal the peer had kept as tentative.

Fix: removals by a full pull wait for 2.2 s, as those after an outage do, and are dropped if the entry returns. Pulls that lack the same endpoint don't prolong the wait.

--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -29,6 +29,9 @@
 from dragonflyshift._internal.carried.node_settings import NodeSettings
 from dragonflyshift._internal.carried.packet import SocketAddress
 from dragonflyshift._internal.carried.policies.election import ReaderElection
+from dragonflyshift._internal.carried.policies.evacuation import (
+    EvacuationRecord,
+)
 from dragonflyshift._internal.carried.records import EndpointRecord
 
 logger = logging.getLogger(__name__)
@@ -116,15 +119,26 @@
     def tick(self, now: float) -> None:
         """Send statuses, and drop the endpoints that did not return."""
         self.gossip.tick(now)
-        if self.reader is None:
-            return
-        names = self.reader.confirm_removals(now)
-        ended = self.reader.confirm_evacuations(now)
+        names = self._confirm_removals(now)
+        ended: tuple[EvacuationRecord, ...] = ()
+        if self.reader is not None:
+            ended = self.reader.confirm_evacuations(now)
         if names or ended:
             self._on_view_changed()
             removed = tuple((name, self.view.removed[name]) for name in names)
             self.gossip.publish(now, removed + encode_evacuations(ended))
 
+    def _confirm_removals(self, now: float) -> tuple[str, ...]:
+        """Drop the endpoints that did not return, and return their names."""
+        puller = self.gossip.puller
+        confirm_at = puller.confirm_removals_at
+        if confirm_at is not None and now < confirm_at:
+            return ()
+        puller.confirm_removals_at = None
+        if self.reader is not None:
+            return self.reader.confirm_removals(now)
+        return () if confirm_at is None else self.view.confirm_removals()
+
     def request_reader_statuses(self) -> None:
         """Request the statuses of the readers of the store."""
         now = time.monotonic()
--- a/src/dragonflyshift/_internal/carried/fleet/puller.py
+++ b/src/dragonflyshift/_internal/carried/fleet/puller.py
@@ -9,7 +9,8 @@
 from attrs import define, field
 
 from dragonflyshift._internal.carried.fleet.exchange import pull_view
-from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.fleet.reader import REMOVAL_GRACE_S
+from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.carried.packet import SocketAddress
 from dragonflyshift._internal.exceptions import PeerError
 
@@ -25,12 +26,18 @@
     """Updates the view from peers that are ahead.
 
     ``on_pulled(changed, address)`` is called after each successful pull.
+    What a complete view of a peer lacks is removed tentatively: a peer that
+    started right after an outage of the store may lack endpoints whose entries
+    lapsed meanwhile.
+    ``confirm_removals_at`` is when these removals may be confirmed, None if
+    there are none.
     ``failures`` counts pulls that ended by an unforeseen exception.
     """
 
     view: FleetView
     on_pulled: Callable[[bool, SocketAddress], None]
     failures: int = field(default=0)
+    confirm_removals_at: float | None = field(default=None)
     _started_at: float = field(default=float('-inf'))
     _task: asyncio.Task[None] | None = field(default=None)
 
@@ -66,10 +73,21 @@
             self._on_failure()
             return
         try:
-            self.on_pulled(self.view.apply(update), address)
+            self.on_pulled(self._apply(update), address)
         except Exception:
             self._on_failure()
 
+    def _apply(self, update: ViewUpdate) -> bool:
+        if update.base:
+            return self.view.apply(update)
+        before = set(self.view.tentative_removals)
+        changed = self.view.apply(update, is_tentative=True)
+        if not before.issuperset(self.view.tentative_removals):
+            # Not for those that further pulls lack as well, as they would
+            # never be confirmed.
+            self.confirm_removals_at = self.view.clock() + REMOVAL_GRACE_S
+        return changed
+
     def _on_failure(self) -> None:
         # The next status of a peer starts another pull.
         logger.exception('task-failed', extra={'task': 'view-pull'})
