--- a/src/dragonflyshift/_internal/carried/lookups.py
+++ b/src/dragonflyshift/_internal/carried/lookups.py
@@ -10,9 +10,9 @@
 When all likely owners reply that they don't own the flow, all other sidecars
 are queried, as the flow may be older than its route. Those that are unsure
 receive probes, a few at a time, if the view may lack a former route. When these
-deny it too,
-the readers of the store are requested to send their status, as the view may
-lack a sidecar. If it then lists no further one, the flow's server has ended.
+deny it too, the readers of the store are requested to send their status, as the
+view may lack a sidecar. If it then lists no further one, the flow's server has
+ended.
 """
 
 __all__ = (
--- a/tests/lib/kvstore.py
+++ b/tests/lib/kvstore.py
@@ -10,24 +10,6 @@
 
 from dragonflyshift._internal.carried.packet import SocketAddress
 
-_CONFIGURATION: dict[str, Any] = {
-    'version': 3,
-    'routes': [
-        {
-            'name': 'view',
-            'host': '198.18.0.1',
-            'prefix': '/443/',
-            'type': 'safe',
-            'timeoutMs': 1200,
-            'sloMs': 225,
-            'priority': 2,
-            'service': 'lists',
-        },
-    ],
-    'services': [],
-    'limits': {'idleTimeoutMs': 15000},
-}
-
 
 def build_item(key: str, revision: int, body: Any) -> dict[str, Any]:
     """Return an item as the store lists it."""
@@ -41,9 +23,31 @@
     }
 
 
+def build_route_body(**changes: Any) -> dict[str, Any]:
+    """Return a route as the configuration lists it."""
+    return {
+        'name': 'view',
+        'host': '198.18.0.1',
+        'prefix': '/443/',
+        'type': 'safe',
+        'timeoutMs': 1200,
+        'sloMs': 225,
+        'priority': 2,
+        'service': 'lists',
+        **changes,
+    }
+
+
 def build_config_item(revision: int = 1, **changes: Any) -> dict[str, Any]:
     """Return the item of the configuration."""
-    return build_item('op/config', revision, {**_CONFIGURATION, **changes})
+    body = {
+        'version': 3,
+        'routes': [build_route_body()],
+        'services': [],
+        'limits': {'idleTimeoutMs': 15000},
+        **changes,
+    }
+    return build_item('op/config', revision, body)
 
 
 def build_entry_body(**changes: Any) -> dict[str, Any]:
--- a/tests/unit/platform/test_foreign_entries.py
+++ b/tests/unit/platform/test_foreign_entries.py
@@ -35,6 +35,7 @@
     build_entry_body,
     build_entry_item,
     build_item,
+    build_route_body,
 )
 
 _HALF_PAIR = 'inventory-\ud83d'
@@ -54,18 +55,10 @@
 _ENTRY_CHANGES = st.dictionaries(
     st.sampled_from(sorted(build_entry_body())), _ODD_VALUES, max_size=3
 )
-_ROUTE = {
-    'name': 'view',
-    'host': '198.18.0.1',
-    'prefix': '/443/',
-    'type': 'safe',
-    'timeoutMs': 1200,
-    'sloMs': 225,
-    'priority': 2,
-    'service': 'lists',
-}
 _ROUTE_CHANGES = st.dictionaries(
-    st.sampled_from((*sorted(_ROUTE), 'backends')), _ODD_VALUES, max_size=3
+    st.sampled_from((*sorted(build_route_body()), 'backends')),
+    _ODD_VALUES,
+    max_size=3,
 )
 _CONFIG_CHANGES = st.dictionaries(
     st.sampled_from(('version', 'routes', 'services', 'limits')),
@@ -90,7 +83,8 @@
     ),
     st.builds(
         lambda route, changes: build_config_item(
-            5, **{'version': 4, 'routes': [{**_ROUTE, **route}], **changes}
+            5,
+            **{'version': 4, 'routes': [build_route_body(**route)], **changes},
         ),
         _ROUTE_CHANGES,
         _CONFIG_CHANGES,
@@ -151,7 +145,7 @@
             {'service': _HALF_PAIR},
         ):
             raw = json.dumps(
-                {'version': 4, 'routes': [{**_ROUTE, **changes}]}
+                {'version': 4, 'routes': [build_route_body(**changes)]}
             ).encode()
             with self.subTest(changes=changes):
                 with self.assertRaises(ConfigurationError):
