Give each fleet of the soak addresses of its own

The log has "can not listen at 127.0.61.3:9464: address already in use": both fleets had the same loopback addresses, and daemons listen for metrics at a fixed port.

Fix: a fleet takes the first three subnets whose lock is free.

--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -5,12 +5,15 @@
     'OTHER_DATA_CENTER',
     'SoakFleet',
     'data_center',
+    'reserve_subnet',
 )
 
 import asyncio
+import contextlib
 import json
+import socket
 import sys
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -35,9 +38,31 @@
 OTHER_DATA_CENTER = 'klang'
 # Holds the last server of each service and the last balancer.
 EVACUATED_DATA_CENTER = 'ipoh'
+# First and end of the third octets of loopback addresses, and the distance of
+# two fleets.
+_SUBNETS = (61, 91, 3)
+_LOCK_PORT = 9463
 PORT_NAMES = ('packets', 'peers', 'ready', 'control', 'outbound', 'app')
 
 
+@contextlib.contextmanager
+def reserve_subnet() -> Iterator[int]:
+    """Return the first of three subnets that no other fleet uses.
+
+    Daemons listen for metrics at a fixed port, so two fleets can't share
+    addresses. A bound socket in the subnet is the lock.
+    """
+    for subnet in range(*_SUBNETS):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as lock:
+            try:
+                lock.bind((f'127.0.{subnet}.250', _LOCK_PORT))
+            except OSError:
+                continue
+            yield subnet
+            return
+    raise OSError('all subnets of the soak are in use')
+
+
 @define(eq=False)
 class SoakFleet:
     """Runs the daemons, the backend servers, the store and its proxy.
--- a/bench/soak/runner.py
+++ b/bench/soak/runner.py
@@ -18,6 +18,7 @@
     SERVICES,
     SoakFleet,
     data_center,
+    reserve_subnet,
 )
 from bench.soak.long_flows import LongFlows
 from bench.soak.proxy import Mode
@@ -244,9 +245,15 @@
     another build of the package, all daemons begin with that one, and are
     replaced one after the other.
     """
-    rng = random.Random(seed)
     violations = Violations()
-    fleet = SoakFleet(folder, violations, build_before=build_before)
+    with reserve_subnet() as subnet:
+        fleet = SoakFleet(folder, violations, subnet, build_before=build_before)
+        return await _run_fleet(seed, seconds, fleet)
+
+
+async def _run_fleet(seed: int, seconds: float, fleet: SoakFleet) -> SoakResult:
+    rng = random.Random(seed)
+    violations = fleet.violations
     tasks: list[asyncio.Task[None]] = []
     injector = _FaultInjector(
         fleet,
--- a/tests/functional/test_moved_routes.py
+++ b/tests/functional/test_moved_routes.py
@@ -15,12 +15,11 @@
 
 from bench.soak.backend import Violations
 from bench.soak.clients import SoakClients, SoakFlow
-from bench.soak.fleet import SERVICES, SoakFleet
+from bench.soak.fleet import SERVICES, SoakFleet, reserve_subnet
 from tests.lib.waiting import wait_until
 
 _ROUTE = 'lists'
 _FLOWS = 12
-_SUBNET = 71
 
 
 class MovedRoutesTest(unittest.IsolatedAsyncioTestCase):
@@ -28,11 +27,12 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.violations = Violations()
-        self.fleet = SoakFleet(Path(folder.name), self.violations, _SUBNET)
+        subnet = self.enterContext(reserve_subnet())
+        self.fleet = SoakFleet(Path(folder.name), self.violations, subnet)
         self.addAsyncCleanup(self.fleet.close)
         await self.fleet.start()
         self.clients = SoakClients(
-            (f'127.0.{_SUBNET + 2}.1', self.fleet.ports['packets']),
+            (f'127.0.{subnet + 2}.1', self.fleet.ports['packets']),
             tuple(SERVICES.values()),
             self.fleet.ready_balancers,
             self.fleet.backends,
