--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -5,6 +5,7 @@
     'OTHER_DATA_CENTER',
     'SoakFleet',
     'data_center',
+    'fetch_readiness',
     'reserve_subnet',
 )
 
@@ -278,7 +279,7 @@
     async def _probe_balancer(self, name: str) -> None:
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                status = await _fetch_readiness(
+                status = await fetch_readiness(
                     self.host(name), self.ports['ready']
                 )
         except (OSError, TimeoutError):
@@ -332,7 +333,8 @@
     return starts * BALANCER_COUNT
 
 
-async def _fetch_readiness(host: str, port: int) -> bytes:
+async def fetch_readiness(host: str, port: int) -> bytes:
+    """Return the status of a daemon's readiness page; may raise OSError."""
     reader, writer = await asyncio.open_connection(host, port)
     writer.write(b'GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n')
     line = await reader.readline()
--- a/tests/functional/test_moved_routes.py
+++ b/tests/functional/test_moved_routes.py
@@ -11,12 +11,18 @@
 import signal
 import tempfile
 import unittest
+from functools import partial
 from pathlib import Path
 
 from bench.soak.backend import Violations
 from bench.soak.clients import SoakClients, SoakFlow
-from bench.soak.fleet import SERVICES, SoakFleet, reserve_subnet
-from tests.lib.waiting import wait_until
+from bench.soak.fleet import (
+    SERVICES,
+    SoakFleet,
+    fetch_readiness,
+    reserve_subnet,
+)
+from tests.lib.waiting import eventually, wait_until
 
 _ROUTE = 'lists'
 _FLOWS = 12
@@ -91,7 +97,15 @@
         )
         for name in names:
             await daemons.start(name)
-        await asyncio.sleep(0.5)
+        for name in names:
+            await eventually(partial(self._is_ready, name), 10, name)
+
+    async def _is_ready(self, name: str) -> bool:
+        host, port = self.fleet.host(name), self.fleet.ports['ready']
+        try:
+            return await fetch_readiness(host, port) == b'200'
+        except OSError:
+            return False
 
     async def _check_flows(self, flows: list[SoakFlow]) -> None:
         await wait_until(lambda: self.fleet.has_ready_balancers, 10)
