Show that balancers act on an old configuration while readers are cut

Cause: a reader of the store that is cut off notices it after 3.2 s, its peers believe it for 3.5 s, and the bound of a new version is 3 s.

--- a/review/lib-2/client.py
+++ b/review/lib-2/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+import time
 
 from endpoint import sign
 from packets import ACK, MASK, RESET_WINDOW, RST, SYN, Packet
@@ -48,6 +49,7 @@
         """Open a flow; return None if the attempt ended."""
         self.next_port += 1
         flow = ClientFlow((self.host, self.next_port), dst)
+        flow.sent_at = time.monotonic()
         self.flows[flow.src, dst] = flow
         for copy, wait_s in enumerate(SYN_COPIES_S):
             self._send(flow, Packet(flow.src, dst, SYN, flow.seq, copy))
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -13,6 +13,7 @@
 
 from client import Clients
 from endpoint import Endpoint
+from links import Link
 from store import Store
 
 ROOT = Path(os.environ['REVIEW_ROOT'])
@@ -66,6 +67,7 @@
         self.starts = {}
         self.failed_probes = {}
         self.endpoints = {}
+        self.links = {}
         self.clients = None
         self._probing = None
 
@@ -162,6 +164,13 @@
     def route_host(self):
         return f'127.{self.net}.7.1'
 
+    async def add_links(self):
+        """Give each machine a link of its own to the store."""
+        for name in self.hosts:
+            link = Link(self.store.address)
+            link.address = await link.start(f'127.{self.net}.9.2')
+            self.links[name] = link
+
     async def launch(self, name):
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(self._settings(name)))
@@ -232,6 +241,8 @@
             endpoint.end(leaves_entry=True)
         if self.clients is not None:
             self.clients.close()
+        for link in self.links.values():
+            link.close()
         self.store.close()
         # The connections of the ended daemons close.
         await asyncio.sleep(0.1)
@@ -277,7 +288,9 @@
             f'{self.hosts[seed]}:{self.ports["control"]}'
             for seed in self.balancers()[:3]
         ]
-        store_host, store_port = self.store.address
+        link = self.links.get(name)
+        address = self.store.address if link is None else link.address
+        store_host, store_port = address
         settings = {
             'node': name,
             'role': 'balancer' if is_edge else 'sidecar',
