Cut the readers ten times a run and end the daemons when stopped

Cause: the script of review/8 came near the time that a case may take, and a script that is stopped from outside left its daemons behind.

Change: ten rounds instead of eleven; a stop signal ends the case with 2 and its daemons with it; the store's stand-in sends its era from a field.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -8,7 +8,7 @@
 BALANCERS = 7
 CUT_MACHINES = 2
 CUT_S = 3.7
-ROUNDS = 11
+ROUNDS = 10
 FLOWS = 40
 STABLE_WINDOW_S = 4.3
 CONFIG_APPLY_S = 3.0
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -5,9 +5,11 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
+import tempfile
 import time
 from pathlib import Path
 
@@ -379,22 +381,27 @@
 
 
 async def _run(case, has_trouble, record):
-    import tempfile
-
+    # A caller that runs out of patience ends the daemons, too.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(folder, record)
         try:
             async with asyncio.timeout(100):
                 broken = await case(deployment, has_trouble)
+        except asyncio.CancelledError:
+            record('case', 'could not run: stopped')
+            return 2
         except Exception as exc:
             record('case', f'could not run: {exc!r}')
             sys.stderr.write(f'could not run: {exc!r}\n')
             return 2
         finally:
             await deployment.close()
-            keep = os.environ.get('REVIEW_LOGS')
-            if keep:
-                os.system(f'mkdir -p {keep}; cp {folder}/* {keep}/')
+            logs = os.environ.get('REVIEW_LOGS')
+            if logs:
+                shutil.copytree(folder, logs, dirs_exist_ok=True)
     for line in broken:
         record('broken', line)
         print(line)
--- a/review/lib-2/store.py
+++ b/review/lib-2/store.py
@@ -13,6 +13,7 @@
     def __init__(self, record):
         self.record = record
         self.revision = 100
+        self.era = 1
         self.items = {}
         self.events = []
         self.changed = asyncio.Event()
@@ -69,7 +70,7 @@
                 status, body = await self._answer(parts.path, query)
                 raw = json.dumps(body).encode()
                 writer.write(
-                    f'HTTP/1.1 {status} Status\r\nStore-Era: 1\r\n'
+                    f'HTTP/1.1 {status} Status\r\nStore-Era: {self.era}\r\n'
                     'Content-Type: application/json\r\n'
                     f'Content-Length: {len(raw)}\r\n\r\n'.encode() + raw
                 )
