Bound the removals of endpoints that were never listed

Callers saw: nothing yet. Another writer that makes new entries below servers/ grows the memory of every daemon and every pull without a limit; beyond 4 MiB a pull is refused, and a daemon that lags gets no change.

Cause: FleetView.remove recorded the removal of an unknown name without a limit, and the store's client reported each invalid entry, whatever its name, as a removal.

Fix: an entry that is no valid endpoint is a matter of the view that lists it, and no removal otherwise. Removals of endpoints that were never listed are kept, since a removal may overtake its record, up to 1,024 in a pool of their own, so that they displace no removal of a listed endpoint. Lost at the limit: the oldest such removal; an older record of a peer may then list that endpoint again, until views of one revision are compared.

Measured: the steps of test_view test_removals_of_foreign_entries_are_bounded leave 2,049 removals on the code before, where 1,025 are allowed; the test passes now.

--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -125,7 +125,9 @@
             ended = self.reader.confirm_evacuations(now)
         if names or ended:
             self._on_view_changed()
-            removed = tuple((name, self.view.removed[name]) for name in names)
+            removed = tuple(
+                (name, self.view.removals.revision_of(name)) for name in names
+            )
             self.gossip.publish(now, removed + encode_evacuations(ended))
 
     def _confirm_removals(self, now: float) -> tuple[str, ...]:
--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -15,7 +15,10 @@
 
 from attrs import Factory, define, evolve, field, frozen
 
-from dragonflyshift._internal.carried.fleet.revisions import epoch_of
+from dragonflyshift._internal.carried.fleet.revisions import (
+    RemovalLog,
+    epoch_of,
+)
 from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
 from dragonflyshift._internal.carried.policies.evacuation import (
     EvacuationRecord,
@@ -30,10 +33,6 @@
     RouteTable,
 )
 
-# Limit of the removals that are kept so that they can be passed on to peers. It
-# is applied when a known endpoint is dropped; the removal of an unknown one is
-# recorded without a limit.
-MAX_REMOVAL_RECORDS = 4096
 # Twice the longest life of a flow: another balancer may have received a change
 # of routes later by as much, and placed flows by the former ones until then.
 ROUTE_HISTORY_S = 120.0
@@ -45,8 +44,9 @@
 
     The update holds all changes after ``base`` up to ``revision``, in
     ``removed`` the names of removed endpoints with the revisions of their
-    removal. With ``base`` zero it is the complete state: endpoints that it
-    doesn't list are removed. ``routes`` is None if they didn't change.
+    removal, in ``invalid`` those whose entries are no valid endpoints any more,
+    or never were. With ``base`` zero it is the complete state: endpoints that
+    it doesn't list are removed. ``routes`` is None if they didn't change.
     ``lists_evacuations`` is set on a complete state of the store, in which a
     missing evacuation has ended; a peer may not have it yet.
     """
@@ -58,15 +58,16 @@
     routes: RouteTable | None = None
     evacuations: tuple[EvacuationRecord, ...] = ()
     lists_evacuations: bool = False
+    invalid: tuple[tuple[str, int], ...] = ()
 
 
 @define(eq=False, repr=False)
 class FleetView:
     """Routes and endpoints, complete up to ``revision``.
 
-    ``records`` holds the endpoints by name, ``removed`` the revisions of
-    removals by name. Removals around an outage of the store are tentative:
-    these endpoints stay usable until ``confirm_removals`` is called.
+    ``records`` holds the endpoints by name, ``removals`` the revisions of
+    removals. Removals around an outage of the store are tentative: these
+    endpoints stay usable until ``confirm_removals`` is called.
     ``evacuations`` holds which data centres take no new flows.
     ``clock()`` returns monotonic seconds.
     """
@@ -74,7 +75,7 @@
     revision: int = field(default=0)
     routes: RouteTable = field(factory=RouteTable)
     records: dict[str, EndpointRecord] = field(factory=dict)
-    removed: dict[str, int] = field(factory=dict)
+    removals: RemovalLog = field(factory=RemovalLog)
     tentative_removals: dict[str, int] = field(factory=dict)
     evacuations: EvacuationTable = field(factory=EvacuationTable)
     clock: Callable[[], float] = field(default=time.monotonic)
@@ -243,7 +244,7 @@
 
     def since(self, base: int) -> ViewUpdate:
         """Return the changes after a revision, the complete state for zero."""
-        removed = () if base == 0 else _removed_since(self.removed, base)
+        removed = self.removals.since(base) if base else ()
         return ViewUpdate(
             base=base,
             revision=self.revision,
@@ -285,12 +286,12 @@
         current = self.records.get(record.name)
         if current is not None and current.revision >= record.revision:
             return False
-        if self.removed.get(record.name, 0) >= record.revision:
+        if self.removals.revision_of(record.name) >= record.revision:
             return False
         if current is not None and _has_left(current, record):
             record = evolve(record, is_leaving=True)
         self.records[record.name] = record
-        self.removed.pop(record.name, None)
+        self.removals.discard(record.name)
         self.tentative_removals.pop(record.name, None)
         self._invalidate()
         return True
@@ -304,7 +305,7 @@
         """
         current = self.records.get(name)
         if current is None:
-            self.removed[name] = max(revision, self.removed.get(name, 0))
+            self.removals.record(name, revision, was_listed=False)
             return False
         if current.revision > revision:
             return False
@@ -318,17 +319,19 @@
     def _drop(self, name: str, revision: int) -> None:
         self.records.pop(name, None)
         self.tentative_removals.pop(name, None)
-        while len(self.removed) >= MAX_REMOVAL_RECORDS:
-            self.removed.pop(next(iter(self.removed)))
-        self.removed[name] = revision
+        self.removals.record(name, revision, was_listed=True)
 
 
 def _removals(
     records: Mapping[str, EndpointRecord], update: ViewUpdate
 ) -> Iterable[tuple[str, int]]:
-    """Return the removals of an update of these records."""
+    """Return the removals of an update of these records.
+
+    An entry that is no valid endpoint concerns only a view that lists it.
+    """
     if update.base:
-        return update.removed
+        invalid = [row for row in update.invalid if row[0] in records]
+        return (*update.removed, *invalid)
     listed = {record.name for record in update.records}
     return [
         (name, update.revision)
@@ -337,16 +340,6 @@
     ]
 
 
-def _removed_since(
-    removed: Mapping[str, int], base: int
-) -> tuple[tuple[str, int], ...]:
-    return tuple(
-        (name, revision)
-        for name, revision in removed.items()
-        if revision > base
-    )
-
-
 def _has_left(current: EndpointRecord, newer: EndpointRecord) -> bool:
     """Return whether a server that is leaving is listed by a restored store.
 
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -140,13 +140,18 @@
         evacuations = _pop_evacuations(newest)
         records: list[EndpointRecord] = []
         removed: list[tuple[str, int]] = []
+        invalid: list[tuple[str, int]] = []
         for key, entry in newest.items():
             if not key.startswith(ENDPOINT_PREFIX):
                 continue
             name = key.removeprefix(ENDPOINT_PREFIX)
-            record = self._decode_record(name, entry)
+            row = (name, _revision(entry, 'revision'))
+            if _is_deleted(entry) or is_reserved_name(name):
+                removed.append(row)
+                continue
+            record = self._decode_record(*row, entry)
             if record is None:
-                removed.append((name, _revision(entry, 'revision')))
+                invalid.append(row)
             else:
                 records.append(record)
         return ViewUpdate(
@@ -154,6 +159,7 @@
             revision=revision,
             records=tuple(records),
             removed=tuple(removed),
+            invalid=tuple(invalid),
             routes=self._decode_routes(configuration),
             evacuations=evacuations,
             lists_evacuations=not base,
@@ -173,14 +179,10 @@
             return None
         return self._decoded[1]
 
-    def _decode_record(self, name: str, entry: Any) -> EndpointRecord | None:
-        """Decode an entry; return None if deleted or no valid endpoint.
-
-        The caller treats both as the removal of the endpoint.
-        """
-        if _is_deleted(entry) or is_reserved_name(name):
-            return None
-        revision = _revision(entry, 'revision')
+    def _decode_record(
+        self, name: str, revision: int, entry: Any
+    ) -> EndpointRecord | None:
+        """Decode an entry; return None if it is no valid endpoint."""
         try:
             record = decode_endpoint(name, revision, _decode_value(entry))
         except ValueError:
--- a/tests/unit/carried/test_view.py
+++ b/tests/unit/carried/test_view.py
@@ -8,7 +8,10 @@
     decode_update,
     encode_update,
 )
-from dragonflyshift._internal.carried.fleet.revisions import join_revision
+from dragonflyshift._internal.carried.fleet.revisions import (
+    MAX_UNLISTED_REMOVALS,
+    join_revision,
+)
 from dragonflyshift._internal.carried.fleet.view import (
     ROUTE_HISTORY_S,
     FleetView,
@@ -57,6 +60,31 @@
         self.assertFalse(view.merge(build_record(1, revision=8)))
         self.assertTrue(view.merge(build_record(1, revision=10)))
 
+    def test_removal_of_an_unlisted_endpoint_reaches_peers(self) -> None:
+        view = build_view()
+        view.remove('instance-9', 9)
+        self.assertEqual(view.since(8).removed, (('instance-9', 9),))
+        self.assertFalse(view.merge(build_record(9, revision=8)))
+        self.assertTrue(view.merge(build_record(9, revision=10)))
+        self.assertEqual(view.since(8).removed, ())
+
+    def test_removals_of_foreign_entries_are_bounded(self) -> None:
+        """They also displace no removal of an endpoint."""
+        view = build_view()
+        view.remove('instance-1', 9)
+        for number in range(2 * MAX_UNLISTED_REMOVALS):
+            view.remove(f'foreign-{number}', 10 + number)
+        self.assertEqual(len(view.since(1).removed), MAX_UNLISTED_REMOVALS + 1)
+        self.assertFalse(view.merge(build_record(1, revision=8)))
+
+    def test_entry_that_is_no_endpoint_concerns_only_listed_ones(self) -> None:
+        """Another writer's entries made each daemon's records grow."""
+        view = build_view()
+        rows = (('instance-1', 9), ('foreign', 9))
+        view.apply(ViewUpdate(3, 9, invalid=rows))
+        self.assertNotIn('instance-1', view.records)
+        self.assertEqual(view.since(3).removed, (('instance-1', 9),))
+
     def test_complete_state_drops_unlisted_endpoints(self) -> None:
         view = build_view(endpoints=3)
         view.apply(_complete_state(8, 1, 3))
