Take no foreign entry for an evacuation

Cause: evacuations travel among the removals of endpoints, under reserved names. The store's client listed the names of invalid entries among the removals as they stood, so peers decoded a foreign entry as a request of the operator. The same entry under \x01in-service: ended an evacuation.

The former row follows for the build before; to this build it is a claim, which a balancer settles by listing the operator's keys, at most once a second, or without a call if it reads the store itself.

--- a/src/dragonflyshift/_internal/carried/fleet/exchange.py
+++ b/src/dragonflyshift/_internal/carried/fleet/exchange.py
@@ -13,6 +13,7 @@
 from dragonflyshift._internal.carried.fleet.evacuation_rows import (
     RemovalRow,
     encode_evacuations,
+    find_claims,
     split_removals,
 )
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
@@ -137,7 +138,8 @@
     """
     try:
         base, revision, rows, removal_rows, table = msgpack.unpackb(raw)
-        removed, evacuations = split_removals(_decode_removals(removal_rows))
+        removal_rows = tuple(_decode_removals(removal_rows))
+        removed, evacuations = split_removals(removal_rows)
         return ViewUpdate(
             base=int(base),
             revision=int(revision),
@@ -145,6 +147,7 @@
             removed=removed,
             routes=None if table is None else _decode_routes(table),
             evacuations=evacuations,
+            claims=find_claims(removal_rows),
         )
     except (ValueError, TypeError, msgpack.UnpackException) as exc:
         raise ConfigurationError(f'view is malformed: {exc}') from exc
--- a/src/dragonflyshift/_internal/carried/fleet/gossip.py
+++ b/src/dragonflyshift/_internal/carried/fleet/gossip.py
@@ -19,6 +19,7 @@
 from dragonflyshift._internal.carried.fleet.evacuation_rows import (
     RemovalRow,
     encode_evacuations,
+    find_claims,
     split_removals,
 )
 from dragonflyshift._internal.carried.fleet.peers import PeerTable
@@ -142,6 +143,8 @@
         removed, evacuations = split_removals(notice.removed)
         for evacuation in evacuations:
             changed = self.view.evacuations.merge(evacuation) or changed
+        for claim in find_claims(notice.removed):
+            self.view.evacuations.add_claim(claim)
         for name, revision in removed:
             changed = self.view.remove(name, revision) or changed
         if notice.base <= self.view.revision < notice.revision:
--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -99,6 +99,9 @@
                 rng,
                 self._should_read,
                 self._on_store_update,
+                # Sidecars receive the evacuations from the balancers.
+                settles_claims=is_balancer,
+                on_evacuations=self._on_evacuations_read,
             )
 
     def sidecar_address(self, record: EndpointRecord) -> SocketAddress:
@@ -192,6 +195,12 @@
             self._on_view_changed()
             self.gossip.publish(now)
 
+    def _on_evacuations_read(self) -> None:
+        self._on_view_changed()
+        # They may be older than the views of the recipients.
+        rows = encode_evacuations(self.view.evacuations)
+        self.gossip.publish(time.monotonic(), rows)
+
     def _on_view_changed(self) -> None:
         version = self.view.routes.version
         if version != self._version:
--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -31,6 +31,10 @@
 CONTACT_GAP_S = 5.0
 # Changes that follow each other within this time are read together.
 READ_INTERVAL_S = 0.05
+# Before it lists the evacuations, a daemon waits for a random part of this time
+# for a peer that has read them. The listings of a daemon are a second apart.
+CLAIM_DELAY_S = 0.3
+CLAIM_INTERVAL_S = 1.0
 
 
 class HistoryLostError(PlatformError):
@@ -47,6 +51,13 @@
     async def read_all(self) -> ViewUpdate:
         """Return the complete state, an update whose base is zero."""
 
+    async def read_evacuations(self) -> ViewUpdate:
+        """Return an update whose evacuations are complete.
+
+        A source that can't list them alone returns the complete state.
+        """
+        return await self.read_all()
+
     @abstractmethod
     async def wait(self, after: int) -> ViewUpdate:
         """Return the changes after a revision, once there are any.
@@ -60,10 +71,18 @@
         """Close the connection."""
 
 
+def _do_nothing() -> None:
+    """Ignore a change of the evacuations."""
+
+
 @define(eq=False, repr=False)
 class StoreReader:
     """Reads the complete state once, then waits for changes.
 
+    With ``settles_claims`` it also lists the evacuations if a peer reported one
+    that may stem from a foreign entry, and calls ``on_evacuations()`` if the
+    listing changed anything.
+
     ``should_read()`` is called before each call of the store and decides
     whether it is made; ``on_update(changed)`` is called after each response.
     ``confirmed_at`` is when the store last responded, ``calls`` the number of
@@ -75,12 +94,15 @@
     rng: random.Random
     should_read: Callable[[], bool]
     on_update: Callable[[bool], None]
+    settles_claims: bool = field(default=False)
+    on_evacuations: Callable[[], None] = field(default=_do_nothing)
     is_reading: bool = field(default=False)
     confirmed_at: float = field(default=float('-inf'))
     calls: int = field(default=0)
     _failures: int = field(default=0)
     _needs_full_read: bool = field(default=False)
     _grace_until: float = field(default=0)
+    _claims_settled_at: float = field(default=float('-inf'))
 
     async def run(self) -> None:
         """Read until the task is cancelled, or fails unexpectedly.
@@ -123,12 +145,50 @@
 
     async def _read_while_elected(self) -> None:
         while True:
+            if self._has_due_claims():
+                await self._settle_claims()
             if self.should_read():
                 await self._read_once()
             else:
                 self._stop_reading()
                 await asyncio.sleep(IDLE_CHECK_S)
 
+    def _has_due_claims(self) -> bool:
+        claims = self.view.evacuations.claims
+        if not claims or not self.settles_claims:
+            return False
+        if self.is_reading:
+            # This daemon has read the operator's keys itself up to here.
+            self.view.evacuations.drop_claims(self.view.revision)
+        is_due = time.monotonic() - self._claims_settled_at > CLAIM_INTERVAL_S
+        return bool(claims) and is_due
+
+    async def _settle_claims(self) -> None:
+        """List the evacuations, and drop the claims that the store lacks."""
+        await asyncio.sleep(self.rng.random() * CLAIM_DELAY_S)
+        claims = self.view.evacuations.claims
+        if not claims:
+            return
+        self._claims_settled_at = time.monotonic()
+        self.calls += 1
+        try:
+            update = await self.source.read_evacuations()
+            _check_not_outdated(update, self.view)
+        except PlatformError as exc:
+            await self._back_off(exc)
+            return
+        now = time.monotonic()
+        if self._may_lack_entries(now, update):
+            self._grace_until = now + REMOVAL_GRACE_S
+        changed = self.view.apply_evacuations(
+            update, is_tentative=now < self._grace_until
+        )
+        for name in claims:
+            logger.info('evacuation-claim-settled', extra={'evacuated': name})
+        claims.clear()
+        if changed:
+            self.on_evacuations()
+
     async def _read_once(self) -> None:
         self.calls += 1
         try:
--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -48,7 +48,8 @@
     or never were. With ``base`` zero it is the complete state: endpoints that
     it doesn't list are removed. ``routes`` is None if they didn't change.
     ``lists_evacuations`` is set on a complete state of the store, in which a
-    missing evacuation has ended; a peer may not have it yet.
+    missing evacuation has ended; a peer may not have it yet. ``claims`` are
+    evacuations that a peer reported and that the store has to confirm.
     """
 
     base: int
@@ -59,6 +60,7 @@
     evacuations: tuple[EvacuationRecord, ...] = ()
     lists_evacuations: bool = False
     invalid: tuple[tuple[str, int], ...] = ()
+    claims: tuple[EvacuationRecord, ...] = ()
 
 
 @define(eq=False, repr=False)
@@ -213,15 +215,10 @@
         ``revision`` as it is, because the changes between are missing.
         """
         changed = self._merge_routes(update.routes)
-        for evacuation in update.evacuations:
-            changed = self.evacuations.merge(evacuation) or changed
-        if update.lists_evacuations:
-            has_ended = self.evacuations.merge_listing(
-                update.evacuations,
-                update.revision,
-                is_tentative=is_tentative,
-            )
-            changed = changed or has_ended
+        has_evacuations = self.apply_evacuations(
+            update, is_tentative=is_tentative
+        )
+        changed = changed or has_evacuations
         for record in update.records:
             changed = self.merge(record) or changed
         for name, revision in _removals(self.records, update):
@@ -233,6 +230,24 @@
             self.revision = update.revision
         return changed
 
+    def apply_evacuations(
+        self, update: ViewUpdate, *, is_tentative: bool = False
+    ) -> bool:
+        """Merge only the evacuations of an update; return if any changed."""
+        changed = False
+        for evacuation in update.evacuations:
+            changed = self.evacuations.merge(evacuation) or changed
+        for claim in update.claims:
+            self.evacuations.add_claim(claim)
+        if not update.lists_evacuations:
+            return changed
+        has_ended = self.evacuations.merge_listing(
+            update.evacuations,
+            update.revision,
+            is_tentative=is_tentative,
+        )
+        return changed or has_ended
+
     def confirm_removals(self) -> tuple[str, ...]:
         """Drop the tentatively removed endpoints and return their names."""
         names = tuple(self.tentative_removals)
--- a/src/dragonflyshift/_internal/carried/policies/evacuation.py
+++ b/src/dragonflyshift/_internal/carried/policies/evacuation.py
@@ -6,14 +6,21 @@
 absent record never puts a data centre back in service: after an outage, or
 after a restore of the store, an entry may be missing although the request
 stands.
+
+A peer of the build before may report a request that nobody made: it takes the
+name of a foreign entry for one. Such a claim has no effect by itself, and is
+settled by a listing of the store.
 """
 
-__all__ = ('EvacuationRecord', 'EvacuationTable')
+__all__ = ('MAX_CLAIMS', 'EvacuationRecord', 'EvacuationTable')
 
 from collections.abc import Collection, Iterator
 
 from attrs import define, field, frozen
 
+# Further claims are dropped until the present ones are settled.
+MAX_CLAIMS = 64
+
 
 @frozen(repr=False)
 class EvacuationRecord:
@@ -30,7 +37,8 @@
 
     ``tentative`` holds requests to put a data centre back in service that were
     inferred from an entry that is missing; ``confirm`` applies them. The
-    evacuation stays in force until then.
+    evacuation stays in force until then. ``claims`` holds requests that wait
+    for a listing of the store.
 
     Example:
         >>> table = EvacuationTable()
@@ -44,6 +52,7 @@
 
     evacuated: frozenset[str] = field(default=frozenset())
     tentative: dict[str, EvacuationRecord] = field(factory=dict)
+    claims: dict[str, EvacuationRecord] = field(factory=dict)
     _records: dict[str, EvacuationRecord] = field(factory=dict)
 
     def is_evacuated(self, data_center: str) -> bool:
@@ -61,6 +70,9 @@
             return False
         self._records[record.data_center] = record
         self.tentative.pop(record.data_center, None)
+        claim = self.claims.get(record.data_center)
+        if claim is not None and claim.revision <= record.revision:
+            self.claims.pop(record.data_center)
         self.evacuated = frozenset(
             known.data_center
             for known in self._records.values()
@@ -68,6 +80,27 @@
         )
         return True
 
+    def add_claim(self, claim: EvacuationRecord) -> None:
+        """Keep a request that the store has to confirm, unless it is known.
+
+        A claim that says what is in force changes nothing, whatever its
+        revision.
+        """
+        name = claim.data_center
+        current = self._records.get(name)
+        if claim.is_evacuated == (name in self.evacuated):
+            return
+        if current is not None and current.revision >= claim.revision:
+            return
+        if name in self.claims or len(self.claims) < MAX_CLAIMS:
+            self.claims[name] = claim
+
+    def drop_claims(self, revision: int) -> None:
+        """Drop the claims up to a revision whose requests are all known."""
+        for name, claim in tuple(self.claims.items()):
+            if claim.revision <= revision:
+                self.claims.pop(name)
+
     def merge_listing(
         self,
         listed: Collection[EvacuationRecord],
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from dragonflyshift._internal.carried.fleet.evacuation_rows import (
-    is_reserved_name,
+    endpoint_name,
 )
 from dragonflyshift._internal.carried.fleet.reader import (
     HistoryLostError,
@@ -86,21 +86,11 @@
         page; the watch returns later changes. Raises HistoryLostError if the
         store was restored between two pages.
         """
-        revision = 0
-        after = ''
-        items: list[Any] = []
-        for _ in range(MAX_PAGES):
-            query = {'prefix': ''}
-            if after:
-                query['after'] = after
-            body = await self._request('/kv-range', query, self.read_timeout_s)
-            page = _entries(body, 'items')
-            items.extend(page)
-            revision = revision or _revision(body, 'asOf')
-            _check_epoch(body, revision)
-            if not body.get('truncated') or not page:
-                break
-            after = str(page[-1].get('key'))
+        return self._build_update(0, *await self._read_range(''))
+
+    async def read_evacuations(self) -> ViewUpdate:
+        """Return the operator's requests alone."""
+        revision, items = await self._read_range(EVACUATION_PREFIX)
         return self._build_update(0, revision, items)
 
     async def wait(self, after: int) -> ViewUpdate:
@@ -126,6 +116,25 @@
             self._connection.close()
             self._connection = None
 
+    async def _read_range(self, prefix: str) -> tuple[int, list[Any]]:
+        """Return the revision of the first page, and the items of all."""
+        revision = 0
+        after = ''
+        items: list[Any] = []
+        for _ in range(MAX_PAGES):
+            query = {'prefix': prefix}
+            if after:
+                query['after'] = after
+            body = await self._request('/kv-range', query, self.read_timeout_s)
+            page = _entries(body, 'items')
+            items.extend(page)
+            revision = revision or _revision(body, 'asOf')
+            _check_epoch(body, revision)
+            if not body.get('truncated') or not page:
+                break
+            after = str(page[-1].get('key'))
+        return revision, items
+
     def _build_update(
         self,
         base: int,
@@ -144,9 +153,10 @@
         for key, entry in newest.items():
             if not key.startswith(ENDPOINT_PREFIX):
                 continue
-            name = key.removeprefix(ENDPOINT_PREFIX)
+            # Names that daemons use among themselves are no endpoint's.
+            name = endpoint_name(key.removeprefix(ENDPOINT_PREFIX))
             row = (name, _revision(entry, 'revision'))
-            if _is_deleted(entry) or is_reserved_name(name):
+            if _is_deleted(entry):
                 removed.append(row)
                 continue
             record = self._decode_record(*row, entry)
--- a/tests/unit/carried/test_reader.py
+++ b/tests/unit/carried/test_reader.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 from collections.abc import Callable, Sequence
+from functools import partial
 
 from attrs import evolve
 
@@ -14,6 +15,9 @@
 )
 from dragonflyshift._internal.carried.fleet.revisions import join_revision
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
+from dragonflyshift._internal.carried.policies.evacuation import (
+    EvacuationRecord,
+)
 from dragonflyshift._internal.carried.records import EndpointRecord
 from dragonflyshift._internal.exceptions import PlatformError
 from tests.lib.carried import (
@@ -60,6 +64,97 @@
         return answer
 
 
+class _ClaimSource(_ScriptedSource):
+    """Return listings of the evacuations apart from the other answers."""
+
+    def __init__(self, listing: ViewUpdate) -> None:
+        super().__init__([])
+        self.listing = listing
+
+    async def read_evacuations(self) -> ViewUpdate:
+        self.calls.append('evacuations')
+        return self.listing
+
+
+class ClaimTest(unittest.IsolatedAsyncioTestCase):
+    """A peer of the build before may report a request that nobody made."""
+
+    def setUp(self) -> None:
+        self.view = FleetView()
+        self.view.apply(_COMPLETE_STATE)
+        self.published: list[bool] = []
+
+    async def test_claim_without_an_entry_has_no_effect(self) -> None:
+        source = _ClaimSource(ViewUpdate(0, 9, lists_evacuations=True))
+        await self._settle(source, build_evacuation(9))
+        self.assertEqual(source.calls, ['evacuations'])
+        self.assertEqual(self.view.evacuations.evacuated, frozenset())
+        self.assertEqual(self.view.evacuations.claims, {})
+        self.assertEqual(self.published, [])
+        self.assertEqual(self.view.revision, 5)
+
+    async def test_claim_with_an_entry_takes_effect(self) -> None:
+        listing = ViewUpdate(
+            0, 9, evacuations=(build_evacuation(7),), lists_evacuations=True
+        )
+        await self._settle(_ClaimSource(listing), build_evacuation(7))
+        self.assertTrue(self.view.evacuations.evacuated)
+        self.assertEqual(self.published, [True])
+
+    async def test_claimed_end_of_an_evacuation_that_stands_is_dropped(self):
+        self.view.evacuations.merge(build_evacuation(4))
+        listing = ViewUpdate(
+            0, 9, evacuations=(build_evacuation(4),), lists_evacuations=True
+        )
+        claim = build_evacuation(9, is_evacuated=False)
+        await self._settle(_ClaimSource(listing), claim)
+        self.assertTrue(self.view.evacuations.evacuated)
+
+    async def test_claims_in_succession_cost_a_call_a_second(self) -> None:
+        source = _ClaimSource(ViewUpdate(0, 9, lists_evacuations=True))
+        reader = self._build_reader(source)
+        task = asyncio.create_task(reader.run())
+        for revision in range(9, 39):
+            self.view.evacuations.add_claim(build_evacuation(revision))
+            await asyncio.sleep(0.05)
+        task.cancel()
+        self.assertLessEqual(len(source.calls), 2)
+
+    async def test_reader_of_the_store_settles_it_without_a_call(self) -> None:
+        """It has read the keys of the operator itself."""
+        self.view.evacuations.add_claim(build_evacuation(5))
+        source = _ClaimSource(_COMPLETE_STATE)
+        reader = self._build_reader(source)
+        reader.is_reading = True
+        task = asyncio.create_task(reader.run())
+        await asyncio.sleep(0.5)
+        task.cancel()
+        self.assertEqual(source.calls, [])
+        self.assertEqual(self.view.evacuations.claims, {})
+
+    async def _settle(
+        self, source: _ClaimSource, claim: EvacuationRecord
+    ) -> None:
+        self.view.evacuations.add_claim(claim)
+        reader = self._build_reader(source)
+        # It is long enough since an outage that entries are complete.
+        reader.confirmed_at = time.monotonic()
+        task = asyncio.create_task(reader.run())
+        await asyncio.sleep(0.5)
+        task.cancel()
+
+    def _build_reader(self, source: ViewSource) -> StoreReader:
+        return StoreReader(
+            self.view,
+            source,
+            random.Random(1),
+            bool,
+            _ignore,
+            settles_claims=True,
+            on_evacuations=partial(self.published.append, True),
+        )
+
+
 class ReaderTest(unittest.IsolatedAsyncioTestCase):
     async def test_changes_are_read_after_the_complete_state(self) -> None:
         leaving = build_record(1, revision=6, is_leaving=True)
