Read the store when views get old, whatever its readers report

Cause: silence was taken for health. A reader noticed a cut only when its watch ended without a response, up to 3.2 s after the last one, and until then peers believed its statuses (views of up to 3.5 s). No balancer took over. The sum of the longest times was above the bound of 3 s.

Fix: a balancer goes by the age of its own view, which no report of a reader prolongs. Readers have views confirmed every 0.3 of the bound and report that at once; a balancer whose view is older than 0.45 of it reads the store after a random delay of at most 0.08 of it, first with a call that waits for nothing. The bound is the shortest of configApplyMs, drainMs and evacuateMs. A watch is shorter by what the store's last answer took, so that a slow store is not taken for a cut. A response to a call from before a pause of the process confirms nothing. A retry waits 1 to 2 s instead of 0.5 to 1 s, as a first call gives up after 1.5 s, formerly after 3.2 s.

--- a/bench/naive_carried/__main__.py
+++ b/bench/naive_carried/__main__.py
@@ -32,6 +32,7 @@
 from dragonflyshift.platform.store import PlatformStore
 
 RETRY_S = 0.3
+WATCH_S = 2.5
 ROLES = ('balancer', 'sidecar')
 
 
@@ -96,7 +97,7 @@
 
     async def _read_update(self, store: PlatformStore) -> ViewUpdate:
         if self.view.revision:
-            return await store.wait(self.view.revision)
+            return await store.wait(self.view.revision, WATCH_S)
         return await store.read_all()
 
 
--- a/src/dragonflyshift/_internal/carried/fleet/gossip.py
+++ b/src/dragonflyshift/_internal/carried/fleet/gossip.py
@@ -7,7 +7,7 @@
 calls the store refuses receives changes from other daemons.
 """
 
-__all__ = ('Gossip', 'GossipCallbacks')
+__all__ = ('MIN_STATUS_INTERVAL_S', 'Gossip', 'GossipCallbacks')
 
 import logging
 import time
@@ -37,6 +37,10 @@
 # Interval between the statuses that a daemon sends. Two of them fit into
 # READER_TIMEOUT_S, after which a reader counts as lost.
 STATUS_PERIOD_S = 0.5
+# A reader sends its status after a confirmation of the store, unless it sent
+# one within this time: by the ages of their views balancers decide whether to
+# read the store.
+MIN_STATUS_INTERVAL_S = 0.25
 # Maximum number of balancers whose addresses a status contains.
 MAX_ADVERTISED_PEERS = 8
 MAX_NOTICE_BYTES = 1100
@@ -76,6 +80,8 @@
     # The revision and time of a confirmation that is newer than this view.
     _pending_confirmation: tuple[int, float] = field(default=(0, float('-inf')))
     _sent_at: float = field(default=float('-inf'))
+    # Whether the last status said that this daemon reads the store.
+    _was_reading: bool = field(default=False)
     puller: ViewPuller = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -90,16 +96,24 @@
         """Record that the store confirmed this view."""
         self.confirmed_at = max(self.confirmed_at, now)
 
-    def tick(self, now: float) -> None:
-        """Send statuses once a period."""
-        if now - self._sent_at < STATUS_PERIOD_S:
+    def tick(self, now: float, interval_s: float = STATUS_PERIOD_S) -> None:
+        """Send statuses if the last ones are ``interval_s`` seconds old.
+
+        They are sent earlier if this daemon has started or stopped to read the
+        store.
+        """
+        is_reading = self.callbacks.is_reading()
+        was_reading = self._was_reading
+        if was_reading == is_reading and now - self._sent_at < interval_s:
             return
+        self._was_reading = is_reading
         self._sent_at = now
         self.peer_table.drop_expired(now)
-        is_reading = self.callbacks.is_reading()
-        self._send_statuses(
-            self.recipients.for_statuses(now, is_reading=is_reading), now
+        # A reader that has stopped reports it to all balancers.
+        targets = self.recipients.for_statuses(
+            now, is_reading=is_reading or was_reading
         )
+        self._send_statuses(targets, now)
 
     def publish(self, now: float, removed: tuple[RemovalRow, ...] = ()) -> None:
         """Send a change of the view to its recipients.
--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -13,6 +13,7 @@
     encode_evacuations,
 )
 from dragonflyshift._internal.carried.fleet.gossip import (
+    MIN_STATUS_INTERVAL_S,
     Gossip,
     GossipCallbacks,
 )
@@ -28,7 +29,10 @@
 from dragonflyshift._internal.carried.load import LoadReport
 from dragonflyshift._internal.carried.node_settings import NodeSettings
 from dragonflyshift._internal.carried.packet import SocketAddress
-from dragonflyshift._internal.carried.policies.election import ReaderElection
+from dragonflyshift._internal.carried.policies.election import (
+    ReaderElection,
+    RefreshTimes,
+)
 from dragonflyshift._internal.carried.policies.evacuation import (
     EvacuationRecord,
 )
@@ -90,7 +94,8 @@
                 self._is_reading,
             ),
         )
-        self._election = ReaderElection(settings.peers, is_balancer, rng)
+        times = RefreshTimes(settings.change_bound_s)
+        self._election = ReaderElection(settings.peers, is_balancer, rng, times)
         self.reader: StoreReader | None = None
         if source is not None:
             self.reader = StoreReader(
@@ -102,6 +107,7 @@
                 # Sidecars receive the evacuations from the balancers.
                 settles_claims=is_balancer,
                 on_evacuations=self._on_evacuations_read,
+                watch_s=times.watch_s,
             )
 
     def sidecar_address(self, record: EndpointRecord) -> SocketAddress:
@@ -194,6 +200,7 @@
             )
             self._on_view_changed()
             self.gossip.publish(now)
+        self.gossip.tick(now, MIN_STATUS_INTERVAL_S)
 
     def _on_evacuations_read(self) -> None:
         self._on_view_changed()
--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -23,7 +23,7 @@
 IDLE_CHECK_S = 0.2
 # First and longest wait after a failure; the store limits the rate of calls.
 FIRST_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 2.0
 # Endpoints renew their entries within this time after an outage of the store.
 # An entry that is still missing then stands for an endpoint that has ended.
 REMOVAL_GRACE_S = 2.2
@@ -31,6 +31,8 @@
 CONTACT_GAP_S = 5.0
 # Changes that follow each other within this time are read together.
 READ_INTERVAL_S = 0.05
+# A watch waits at least this long, however slow the store is.
+MIN_WATCH_S = 0.1
 # Before it lists the evacuations, a daemon waits for a random part of this time
 # for a peer that has read them. The listings of a daemon are a second apart.
 CLAIM_DELAY_S = 0.3
@@ -59,10 +61,10 @@
         return await self.read_all()
 
     @abstractmethod
-    async def wait(self, after: int) -> ViewUpdate:
+    async def wait(self, after: int, wait_s: float) -> ViewUpdate:
         """Return the changes after a revision, once there are any.
 
-        After some seconds without a change the update is empty. Raises
+        After ``wait_s`` seconds without a change the update is empty. Raises
         HistoryLostError when the store's history starts after the revision.
         """
 
@@ -79,9 +81,10 @@
 class StoreReader:
     """Reads the complete state once, then waits for changes.
 
-    With ``settles_claims`` it also lists the evacuations if a peer reported one
-    that may stem from a foreign entry, and calls ``on_evacuations()`` if the
-    listing changed anything.
+    The store confirms the view every ``watch_s`` seconds, or as often as its
+    responses allow. With ``settles_claims`` the evacuations are also listed if
+    a peer reported one that may stem from a foreign entry, and
+    ``on_evacuations()`` is called if the listing changed anything.
 
     ``should_read()`` is called before each call of the store and decides
     whether it is made; ``on_update(changed)`` is called after each response.
@@ -96,6 +99,7 @@
     on_update: Callable[[bool], None]
     settles_claims: bool = field(default=False)
     on_evacuations: Callable[[], None] = field(default=_do_nothing)
+    watch_s: float = field(default=1.0)
     is_reading: bool = field(default=False)
     confirmed_at: float = field(default=float('-inf'))
     calls: int = field(default=0)
@@ -103,6 +107,9 @@
     _needs_full_read: bool = field(default=False)
     _grace_until: float = field(default=0)
     _claims_settled_at: float = field(default=float('-inf'))
+    # How much longer than its wait the last watch without a change took.
+    _latency_s: float = field(default=0)
+    _was_paused: bool = field(default=False)
 
     async def run(self) -> None:
         """Read until the task is cancelled, or fails unexpectedly.
@@ -140,8 +147,12 @@
         return self.view.evacuations.confirm()
 
     def on_pause(self, now: float) -> None:
-        """Treat removals as tentative right after a pause of this process."""
+        """Treat removals as tentative right after a pause of this process.
+
+        A response to a call from before the pause may be as old as that.
+        """
         self._grace_until = max(self._grace_until, now + REMOVAL_GRACE_S)
+        self._was_paused = True
 
     async def _read_while_elected(self) -> None:
         while True:
@@ -191,8 +202,10 @@
 
     async def _read_once(self) -> None:
         self.calls += 1
+        self._was_paused = False
         try:
             update = await self._next_update()
+            self._check_not_paused()
         except HistoryLostError as exc:
             logger.warning('store-history-lost', extra={'reason': exc.message})
             self._needs_full_read = True
@@ -214,7 +227,24 @@
             self._needs_full_read = False
             _check_not_outdated(update, self.view)
             return update
-        return await self.source.wait(self.view.revision)
+        return await self._watch()
+
+    async def _watch(self) -> ViewUpdate:
+        """Wait for changes; a daemon that begins to read gets them at once."""
+        wait_s: float = 0
+        if self.is_reading:
+            wait_s = max(MIN_WATCH_S, self.watch_s - self._latency_s)
+        started_at = time.monotonic()
+        update = await self.source.wait(self.view.revision, wait_s)
+        # With a change the response comes earlier, and says nothing of it.
+        self._latency_s = max(0, time.monotonic() - started_at - wait_s)
+        return update
+
+    def _check_not_paused(self) -> None:
+        """Raise PlatformError if a response may be older than it seems."""
+        if self._was_paused:
+            self.source.close()
+            raise PlatformError('the process was paused during the call')
 
     def _apply(self, update: ViewUpdate) -> None:
         now = time.monotonic()
--- a/src/dragonflyshift/_internal/carried/node_settings.py
+++ b/src/dragonflyshift/_internal/carried/node_settings.py
@@ -23,6 +23,8 @@
 
     ``stop_grace_s`` is the time from the stop signal until the process is
     killed. ``flow_lifetime_s`` is the age at which flows may be discarded.
+    ``change_bound_s`` is the time within which a change that the store has
+    acknowledged must be in force, the shortest such bound of all changes.
     ``detects_failures`` switches on the detection of servers that fail while
     their health checks pass.
     In any second a cold server gets at most ``warmup_overage`` times its
@@ -47,6 +49,7 @@
     store: SocketAddress | None = None
     stop_grace_s: float = 6.0
     flow_lifetime_s: float = 60.0
+    change_bound_s: float = 3.0
     warmup_overage: float = 1.5
     warmup_slack: float = 5.0
     has_warmup_bounds: bool = False
--- a/src/dragonflyshift/platform/settings.py
+++ b/src/dragonflyshift/platform/settings.py
@@ -13,6 +13,12 @@
 # The port of the metrics address in deploy/system.toml.
 METRICS_PORT = 9464
 MAX_PORT = 65535
+# The bounds for a change of the configuration, for an endpoint that leaves, and
+# for an evacuation, in milliseconds.
+_CHANGE_BOUNDS = ('configApplyMs', 'drainMs', 'evacuateMs')
+DEFAULT_CHANGE_BOUND_MS = 3000
+MIN_CHANGE_BOUND_S = 0.1
+MS_PER_S = 1000
 _WARMUP_BOUNDS = frozenset(('warmupOverage', 'warmupSlack'))
 _DECODE_ERRORS = (
     ValueError,
@@ -75,6 +81,7 @@
         store=_parse_optional_address(platform.get('address')),
         stop_grace_s=float(bounds.get('graceS', 6)),
         flow_lifetime_s=float(bounds.get('flowMaxS', 60)),
+        change_bound_s=_change_bound_s(bounds),
         warmup_overage=_non_negative(bounds.get('warmupOverage', 1.5)),
         warmup_slack=_non_negative(bounds.get('warmupSlack', 5)),
         has_warmup_bounds=not _WARMUP_BOUNDS.isdisjoint(bounds),
@@ -84,6 +91,15 @@
     )
 
 
+def _change_bound_s(bounds: dict[str, Any]) -> float:
+    """Return the shortest bound for a change in seconds."""
+    stated = [
+        _non_negative(bounds[name]) for name in _CHANGE_BOUNDS if name in bounds
+    ]
+    bound_ms = min(stated, default=DEFAULT_CHANGE_BOUND_MS)
+    return max(MIN_CHANGE_BOUND_S, bound_ms / MS_PER_S)
+
+
 def _plugins(body: dict[str, Any]) -> dict[str, str]:
     """Return the chosen plug-ins, by kind."""
     plugins = body.get('plugins') or {}
--- a/src/dragonflyshift/platform/store.py
+++ b/src/dragonflyshift/platform/store.py
@@ -49,9 +49,8 @@
 logger = logging.getLogger(__name__)
 
 READ_TIMEOUT_S = 1.5
-# A watch without changes ends after this time. A connection without a response
-# for this time and the margin below is considered lost.
-WATCH_WAIT_MS = 2500
+# A connection on which a watch has no response for its time and this margin is
+# considered lost.
 WATCH_TIMEOUT_MARGIN_S = 0.7
 MAX_PAGES = 200
 MAX_KEY_BYTES = 200
@@ -93,13 +92,15 @@
         revision, items = await self._read_range(EVACUATION_PREFIX)
         return self._build_update(0, revision, items)
 
-    async def wait(self, after: int) -> ViewUpdate:
+    async def wait(self, after: int, wait_s: float) -> ViewUpdate:
         """Return the changes after a revision, once there are any."""
         store_revision = split_revision(after)[1]
+        wait_ms = max(1, int(wait_s * MS_PER_S))
+        timeout_s = max(self.read_timeout_s, wait_s + WATCH_TIMEOUT_MARGIN_S)
         body = await self._request(
             '/kv-watch',
-            {'prefix': '', 'after': store_revision, 'waitMs': WATCH_WAIT_MS},
-            WATCH_WAIT_MS / MS_PER_S + WATCH_TIMEOUT_MARGIN_S,
+            {'prefix': '', 'after': store_revision, 'waitMs': wait_ms},
+            timeout_s,
         )
         # The revision may exist in the present epoch too, where the changes
         # since are other ones.
--- a/tests/unit/carried/test_background.py
+++ b/tests/unit/carried/test_background.py
@@ -47,7 +47,7 @@
         self.calls.append('all')
         return self._update(0)
 
-    async def wait(self, after: int) -> ViewUpdate:
+    async def wait(self, after: int, wait_s: float) -> ViewUpdate:
         self.calls.append('wait')
         return self._update(after)
 
--- a/tests/unit/carried/test_election.py
+++ b/tests/unit/carried/test_election.py
@@ -11,6 +11,7 @@
 from dragonflyshift._internal.carried.policies.election import (
     WANTED_READERS,
     ReaderElection,
+    RefreshTimes,
 )
 
 _FIRST: SocketAddress = ('10.0.0.1', 7720)
@@ -20,9 +21,10 @@
 
 
 def _election(
-    own_address: SocketAddress, *, is_balancer: bool = True
+    own_address: SocketAddress, *, is_balancer: bool = True, bound_s: float = 3
 ) -> ReaderElection:
-    return ReaderElection(own_address, is_balancer, random.Random(1))
+    times = RefreshTimes(bound_s)
+    return ReaderElection(own_address, is_balancer, random.Random(1), times)
 
 
 class ElectionTest(unittest.TestCase):
@@ -77,6 +79,30 @@
         started = self._first_read(election, [], view_age_s=9)
         self.assertLess(started, 2)
 
+    def test_balancer_with_an_old_view_reads_whatever_readers_report(self):
+        """Readers that are cut off silently go on to report that they read."""
+        readers = [_FIRST, _SECOND]
+        for bound_s in (1.0, 3.0, 6.0):
+            times = RefreshTimes(bound_s)
+            election = _election(_THIRD, bound_s=bound_s)
+            fresh = self._first_read(election, readers, times.max_age_s - 0.01)
+            stale = self._first_read(election, readers, times.max_age_s)
+            with self.subTest(bound_s=bound_s):
+                self.assertEqual(fresh, float('inf'))
+                self.assertLess(stale, times.takeover_delay_s + 2 * _STEP_S)
+
+    def test_view_that_was_confirmed_again_ends_the_hurry(self) -> None:
+        """Otherwise all others would read once one of them has."""
+        election = ReaderElection(_THIRD, True, random.Random(2))
+        self.assertFalse(election.should_read(0, [_FIRST], 2, is_reading=False))
+        reads = [
+            election.should_read(
+                0.3 + tick * _STEP_S, [_FIRST], 0.1, is_reading=False
+            )
+            for tick in range(4)
+        ]
+        self.assertFalse(any(reads))
+
     def test_two_readers_are_wanted(self) -> None:
         self.assertEqual(WANTED_READERS, 2)
 
--- a/tests/unit/carried/test_reader.py
+++ b/tests/unit/carried/test_reader.py
@@ -42,12 +42,14 @@
         self.calls: list[str] = []
         # Functions that are called before the response to a call.
         self.on_call: dict[str, Callable[[], None]] = {}
+        self.waits: list[float] = []
         self._answers = list(answers)
 
     async def read_all(self) -> ViewUpdate:
         return await self._next('all')
 
-    async def wait(self, after: int) -> ViewUpdate:
+    async def wait(self, after: int, wait_s: float) -> ViewUpdate:
+        self.waits.append(wait_s)
         return await self._next(f'after {after}')
 
     def close(self) -> None:
@@ -76,6 +78,15 @@
         return self.listing
 
 
+class _SlowSource(_ScriptedSource):
+    """Return each answer 0.3 s after the wait has passed."""
+
+    async def wait(self, after: int, wait_s: float) -> ViewUpdate:
+        self.waits.append(wait_s)
+        await asyncio.sleep(wait_s + 0.3)
+        return await self._next(f'after {after}')
+
+
 class ClaimTest(unittest.IsolatedAsyncioTestCase):
     """A peer of the build before may report a request that nobody made."""
 
@@ -166,6 +177,53 @@
         self.assertTrue(reader.view.records['instance-1'].is_leaving)
         self.assertTrue(reader.is_reading)
 
+    async def test_daemon_that_begins_to_read_gets_changes_at_once(
+        self,
+    ) -> None:
+        """A watch would confirm its view only after the whole wait."""
+        empty = ViewUpdate(5, 5)
+        self.view = FleetView()
+        self.view.apply(_COMPLETE_STATE)
+        source = _ScriptedSource([empty, empty, PlatformError('lost'), empty])
+        task = asyncio.create_task(self._build_reader(source).run())
+        await asyncio.sleep(0.6)
+        task.cancel()
+        self.assertEqual(source.waits[0], 0)
+        self.assertAlmostEqual(source.waits[1], 1, delta=0.1)
+        # After a failure the daemon begins anew.
+        self.assertEqual(source.waits[3], 0)
+
+    async def test_watches_are_shorter_if_the_store_answers_late(self) -> None:
+        """The view of a reader must not get older for that."""
+        source = _SlowSource(
+            [_COMPLETE_STATE, ViewUpdate(5, 5), ViewUpdate(5, 5)]
+        )
+        await self._run(source, 1.5)
+        self.assertAlmostEqual(source.waits[1], 0.7, delta=0.15)
+
+    async def test_response_from_before_a_pause_confirms_nothing(self) -> None:
+        """A daemon that was frozen reads it after it has woken."""
+        change = ViewUpdate(5, 6)
+        source = _ScriptedSource([_COMPLETE_STATE, change, change])
+        self.view = FleetView()
+        reader = self._build_reader(source)
+        confirmed: list[float] = []
+
+        def pause() -> None:
+            if not confirmed:
+                confirmed.append(reader.confirmed_at)
+                reader.on_pause(time.monotonic())
+
+        source.on_call['after 5'] = pause
+        task = asyncio.create_task(reader.run())
+        await asyncio.sleep(0.1)
+        self.assertEqual(confirmed, [reader.confirmed_at])
+        self.assertFalse(reader.is_reading)
+        await asyncio.sleep(0.4)
+        task.cancel()
+        self.assertEqual(source.calls[:3], ['all', 'after 5', 'after 5'])
+        self.assertGreater(reader.confirmed_at, confirmed[0])
+
     async def test_lost_history_causes_a_full_read(self) -> None:
         source = _ScriptedSource(
             [_COMPLETE_STATE, HistoryLostError('gone'), _COMPLETE_STATE]
@@ -269,17 +327,20 @@
 
     async def _run(self, source: ViewSource, seconds: float) -> StoreReader:
         self.view = FleetView()
-        reader = StoreReader(
+        reader = self._build_reader(source)
+        task = asyncio.create_task(reader.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+        return reader
+
+    def _build_reader(self, source: ViewSource) -> StoreReader:
+        return StoreReader(
             self.view,
             source,
             random.Random(1),
             lambda: True,
             _ignore,
         )
-        task = asyncio.create_task(reader.run())
-        await asyncio.sleep(seconds)
-        task.cancel()
-        return reader
 
 
 def _restored(number: int, revision: int) -> EndpointRecord:
--- a/tests/unit/platform/test_foreign_entries.py
+++ b/tests/unit/platform/test_foreign_entries.py
@@ -167,7 +167,7 @@
         change = build_config_item(10, version=version)
         entry = build_entry_item('i-last', 11)
         store.listing = {'events': [change, entry], 'asOf': 11}
-        view.apply(asyncio.run(store.wait(9)))
+        view.apply(asyncio.run(store.wait(9, 1)))
         _pull(peer, view)
         self._check_same(view, peer)
         self.assertEqual(peer.routes.version, version)
@@ -185,7 +185,7 @@
         self, listing: Any
     ) -> None:
         store = _ListedStore(listing)
-        for call in (store.read_all(), store.wait(9)):
+        for call in (store.read_all(), store.wait(9, 1)):
             try:
                 update = asyncio.run(call)
             except PlatformError:
--- a/tests/unit/platform/test_foreign_names.py
+++ b/tests/unit/platform/test_foreign_names.py
@@ -178,7 +178,7 @@
     events = [_event(*entry, 4 + index) for index, entry in enumerate(foreign)]
     events += [build_item(f'op/evacuate/{name}', 20, {}) for name in evacuated]
     store.body = {'events': events, 'asOf': 30}
-    view.apply(asyncio.run(store.wait(3)))
+    view.apply(asyncio.run(store.wait(3, 1)))
     return view
 
 
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -68,6 +68,17 @@
         settings = self._read({**_SIDECAR_SETTINGS, 'plugins': plugins})
         self.assertEqual(settings.plugins, plugins)
 
+    def test_shortest_bound_of_a_change_counts(self) -> None:
+        for bounds, bound_s in (
+            ({}, 3),
+            ({'configApplyMs': 6000, 'drainMs': 5000}, 5),
+            ({'configApplyMs': 6000, 'evacuateMs': 2500.0}, 2.5),
+            ({'configApplyMs': 0}, 0.1),
+        ):
+            settings = self._read({**_SIDECAR_SETTINGS, 'bounds': bounds})
+            with self.subTest(bounds=bounds):
+                self.assertEqual(settings.change_bound_s, bound_s)
+
     def test_bounds_of_cold_servers(self) -> None:
         settings = self._read(_SIDECAR_SETTINGS)
         bounds = (settings.warmup_overage, settings.warmup_slack)
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -66,7 +66,7 @@
             build_entry_item('i-2', 11),
             {'key': 'servers/i-1', 'revision': 12, 'deleted': True},
         ]
-        update = await self.store.wait(9)
+        update = await self.store.wait(9, 1)
         self.assertEqual([rec.name for rec in update.records], ['i-2'])
         self.assertEqual(update.removed, (('i-1', 12),))
         self.assertEqual((update.base, update.revision), (9, 12))
@@ -85,7 +85,7 @@
             build_item('op/evacuate/klang', 10, {}),
             {'key': 'op/evacuate/klang', 'revision': 11, 'deleted': True},
         ]
-        update = await self.store.wait(9)
+        update = await self.store.wait(9, 1)
         self.assertEqual(
             update.evacuations, (EvacuationRecord('klang', 11, False),)
         )
@@ -105,7 +105,7 @@
             build_item('servers/\x01evacuated:ipoh', 11, {}),
             {'key': 'servers/i-1', 'revision': 12, 'deleted': True},
         ]
-        update = await self.store.wait(9)
+        update = await self.store.wait(9, 1)
         self.assertEqual(update.removed, (('i-1', 12),))
         self.assertEqual(update.invalid, (('\x01id:\x01evacuated:ipoh', 11),))
 
@@ -124,7 +124,7 @@
     async def test_lost_history_is_distinguished_from_an_outage(self) -> None:
         self.fake_store.oldest_revision = 50
         with self.assertRaises(HistoryLostError):
-            await self.store.wait(9)
+            await self.store.wait(9, 1)
         for status in (503, 429, 500):
             self.fake_store.status = status
             with self.assertRaises(PlatformError) as caught:
@@ -148,11 +148,11 @@
         before = await self.store.read_all()
         self.fake_store.restore([], revision=20)
         with self.assertRaises(HistoryLostError):
-            await self.store.wait(before.revision)
+            await self.store.wait(before.revision, 1)
         restored = await self.store.read_all()
         self.fake_store.revision = 21
         self.fake_store.events = [build_entry_item('i-5', 21)]
-        update = await self.store.wait(restored.revision)
+        update = await self.store.wait(restored.revision, 1)
         self.assertEqual([rec.name for rec in update.records], ['i-5'])
         self.assertEqual(update.base, restored.revision)
 
