Find open flows of services that the configuration dropped

Cause: the absence of a name from the configuration was taken for the absence of servers. Which services were dropped lately is known only to processes that saw the version before; a balancer that starts later queried the sidecars of named services, all denied the flow, and it was reset.

Fix: a server of a dropped service differs from a foreign entry in that a sidecar answers there. While its view is younger than any flow, a daemon requests the statuses of the sidecars of all unnamed entries every other second; those that answered within 5 s count as possible owners in lookups, probes, delegation and the check before a reset. In a view's first 5 s all entries count, as a sidecar may just be restarting. An older view knows all services that were named during a flow's life and asks for nothing.

Why it works: what holds up a denial is an address where a daemon answers, so foreign entries hold up none after 5 s, and no flow of a live server is denied.

--- a/src/dragonflyshift/_internal/carried/balancer/forwarder.py
+++ b/src/dragonflyshift/_internal/carried/balancer/forwarder.py
@@ -221,7 +221,9 @@
         status: FlowStatus,
     ) -> None:
         if len(self.owner_cache) < MAX_CACHED_OWNERS:
-            record = self.view.newest_by_host().get(sidecar[0])
+            record = self.view.newest_by_host().get(
+                sidecar[0]
+            ) or self.view.unnamed_by_host().get(sidecar[0])
             service = '' if record is None else record.service
             self.owner_cache[key] = CachedOwner(sidecar, service, now)
         self.placer.on_accepted(now, key)
--- a/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
+++ b/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
@@ -23,6 +23,7 @@
     LookupTable,
     PendingLookup,
     find_candidates,
+    find_owners,
     sidecar_addresses,
 )
 from dragonflyshift._internal.carried.messages import LookupResult
@@ -112,7 +113,7 @@
             self.counters.incr('dropped_no_route')
             return
         self.counters.incr('lookups')
-        if len(self.view.newest_by_host()) > MAX_QUERIED_SIDECARS:
+        if len(find_owners(self.view)) > MAX_QUERIED_SIDECARS:
             service = route.choose_service(packet.key)
             delegate = self._choose_delegate(now, packet.key, service)
             self.delegated.start(now, packet, service, delegate)
@@ -197,7 +198,7 @@
         is_same_view = (
             result.digest == self.view.checksum
             and result.version == self.view.routes.version
-            and result.queried >= len(self.view.newest_by_host())
+            and result.queried >= len(find_owners(self.view))
         )
         if not is_same_view or not self.callbacks.is_view_current(now):
             self._on_delegated_unanswered(result)
--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -40,6 +40,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Interval of the requests to hosts that may have a server of a dropped service.
+UNNAMED_REQUEST_S = 2.0
+
 
 @define(eq=False, repr=False)
 class MemberCallbacks:
@@ -72,7 +75,9 @@
         self.peer_table = PeerTable(settings.peers, settings.seeds, rng)
         self._callbacks = callbacks
         self._sidecar_port = settings.peers[1]
+        self.view.is_answering = self._is_answering
         self._version = 0
+        self._unnamed_requested_at = float('-inf')
         self._data_centers = frozenset(settings.regions)
         self._evacuated: frozenset[str] = frozenset()
         self._sidecars: dict[SocketAddress, str] = {}
@@ -128,6 +133,7 @@
     def tick(self, now: float) -> None:
         """Send statuses, and drop the endpoints that did not return."""
         self.gossip.tick(now)
+        self._request_unnamed(now)
         names = self._confirm_removals(now)
         ended: tuple[EvacuationRecord, ...] = ()
         if self.reader is not None:
@@ -139,6 +145,24 @@
             )
             self.gossip.publish(now, removed + encode_evacuations(ended))
 
+    def _is_answering(self, host: str) -> bool:
+        address = (host, self._sidecar_port)
+        return self.peer_table.is_sidecar(time.monotonic(), address)
+
+    def _request_unnamed(self, now: float) -> None:
+        """Request the statuses of sidecars whose service may be dropped.
+
+        Only their answers tell them from entries of other writers. A view that
+        is older than any flow needs no answer.
+        """
+        if now - self._unnamed_requested_at < UNNAMED_REQUEST_S:
+            return
+        unnamed = self.view.unnamed_by_host()
+        if unnamed and not self.view.route_history.is_complete(now):
+            self._unnamed_requested_at = now
+            addresses = map(self.sidecar_address, unnamed.values())
+            self.gossip.request_statuses(now, addresses)
+
     def _confirm_removals(self, now: float) -> tuple[str, ...]:
         """Drop the endpoints that did not return, and return their names."""
         puller = self.gossip.puller
--- a/src/dragonflyshift/_internal/carried/fleet/peers.py
+++ b/src/dragonflyshift/_internal/carried/fleet/peers.py
@@ -17,6 +17,8 @@
 READER_TIMEOUT_S = 1.3
 # An older view of a reader shows that the store doesn't respond to it.
 READER_MAX_AGE_MS = 3500
+# A sidecar that has sent a status within this time is running.
+SIDECAR_TIMEOUT_S = 5.0
 MAX_ADVERTISED_READERS = 3
 # A balancer with an older view receives no statuses from the readers that it
 # reports.
@@ -104,6 +106,13 @@
             and peer.status.age_ms < READER_MAX_AGE_MS
         )
 
+    def is_sidecar(self, now: float, address: SocketAddress) -> bool:
+        """Return whether a sidecar at an address has reported itself lately."""
+        peer = self.peers.get(address)
+        if peer is None or peer.status.is_balancer:
+            return False
+        return now - peer.received_at < SIDECAR_TIMEOUT_S
+
     def advertised_readers(
         self, now: float, *, is_reading: bool
     ) -> tuple[str, ...]:
--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -19,7 +19,7 @@
     RemovalLog,
     epoch_of,
 )
-from dragonflyshift._internal.carried.packet import FlowKey, SocketAddress
+from dragonflyshift._internal.carried.packet import SocketAddress
 from dragonflyshift._internal.carried.policies.evacuation import (
     EvacuationRecord,
     EvacuationTable,
@@ -28,10 +28,7 @@
     RouteHistory,
 )
 from dragonflyshift._internal.carried.records import EndpointRecord
-from dragonflyshift._internal.carried.routes import (
-    SERVICE_ADDRESS_SLICE,
-    RouteTable,
-)
+from dragonflyshift._internal.carried.routes import RouteTable
 
 # Twice the longest life of a flow: another balancer may have received a change
 # of routes later by as much, and placed flows by the former ones until then.
@@ -63,6 +60,11 @@
     claims: tuple[EvacuationRecord, ...] = ()
 
 
+def _is_unknown(_host: str) -> bool:
+    """Return that no sidecar is known to answer at a host."""
+    return False
+
+
 @define(eq=False, repr=False)
 class FleetView:
     """Routes and endpoints, complete up to ``revision``.
@@ -71,7 +73,9 @@
     removals. Removals around an outage of the store are tentative: these
     endpoints stay usable until ``confirm_removals`` is called.
     ``evacuations`` holds which data centres take no new flows.
-    ``clock()`` returns monotonic seconds.
+    ``clock()`` returns monotonic seconds, ``is_answering(host)`` whether a
+    sidecar at a host has reported itself lately. ``listed_since`` is when the
+    first listing arrived.
     """
 
     revision: int = field(default=0)
@@ -81,6 +85,8 @@
     tentative_removals: dict[str, int] = field(factory=dict)
     evacuations: EvacuationTable = field(factory=EvacuationTable)
     clock: Callable[[], float] = field(default=time.monotonic)
+    is_answering: Callable[[str], bool] = field(default=_is_unknown)
+    listed_since: float = field(default=float('inf'))
     route_history: RouteHistory = field(
         default=Factory(
             lambda view: RouteHistory(ROUTE_HISTORY_S, since=view.clock()),
@@ -94,6 +100,7 @@
     ] = field(factory=dict)
     _listed: tuple[EndpointRecord, ...] | None = field(default=None)
     _newest_by_host: dict[str, EndpointRecord] | None = field(default=None)
+    _unnamed_by_host: dict[str, EndpointRecord] | None = field(default=None)
     _checksum: int | None = field(default=None)
 
     @property
@@ -149,7 +156,8 @@
 
         Other writers may list entries of further services, which stand for no
         endpoint. A service that was named until lately is included, as its
-        servers may hold open flows.
+        servers may hold open flows. A daemon that started since doesn't know
+        that it was named.
         """
         if self._listed is None:
             named = self.routes.services
@@ -169,14 +177,23 @@
             self._newest_by_host = {record.host: record for record in records}
         return self._newest_by_host
 
-    def routed_services(self, key: FlowKey) -> set[str]:
-        """Return the services to which a flow's route leads or has led."""
-        address = key[SERVICE_ADDRESS_SLICE]
-        services = set(self.route_history.services(self.clock(), address))
-        route = self.routes.find(key)
-        if route is not None:
-            services.update(service.name for service in route.services)
-        return services
+    def unnamed_by_host(self) -> Mapping[str, EndpointRecord]:
+        """Return the newest entry of each host without a listed server.
+
+        It stands for another writer's entry, or for a server whose service the
+        configuration has dropped. The service is empty if several are entered.
+        """
+        if self._unnamed_by_host is None:
+            listed = self.newest_by_host()
+            unnamed: dict[str, EndpointRecord] = {}
+            for record in sorted(self.records.values(), key=_start_order):
+                former = unnamed.get(record.host, record)
+                if former.service != record.service:
+                    record = evolve(record, service='')
+                if record.host not in listed:
+                    unnamed[record.host] = record
+            self._unnamed_by_host = unnamed
+        return self._unnamed_by_host
 
     def find_by_address(
         self, address: SocketAddress, service: str
@@ -228,6 +245,7 @@
             )
         if update.base <= self.revision < update.revision:
             self.revision = update.revision
+            self.listed_since = min(self.listed_since, self.clock())
         return changed
 
     def apply_evacuations(
@@ -277,6 +295,7 @@
         self._placeable_by_service.clear()
         self._listed = None
         self._newest_by_host = None
+        self._unnamed_by_host = None
         self._checksum = None
 
     def _merge_routes(self, routes: RouteTable | None) -> bool:
--- a/src/dragonflyshift/_internal/carried/lookups.py
+++ b/src/dragonflyshift/_internal/carried/lookups.py
@@ -20,6 +20,7 @@
     'LookupTable',
     'PendingLookup',
     'find_candidates',
+    'find_owners',
     'sidecar_addresses',
 )
 
@@ -44,6 +45,7 @@
     choose_probes,
 )
 from dragonflyshift._internal.carried.records import EndpointRecord
+from dragonflyshift._internal.carried.routes import SERVICE_ADDRESS_SLICE
 
 logger = logging.getLogger(__name__)
 
@@ -63,6 +65,9 @@
 # A server that has bounced a flow gets no further probe of it for this time,
 # whatever its sidecar replies: builds before forget the bounce.
 BOUNCE_MEMORY_S = 5.0
+# For this time after its first listing a view counts any entry as a server. The
+# sidecars of servers whose service was dropped report themselves meanwhile.
+UNPROVEN_SERVER_S = 5.0
 MAX_LOOKUPS = 2048
 MAX_BOUNCED_FLOWS = 2048
 MAX_HELD_PACKETS = 16
@@ -81,9 +86,9 @@
     return OwnerCandidates.split(
         (
             (sidecar_address(record), record.service)
-            for record in view.newest_by_host().values()
+            for record in find_owners(view).values()
         ),
-        view.routed_services(key),
+        _routed_services(view, key),
         is_complete=view.route_history.is_complete(view.clock()),
     )
 
@@ -92,8 +97,39 @@
     view: FleetView,
     sidecar_address: Callable[[EndpointRecord], SocketAddress],
 ) -> set[SocketAddress]:
-    """Return the addresses of all sidecars of a view."""
-    return set(map(sidecar_address, view.newest_by_host().values()))
+    """Return the addresses of all sidecars whose servers may hold flows."""
+    return set(map(sidecar_address, find_owners(view).values()))
+
+
+def find_owners(view: FleetView) -> Mapping[str, EndpointRecord]:
+    """Return by host the servers of a view that may hold open flows.
+
+    A view that is older than any flow knows all services that were named
+    during a flow's life. A younger one can't tell a server whose service was
+    dropped from another writer's entry, so it goes by whether a sidecar answers
+    there, and for some seconds by the entry alone.
+    """
+    listed = view.newest_by_host()
+    unnamed = view.unnamed_by_host()
+    now = view.clock()
+    if not unnamed or view.route_history.is_complete(now):
+        return listed
+    is_unproven = now - view.listed_since < UNPROVEN_SERVER_S
+    owners = dict(listed)
+    for host, record in unnamed.items():
+        if is_unproven or view.is_answering(host):
+            owners[host] = record
+    return owners
+
+
+def _routed_services(view: FleetView, key: FlowKey) -> set[str]:
+    """Return the services to which a flow's route leads or has led."""
+    address = key[SERVICE_ADDRESS_SLICE]
+    services = set(view.route_history.services(view.clock(), address))
+    route = view.routes.find(key)
+    if route is not None:
+        services.update(service.name for service in route.services)
+    return services
 
 
 @define(eq=False, repr=False)
