--- a/src/dragonflyshift/_internal/carried/fleet/gossip.py
+++ b/src/dragonflyshift/_internal/carried/fleet/gossip.py
@@ -80,7 +80,7 @@
     # The revision and time of a confirmation that is newer than this view.
     _pending_confirmation: tuple[int, float] = field(default=(0, float('-inf')))
     _sent_at: float = field(default=float('-inf'))
-    # Whether the last status said that this daemon reads the store.
+    # Whether this daemon read the store at the last tick.
     _was_reading: bool = field(default=False)
     puller: ViewPuller = field(init=False)
 
@@ -99,21 +99,19 @@
     def tick(self, now: float, interval_s: float = STATUS_PERIOD_S) -> None:
         """Send statuses if the last ones are ``interval_s`` seconds old.
 
-        They are sent earlier if this daemon has started or stopped to read the
-        store.
+        They are sent earlier if this daemon has started to read the store, so
+        that others don't start as well.
         """
         is_reading = self.callbacks.is_reading()
-        was_reading = self._was_reading
-        if was_reading == is_reading and now - self._sent_at < interval_s:
-            return
+        has_started = is_reading and not self._was_reading
         self._was_reading = is_reading
+        if not has_started and now - self._sent_at < interval_s:
+            return
         self._sent_at = now
         self.peer_table.drop_expired(now)
-        # A reader that has stopped reports it to all balancers.
-        targets = self.recipients.for_statuses(
-            now, is_reading=is_reading or was_reading
+        self._send_statuses(
+            self.recipients.for_statuses(now, is_reading=is_reading), now
         )
-        self._send_statuses(targets, now)
 
     def publish(self, now: float, removed: tuple[RemovalRow, ...] = ()) -> None:
         """Send a change of the view to its recipients.
