Require the start time of an entry

Cause: the start time was read with zero as its default, so an entry without it became an endpoint.

Fix: born is required like every other field. Records without a start time, which the build before makes of such entries, are ignored.

The test that leaves out each field of an entry made an exception of born; the exception is gone. It fails before, as does test_record_without_a_start_time_is_ignored.

--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -315,8 +315,11 @@
     def merge(self, record: EndpointRecord) -> bool:
         """Merge an endpoint's record; return whether it was newer.
 
-        A record is ignored if a newer record or removal is known.
+        A record is ignored if a newer record or removal is known, or if it has
+        no start time: the build before makes such records of foreign entries.
         """
+        if not record.started_ms:
+            return False
         current = self.records.get(record.name)
         if current is not None and current.revision >= record.revision:
             return False
--- a/src/dragonflyshift/platform/documents.py
+++ b/src/dragonflyshift/platform/documents.py
@@ -120,7 +120,7 @@
         # How much longer the server is slow after the entry was written.
         warmup_ms=_truncated(body['warmupLeftMs']),
         # The platform's name for the start time in Unix milliseconds.
-        started_ms=_integer(body.get('born', 0)),
+        started_ms=_integer(body['born']),
     )
 
 
--- a/tests/unit/carried/test_view.py
+++ b/tests/unit/carried/test_view.py
@@ -77,6 +77,12 @@
         self.assertEqual(len(view.since(1).removed), MAX_UNLISTED_REMOVALS + 1)
         self.assertFalse(view.merge(build_record(1, revision=8)))
 
+    def test_record_without_a_start_time_is_ignored(self) -> None:
+        """The build before takes foreign entries without one for endpoints."""
+        view = build_view()
+        self.assertFalse(view.merge(build_record(9, started_ms=0)))
+        self.assertNotIn('instance-9', view.records)
+
     def test_entry_that_is_no_endpoint_concerns_only_listed_ones(self) -> None:
         """Another writer's entries made each daemon's records grow."""
         view = build_view()
--- a/tests/unit/platform/test_documents.py
+++ b/tests/unit/platform/test_documents.py
@@ -105,8 +105,6 @@
             with self.subTest(name=name, value=value):
                 self.assertIsNone(decode_endpoint('i-1', 5, raw))
         for name in _ENTRY:
-            if name == 'born':
-                continue
             incomplete = {key: _ENTRY[key] for key in _ENTRY if key != name}
             raw = json.dumps(incomplete).encode()
             with self.subTest(missing=name):
