Consider all endpoints if no candidate of a new flow replies

Callers saw: new flows were refused after 1.3 s while a service listed many servers that were gone, though living ones were listed too.

Cause: a new flow is offered to twelve candidates of the service's ring. If all of them were dead it got no other offer, even when the balancer knew that none of them replied.

Fix: if every candidate is suspect, all endpoints of the service are considered, as they already were if none of the candidates accepts flows.

--- a/src/dragonflyshift/_internal/carried/balancer/placer.py
+++ b/src/dragonflyshift/_internal/carried/balancer/placer.py
@@ -252,8 +252,10 @@
         )
         candidates = self.candidates.choose(service, endpoints, key)
         options = self._ordered_options(now, route, candidates)
-        if not options and len(candidates) < len(endpoints):
-            # None of the candidates accepts new flows: consider all endpoints.
+        is_any_alive = any(not option.is_suspect for option in options)
+        if not is_any_alive and len(candidates) < len(endpoints):
+            # None of the candidates accepts new flows, or none replies:
+            # consider all endpoints.
             options = self._ordered_options(now, route, endpoints)
         return options
 
--- a/tests/unit/carried/test_flow_forwarder.py
+++ b/tests/unit/carried/test_flow_forwarder.py
@@ -271,6 +271,21 @@
         self.forwarder.tick(1.4)
         self.assertEqual(self.outbox.to_client, [])
 
+    def test_other_endpoints_are_considered_if_no_candidate_replies(self):
+        """Many entries of servers that are gone hid the living ones."""
+        view = build_view(endpoints=30)
+        forwarder = build_forwarder(view, self.outbox)
+        alive = sidecar_address(build_record(30))
+        for number in range(1, 30):
+            address = sidecar_address(build_record(number))
+            forwarder.sidecars.mark_suspect(0, address)
+        for number in range(20):
+            packet = build_packet(build_key(number), SYN)
+            forwarder.on_client_packet(0, packet)
+            _message, address = self.outbox.to_daemon[-1]
+            with self.subTest(number=number):
+                self.assertEqual(address, alive)
+
     def test_malformed_packet_is_dropped(self) -> None:
         self.forwarder.on_client_packet(0, b'short')
         self.assertEqual(self.outbox.to_daemon, [])
