Keep the measured latency of the store across changes

A watch that returned with a change reset the latency by which the next one is shortened, so with a slow store views could get older than balancers accept after each change.

--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -238,8 +238,10 @@
             wait_s = max(MIN_WATCH_S, self.watch_s - self._latency_s)
         started_at = time.monotonic()
         update = await self.source.wait(self.view.revision, wait_s)
-        # With a change the response comes earlier, and says nothing of it.
-        self._latency_s = max(0, time.monotonic() - started_at - wait_s)
+        took_s = time.monotonic() - started_at
+        # A response with a change comes earlier, and says nothing of it.
+        if took_s >= wait_s:
+            self._latency_s = took_s - wait_s
         return update
 
     def _check_not_paused(self) -> None:
