Settle the claims from before a daemon began to read

While builds are mixed, a balancer that took over reading dropped all claims up to its view's revision, as if it had read the operator's keys itself. The changes up to there may have come from peers of the build before, so it would not have applied an evacuation that they reported.

A claim is now dropped without a listing only if it lies between the first revision that this daemon has read itself and that of its view. test_daemon_that_took_over_settles_earlier_claims covers both sides.

--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -109,6 +109,9 @@
     _needs_full_read: bool = field(default=False)
     _grace_until: float = field(default=0)
     _claims_settled_at: float = field(default=float('-inf'))
+    # The revision after which this daemon has read all changes itself. Changes
+    # before it came from peers.
+    _read_since: int = field(default=0)
     # How much longer than its wait the last watch without a change took.
     _latency_s: float = field(default=0)
     _was_paused: bool = field(default=False)
@@ -171,8 +174,10 @@
         if not claims or not self.settles_claims:
             return False
         if self.is_reading:
-            # This daemon has read the operator's keys itself up to here.
-            self.view.evacuations.drop_claims(self.view.revision)
+            # This daemon has read the operator's keys itself in between.
+            self.view.evacuations.drop_claims(
+                self._read_since, self.view.revision
+            )
         is_due = time.monotonic() - self._claims_settled_at > CLAIM_INTERVAL_S
         return bool(claims) and is_due
 
@@ -214,7 +219,7 @@
         except PlatformError as exc:
             await self._back_off(exc)
         else:
-            self._apply(update)
+            self.record_update(update)
             await asyncio.sleep(READ_INTERVAL_S)
 
     async def _next_update(self) -> ViewUpdate:
@@ -250,10 +255,13 @@
             self.source.close()
             raise PlatformError('the process was paused during the call')
 
-    def _apply(self, update: ViewUpdate) -> None:
+    def record_update(self, update: ViewUpdate) -> None:
+        """Apply an update of the store, which confirms the view."""
         now = time.monotonic()
         if self._may_lack_entries(now, update):
             self._grace_until = now + REMOVAL_GRACE_S
+        if not self.is_reading or not update.base:
+            self._read_since = update.base
         if not self.is_reading:
             logger.info(
                 'store-read',
--- a/src/dragonflyshift/_internal/carried/policies/evacuation.py
+++ b/src/dragonflyshift/_internal/carried/policies/evacuation.py
@@ -95,10 +95,10 @@
         if name in self.claims or len(self.claims) < MAX_CLAIMS:
             self.claims[name] = claim
 
-    def drop_claims(self, revision: int) -> None:
-        """Drop the claims up to a revision whose requests are all known."""
+    def drop_claims(self, after: int, revision: int) -> None:
+        """Drop the claims between two revisions whose requests are known."""
         for name, claim in tuple(self.claims.items()):
-            if claim.revision <= revision:
+            if after < claim.revision <= revision:
                 self.claims.pop(name)
 
     def merge_listing(
--- a/tests/unit/carried/test_reader.py
+++ b/tests/unit/carried/test_reader.py
@@ -133,15 +133,32 @@
 
     async def test_reader_of_the_store_settles_it_without_a_call(self) -> None:
         """It has read the keys of the operator itself."""
-        self.view.evacuations.add_claim(build_evacuation(5))
-        source = _ClaimSource(_COMPLETE_STATE)
+        calls = await self._claim_to_reader(_COMPLETE_STATE, 5)
+        self.assertEqual(calls, [])
+
+    async def test_daemon_that_took_over_settles_earlier_claims(self) -> None:
+        """Peers of the build before sent it the changes until then."""
+        for revision, expected in ((5, ['evacuations']), (6, [])):
+            with self.subTest(revision=revision):
+                calls = await self._claim_to_reader(ViewUpdate(5, 6), revision)
+                self.assertEqual(calls, expected)
+
+    async def _claim_to_reader(
+        self, first: ViewUpdate, revision: int
+    ) -> list[str]:
+        """Return the listings of a reader that gets a claim.
+
+        ``first`` is what it has read from the store.
+        """
+        source = _ClaimSource(ViewUpdate(0, 9, lists_evacuations=True))
         reader = self._build_reader(source)
-        reader.is_reading = True
+        reader.record_update(first)
+        self.view.evacuations.add_claim(build_evacuation(revision))
         task = asyncio.create_task(reader.run())
         await asyncio.sleep(0.5)
         task.cancel()
-        self.assertEqual(source.calls, [])
         self.assertEqual(self.view.evacuations.claims, {})
+        return source.calls
 
     async def _settle(
         self, source: _ClaimSource, claim: EvacuationRecord
