Infer nothing about flows from a server's start time

Cause: the sidecar compared two readings of the time of day, the start that its server states and the moment at which its own process began to receive packets. A clock that was ahead in between made an older server seem younger, so the flow table counted as complete and denied what it lacked.

Fix: the inference is gone. A sidecar that is younger than its flows may be answers "unsure", and its server says by a bounce that it lacks a flow.

Two tests stated the inference and are replaced: whatever start a server states, no flow is denied (test_start_time_of_a_server_denies_no_flow), and the first second of a cold server counts as used up (test_start_time_of_a_server_opens_nothing_early). test_sidecar_node test_restarted_sidecar_does_not_trust_the_time_of_day fails before for all four starts and passes now.

--- a/bench/emulator/daemons.py
+++ b/bench/emulator/daemons.py
@@ -245,7 +245,6 @@
             knows_all=self.knows_all,
             data_center=self.data_center,
             detects_failures=True,
-            listening_since_ms=self.bound_at * MS_PER_S,
         )
         tracker.apply_endpoint_record()
         senders = PacketSenders(
--- a/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/backend_tracker.py
@@ -36,9 +36,6 @@
 # server that is shutting down bounces every first packet.
 MIN_BOUNCE_BACKOFF_S = 0.1
 MAX_BOUNCE_BACKOFF_S = 2.0
-# A server that started no earlier than this before its sidecar can't have had
-# another sidecar, since a restart of a sidecar takes longer.
-MAX_START_LEAD_MS = 250
 # The second before the start of this process counts as used up for a cold
 # server (``cold_pace``). Without a view for longer no limit is known.
 MAX_VIEW_WAIT_S = 1.05
@@ -134,9 +131,8 @@
 
     ``knows_all`` means that the flow table holds all flows of the server. It
     is False after a restart of this process, until no flow from before the
-    restart can be missing. ``listening_since_ms`` is the time
-    at which this process began to receive packets, in Unix milliseconds.
-    ``is_first_start`` means that the whole system starts for the first time.
+    restart can be missing. ``is_first_start`` means that the whole system
+    starts for the first time.
     With ``detects_failures`` a server may be suspected by how its requests end.
     """
 
@@ -146,7 +142,6 @@
     policy: AdmissionPolicy
     knows_all: bool
     data_center: str = field(default='')
-    listening_since_ms: float = field(default=float('inf'))
     table: FlowTable = field(factory=FlowTable)
     service_time: ServiceTimeEstimator = field(factory=ServiceTimeEstimator)
     slots: int = field(default=1)
@@ -202,8 +197,9 @@
     def apply_endpoint_record(self) -> None:
         """Apply the server's endpoint record, if the view has one.
 
-        It sets the configured slots and whether the server is leaving. It
-        sets ``knows_all`` if the server started together with this process.
+        It sets the configured slots and whether the server is leaving. The
+        start time that it states proves nothing about flows from before this
+        process: a clock may have jumped in between.
         """
         listed = self.view.find_by_address(self.address, self.service)
         if listed is None:
@@ -215,8 +211,6 @@
         self._is_listed_leaving = listed.is_leaving
         self._was_listed = True
         self.slots = max(1, listed.slots)
-        if listed.started_ms > self.listening_since_ms - MAX_START_LEAD_MS:
-            self.knows_all = True
         self._record_listed(listed)
         self._update_pace()
 
--- a/src/dragonflyshift/_internal/carried/sidecar/node.py
+++ b/src/dragonflyshift/_internal/carried/sidecar/node.py
@@ -92,7 +92,6 @@
             policy=_load_policy(policy_name),
             knows_all=settings.is_first_start,
             data_center=settings.data_center,
-            listening_since_ms=(time.time() - sockets.age_s()) * MS_PER_S,
             is_first_start=settings.is_first_start,
             detects_failures=settings.detects_failures,
             warmup_overage=settings.warmup_overage,
--- a/tests/unit/carried/test_flow_handler.py
+++ b/tests/unit/carried/test_flow_handler.py
@@ -321,22 +321,17 @@
         self.assertIs(message.status, FlowStatus.OWNED)
         self.assertEqual(outbox.to_client, [answer])
 
-    def test_server_started_with_its_sidecar_has_no_unknown_flows(self):
-        """After a power failure no flow is left that would need a probe."""
-        self.assertIs(
-            self._status_after_start(started_ms=99_900),
-            FlowStatus.NOT_OWNED,
-        )
-        self.assertIs(
-            self._status_after_start(started_ms=101_000),
-            FlowStatus.NOT_OWNED,
-        )
+    def test_start_time_of_a_server_denies_no_flow(self) -> None:
+        """It was written by a clock that may have jumped since.
 
-    def test_server_older_than_its_sidecar_may_hold_more_flows(self) -> None:
-        self.assertIs(
-            self._status_after_start(started_ms=99_000),
-            FlowStatus.UNSURE,
-        )
+        The sidecar took a server for younger than itself, though an earlier
+        process of the sidecar had opened flows there, and denied them.
+        """
+        for started_ms in (99_000, 99_900, 101_000, 10**13):
+            with self.subTest(started_ms=started_ms):
+                self.assertIs(
+                    self._status_after_start(started_ms), FlowStatus.UNSURE
+                )
 
     def test_bounced_flow_probe_is_answered_with_not_owned(self) -> None:
         handler, outbox = build_flow_handler(knows_all=False)
@@ -466,12 +461,11 @@
     def _status_after_start(self, started_ms: int) -> FlowStatus:
         """Return a sidecar's answer to an ownership query.
 
-        The sidecar has run since 100,000 ms, its server since ``started_ms``.
+        The sidecar has restarted, its server has run since ``started_ms``.
         """
         view = build_view()
         view.merge(build_record(revision=40, started_ms=started_ms))
         handler, outbox = build_flow_handler(view, knows_all=False)
-        handler.backend.listening_since_ms = 100_000
         handler.view_changed(0)
         handler.on_ownership_query(
             0,
--- a/tests/unit/carried/test_sidecar_node.py
+++ b/tests/unit/carried/test_sidecar_node.py
@@ -1,9 +1,10 @@
-"""Tests which admission policy a sidecar uses.
+"""Tests which admission policy a sidecar uses, and what it knows at a start.
 
 A policy whose module is imported only by name would be unknown to a sidecar
 that is set to it, and its gauges would be missing from the metrics page.
 """
 
+import time
 import unittest
 
 from dragonflyshift._internal.carried.node_settings import NodeSettings
@@ -13,6 +14,7 @@
 from dragonflyshift._internal.exceptions import KernelError
 from dragonflyshift._internal.utils.early_binding import BoundSockets
 from dragonflyshift.platform.packets import PlatformCodec
+from tests.lib.carried import build_record
 
 
 def _node(**plugins: str) -> SidecarNode:
@@ -46,3 +48,16 @@
     def test_unknown_policy_is_an_error(self) -> None:
         with self.assertRaisesRegex(KernelError, 'first-come'):
             _node(opening_policy='first-come')
+
+    def test_restarted_sidecar_does_not_trust_the_time_of_day(self) -> None:
+        """It denied the open flows of a server whose clock had been ahead."""
+        for ahead_ms in (-100, 0, 900, 2400):
+            node = _node()
+            started_ms = int(time.time() * 1000) + ahead_ms
+            record = build_record(
+                host='127.0.0.1', port=8165, started_ms=started_ms
+            )
+            node.view.merge(record)
+            node.on_view_changed(0)
+            with self.subTest(ahead_ms=ahead_ms):
+                self.assertFalse(node.backend.knows_all)
--- a/tests/unit/carried/test_warmup.py
+++ b/tests/unit/carried/test_warmup.py
@@ -148,13 +148,14 @@
         self._offer_all(1.1, range(20))
         self.assertEqual(len(self.outbox.to_backend), 20)
 
-    def test_server_that_started_with_its_sidecar_is_open(self) -> None:
-        """No other process can have delivered flows to this server."""
-        self._start(knows_all=False)
-        self.handler.backend.listening_since_ms = 1100
-        self.handler.view_changed(0)
-        self._offer_all(0.1, range(20))
-        self.assertEqual(len(self.outbox.to_backend), _LIMIT)
+    def test_start_time_of_a_server_opens_nothing_early(self) -> None:
+        """A clock may have jumped, and its former sidecar filled the second."""
+        for started_ms in (1, 10**9, 10**13):
+            self._start(knows_all=False)
+            self._list(warmup_ms=4000, revision=10, started_ms=started_ms)
+            self._offer_all(0.1, range(20))
+            with self.subTest(started_ms=started_ms):
+                self.assertEqual(self.outbox.to_backend, [])
 
     def test_adopted_new_flows_count(self) -> None:
         """They were delivered by the earlier process of the sidecar."""
