--- a/review/11/run.py
+++ b/review/11/run.py
@@ -32,7 +32,12 @@
         st.route(f'idle-{n}', f'198.18.1.{1 + n % 200}', 2000 + n, fleet.service)
         for n in range(IDLE_ROUTES)
     ]
-    return st.config(version, [main, *extra, *idle])
+    # Each change also adds a route.
+    new = [
+        st.route(f'new-{n}', '198.18.0.4', 3000 + n, fleet.service)
+        for n in dropped
+    ]
+    return st.config(version, [main, *extra, *new, *idle])
 
 
 async def ask(fleet, address, name):
@@ -124,6 +129,12 @@
     record.write('BROKEN: the request was sent', round(late, 3),
                  's after the acknowledgement that dropped its route;',
                  'its opening packet was taken by', took, 'and it ran at', ran)
+    _flow, answer = await ask(
+        fleet, ('198.18.0.4', 3000 + number), f'new-route-{number}'
+    )
+    if ' by ' not in answer:
+        record.write('BROKEN: a request to the route that the version added',
+                     'ended with', answer)
     # The same 10 s and 20 s after the acknowledgement, the two still away.
     for later in (10, 20):
         await asyncio.sleep(max(0, acked + later - time.monotonic()))
