Review: show resets after an outage of the store

A balancer that starts right after an outage, with no other balancer up, reads a listing without the lapsed entries, counts it as complete, and resets open flows of living servers.

--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -129,6 +129,8 @@
         self.address = None
         # Addresses of machines that the store turns away with 503.
         self.refused = set()
+        # While it is down, the store answers nothing.
+        self.is_down = False
 
     async def start(self, host):
         self._server = await asyncio.start_server(self._serve, host, 0)
@@ -169,6 +171,10 @@
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 status, body = await self._answer(head.split()[1].decode(), host)
+                if self.is_down:
+                    # This channel returns nothing further.
+                    await reader.read()
+                    return
                 raw = json.dumps(body).encode()
                 writer.write(
                     f'HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n'
