Read the complete state when a daemon begins to read the store

Callers may see: an endpoint whose entry lapsed in an outage of the store, or an evacuation that ended in it, stays in the views of all daemons for good; new flows are placed on a server that has ended, or a data centre takes none.

Cause: a daemon that began to read took its view from peers, and read on after their revision. A removal right after an outage is tentative, is not sent to peers, and is known to those alone that read it. If they lost power before they confirmed it, nobody read it again. A daemon that had read the store itself could also get such an entry from a peer afterwards, and keep it.

Why it works: a daemon that begins to read first gets the changes since its revision, by one call as before, and then lists the complete state. From then on it reads after what it has read itself, whatever peers report, and drops endpoints and evacuations that the store doesn't list once its grace period is over. A balancer reads the store once after each start.

Changed test: a daemon that begins to read now makes a second call, so the script of test_daemon_that_begins_to_read_gets_changes_at_once has its answer, and the order of calls is checked too.

--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -206,10 +206,21 @@
         return self._election.should_read(
             now,
             readers,
-            self.gossip.age_s(now),
+            self._supplied_age_s(now),
             is_reading=self._is_reading(),
         )
 
+    def _supplied_age_s(self, now: float) -> float:
+        """Return the age of the view, infinite if the store must be read.
+
+        A balancer reads it once after a start, since a peer of the build before
+        may report a newer revision than its view holds.
+        """
+        is_balancer = self.gossip.recipients.is_balancer
+        if is_balancer and self.reader is not None and not self.reader.has_read:
+            return float('inf')
+        return self.gossip.age_s(now)
+
     def _on_store_update(self, changed: bool) -> None:
         now = time.monotonic()
         self.gossip.record_confirmation(now)
--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -11,6 +11,7 @@
 
 from attrs import define, field
 
+from dragonflyshift._internal.carried.fleet.listing import StoreListing
 from dragonflyshift._internal.carried.fleet.revisions import epoch_of
 from dragonflyshift._internal.carried.fleet.view import (
     FleetView,
@@ -85,7 +86,11 @@
 
 @define(eq=False, repr=False)
 class StoreReader:
-    """Reads the complete state once, then waits for changes.
+    """Reads the complete state, then waits for changes.
+
+    A daemon that begins to read has its view from peers. It first reads the
+    changes since, which takes one call, and then the complete state, as a peer
+    may have left out a part. From then on it goes by what it has read itself.
 
     The store confirms the view every ``watch_s`` seconds, or as often as its
     responses allow. With ``settles_claims`` the evacuations are also listed if
@@ -113,9 +118,7 @@
     _needs_full_read: bool = field(default=False)
     _grace_until: float = field(default=0)
     _claims_settled_at: float = field(default=float('-inf'))
-    # The revision after which this daemon has read all changes itself. Changes
-    # before it came from peers.
-    _read_since: int = field(default=0)
+    _listing: StoreListing = field(factory=StoreListing)
     # How much longer than its wait the last watch without a change took.
     _latency_s: float = field(default=0)
     _was_paused: bool = field(default=False)
@@ -135,12 +138,23 @@
             self.source.close()
             raise
 
+    @property
+    def has_read(self) -> bool:
+        """Whether the store has ever responded to this daemon."""
+        return self.confirmed_at > float('-inf')
+
     def confirm_removals(self, now: float) -> tuple[str, ...]:
         """Drop the endpoints that did not return after an outage.
 
-        Returns their names; empty until the grace period has passed.
+        Those that only a peer has sent, and that the store doesn't list, are
+        dropped too. Returns their names; empty until the grace period has
+        passed.
         """
-        if not self.view.tentative_removals or now < self._grace_until:
+        if now < self._grace_until:
+            return ()
+        for name in self._find_ended(self._listing.find_ended_endpoints):
+            self.view.remove(name, self._listing.until, is_tentative=True)
+        if not self.view.tentative_removals:
             return ()
         names = self.view.confirm_removals()
         logger.info('removals-confirmed', extra={'endpoints': names})
@@ -151,9 +165,12 @@
 
         Returns the ends; empty until the grace period has passed.
         """
-        if not self.view.evacuations.tentative or now < self._grace_until:
+        if now < self._grace_until:
             return ()
-        return self.view.evacuations.confirm()
+        evacuations = self.view.evacuations
+        for name in self._find_ended(self._listing.find_ended_evacuations):
+            evacuations.end_tentatively(name, self._listing.until)
+        return evacuations.confirm()
 
     def on_pause(self, now: float) -> None:
         """Treat removals as tentative right after a pause of this process.
@@ -163,6 +180,10 @@
         self._grace_until = max(self._grace_until, now + REMOVAL_GRACE_S)
         self._was_paused = True
 
+    def _find_ended(self, find: Callable[[FleetView], list[str]]) -> list[str]:
+        """Return what has ended in the store while this daemon reads it."""
+        return find(self.view) if self.is_reading else []
+
     async def _read_while_elected(self) -> None:
         while True:
             if self._has_due_claims():
@@ -180,7 +201,7 @@
         if self.is_reading:
             # This daemon has read the operator's keys itself in between.
             self.view.evacuations.drop_claims(
-                self._read_since, self.view.revision
+                self._listing.since, self._listing.until
             )
         is_due = time.monotonic() - self._claims_settled_at > CLAIM_INTERVAL_S
         return bool(claims) and is_due
@@ -230,23 +251,27 @@
         needs_full_read = (
             self._needs_full_read
             or not self.view.revision
+            # Peers have supplied what lies before.
+            or (self.is_reading and not self._listing.is_complete)
             # A peer has reported that the store was restored.
             or has_records_before_epoch(self.view, epoch_of(self.view.revision))
         )
         if needs_full_read:
             update = await self.source.read_all()
-            self._needs_full_read = False
             _check_not_outdated(update, self.view)
+            self._needs_full_read = False
             return update
         return await self._watch()
 
     async def _watch(self) -> ViewUpdate:
         """Wait for changes; a daemon that begins to read gets them at once."""
+        started_at = time.monotonic()
         wait_s: float = 0
         if self.is_reading:
             wait_s = max(MIN_WATCH_S, self.watch_s - self._latency_s)
-        started_at = time.monotonic()
-        update = await self.source.wait(self.view.revision, wait_s)
+        elif started_at - self.confirmed_at > CONTACT_GAP_S:
+            self._listing.begin(self.view.revision)
+        update = await self.source.wait(self._listing.until, wait_s)
         took_s = time.monotonic() - started_at
         # A response with a change comes earlier, and says nothing of it.
         if took_s >= wait_s:
@@ -264,9 +289,8 @@
         now = time.monotonic()
         if self._may_lack_entries(now, update):
             self._grace_until = now + REMOVAL_GRACE_S
-        if not self.is_reading or not update.base:
-            self._read_since = update.base
-        if not self._read_since:
+        self._listing.apply(update)
+        if self._listing.is_complete:
             self.view.reported_version.clear()
         if not self.is_reading:
             logger.info(
--- a/src/dragonflyshift/_internal/carried/policies/evacuation.py
+++ b/src/dragonflyshift/_internal/carried/policies/evacuation.py
@@ -117,15 +117,22 @@
         names = {record.data_center for record in listed}
         changed = False
         for name in self.evacuated - names:
+            if is_tentative:
+                self.end_tentatively(name, revision)
+                continue
             restored = EvacuationRecord(name, revision, is_evacuated=False)
-            if not is_tentative:
-                changed = self.merge(restored) or changed
-            elif self._records[name].revision < revision:
-                self.tentative[name] = restored
+            changed = self.merge(restored) or changed
         for record in listed:
             self.tentative.pop(record.data_center, None)
         return changed
 
+    def end_tentatively(self, data_center: str, revision: int) -> None:
+        """End an evacuation at a revision once ``confirm`` is called."""
+        if self._records[data_center].revision < revision:
+            self.tentative[data_center] = EvacuationRecord(
+                data_center, revision, is_evacuated=False
+            )
+
     def confirm(self) -> tuple[EvacuationRecord, ...]:
         """Apply the tentative requests and return them."""
         confirmed = tuple(self.tentative.values())
--- a/tests/lib/refresh_replay.py
+++ b/tests/lib/refresh_replay.py
@@ -10,13 +10,14 @@
 import random
 import selectors
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 from unittest import mock
 
-from attrs import define, evolve, field
+from attrs import define, field
 
 from dragonflyshift._internal.carried.fleet.exchange import (
+    PULL_TIMEOUT_S,
     decode_update,
     encode_update,
 )
@@ -24,7 +25,6 @@
     FleetMember,
     MemberCallbacks,
 )
-from dragonflyshift._internal.carried.fleet.reader import ViewSource
 from dragonflyshift._internal.carried.fleet.view import ViewUpdate
 from dragonflyshift._internal.carried.messages import (
     ChangeNotice,
@@ -33,12 +33,10 @@
 )
 from dragonflyshift._internal.carried.node_settings import NodeSettings
 from dragonflyshift._internal.carried.packet import SocketAddress
-from dragonflyshift._internal.exceptions import PeerError, PlatformError
-from dragonflyshift.platform.store import (
-    READ_TIMEOUT_S,
-    WATCH_TIMEOUT_MARGIN_S,
-)
-from tests.lib.carried import DATA_CENTER, build_record, build_routes
+from dragonflyshift._internal.exceptions import PeerError
+from tests.lib.build_before import downgrade
+from tests.lib.carried import DATA_CENTER, build_record
+from tests.lib.replay_store import MemberSource, ReplayStore
 
 TICK_S = 0.1
 NETWORK_S = 0.002
@@ -91,82 +89,6 @@
     loop.close()
 
 
-@define(eq=False)
-class ReplayStore:
-    """The state of a store, and who reaches it.
-
-    ``latency_s`` is the time of an answer. ``cut`` holds the members that get
-    none, ``refused`` those that get an error at once; with ``is_down`` nobody
-    gets an answer.
-    """
-
-    latency_s: float = 0.004
-    is_down: bool = False
-    cut: set[int] = field(factory=set)
-    refused: set[int] = field(factory=set)
-    calls: list[tuple[float, int]] = field(factory=list)
-    revision: int = 5
-    version: int = 1
-    _changed: asyncio.Event = field(factory=asyncio.Event)
-
-    def change(self) -> int:
-        """Publish another configuration; return its version."""
-        self.revision += 1
-        self.version += 1
-        self._changed.set()
-        self._changed = asyncio.Event()
-        return self.version
-
-    def state(self, base: int) -> ViewUpdate:
-        """Return the configuration, and the endpoints of a full read."""
-        records = () if base else tuple(map(build_record, (1, 2, 3)))
-        routes = evolve(build_routes(), version=self.version)
-        return ViewUpdate(base, self.revision, records, routes=routes)
-
-    async def answer(self, member: int, after: int, wait_s: float) -> bool:
-        """Wait for a change; return whether the member gets an answer."""
-        loop = asyncio.get_running_loop()
-        self.calls.append((loop.time(), member))
-        if member in self.refused:
-            raise PlatformError('refused')
-        deadline = loop.time() + wait_s
-        while self.revision <= after and loop.time() < deadline:
-            try:
-                async with asyncio.timeout(deadline - loop.time()):
-                    await self._changed.wait()
-            except TimeoutError:
-                break
-        await asyncio.sleep(self.latency_s)
-        return not self.is_down and member not in self.cut
-
-
-@define(eq=False)
-class _MemberSource(ViewSource):
-    store: ReplayStore
-    member: int
-
-    async def read_all(self) -> ViewUpdate:
-        return await self._call(0, 0, READ_TIMEOUT_S)
-
-    async def wait(self, after: int, wait_s: float) -> ViewUpdate:
-        timeout_s = max(READ_TIMEOUT_S, wait_s + WATCH_TIMEOUT_MARGIN_S)
-        return await self._call(after, wait_s, timeout_s)
-
-    def close(self) -> None:
-        """Do nothing, as there is no connection."""
-
-    async def _call(
-        self, after: int, wait_s: float, timeout_s: float
-    ) -> ViewUpdate:
-        try:
-            async with asyncio.timeout(timeout_s):
-                if not await self.store.answer(self.member, after, wait_s):
-                    await asyncio.sleep(timeout_s)
-        except TimeoutError as exc:
-            raise PlatformError('no answer') from exc
-        return self.store.state(after)
-
-
 @define(eq=False)
 class ReplayFleet:
     """Balancers that read the store for each other.
@@ -183,8 +105,19 @@
     members: list[FleetMember] = field(factory=list)
     in_force: dict[int, dict[int, float]] = field(factory=dict)
     datagrams: int = 0
-    # Members that stand still; what they would receive waits.
-    frozen: set[int] = field(factory=set)
+    # Members without power.
+    off: set[int] = field(factory=set)
+    # Members whose views can't be pulled.
+    unpullable: set[int] = field(factory=set)
+    # Members that a scenario disturbs, of which no bound is asked.
+    disturbed: set[int] = field(factory=set)
+    # Pairs of sender and recipient between which no datagram arrives.
+    blocked: set[tuple[int, int]] = field(factory=set)
+    # Members that are sidecars, and those that run the build before.
+    sidecars: frozenset[int] = frozenset()
+    before: set[int] = field(factory=set)
+    # Datagrams for members that are frozen.
+    _waiting: list[tuple[int, bytes, int]] = field(factory=list)
     _tasks: list[asyncio.Task[None]] = field(factory=list)
 
     def start(self, count: int) -> None:
@@ -195,9 +128,37 @@
     async def restart(self, number: int) -> None:
         """End a member and start it again without a view."""
         self._tasks[number].cancel()
+        self.off.discard(number)
         self.members[number] = self._build(number)
         self._tasks[number] = asyncio.create_task(self._run(number))
 
+    def lose_power(self, numbers: Iterable[int]) -> None:
+        """End members at once; they answer nothing until a restart."""
+        for number in numbers:
+            self.off.add(number)
+            self.disturbed.add(number)
+            self._tasks[number].cancel()
+
+    def freeze(self, numbers: Iterable[int]) -> None:
+        """Stop members; what they would receive waits."""
+        self.store.frozen.update(numbers)
+
+    async def thaw(self, paused_s: float) -> None:
+        """Resume the members that were stopped for ``paused_s`` seconds."""
+        now = asyncio.get_running_loop().time()
+        thawed = set(self.store.frozen)
+        self.store.thaw()
+        for number in thawed:
+            self.members[number].on_pause(now, paused_s)
+        waiting = self._waiting.copy()
+        self._waiting.clear()
+        for sender, raw, number in waiting:
+            self._deliver(sender, raw, number)
+
+    def survivors(self) -> set[int]:
+        """Return the members that have power."""
+        return set(range(len(self.members))) - self.off
+
     def readers(self) -> list[int]:
         """Return the members that read the store."""
         return [
@@ -234,11 +195,13 @@
         member = FleetMember(
             settings,
             callbacks,
-            _MemberSource(self.store, number),
+            MemberSource(self.store, number),
             random.Random(self.rng.random()),
-            is_balancer=True,
+            is_balancer=number not in self.sidecars,
         )
         member.view.clock = asyncio.get_running_loop().time
+        if number in self.before:
+            downgrade(member)
         return member
 
     async def _run(self, number: int) -> None:
@@ -250,23 +213,29 @@
         member.gossip.request_statuses(loop.time())
         try:
             while True:
-                member.tick(loop.time())
+                if number not in self.store.frozen:
+                    member.tick(loop.time())
                 await asyncio.sleep(TICK_S)
         finally:
             reading.cancel()
 
     def _send(self, sender: int, raw: bytes, recipient: SocketAddress) -> None:
-        self.datagrams += 1
-        if self.rng.random() < self.loss:
+        if sender in self.off:
             return
-        octets = [int(part) for part in recipient[0].split('.')]
-        number = octets[1] * 65536 + octets[2] * 256 + octets[3]
-        if number < len(self.members):
+        self.datagrams += 1
+        number = self._number(recipient)
+        is_lost = self.rng.random() < self.loss
+        if not is_lost and number < len(self.members):
             asyncio.get_running_loop().call_later(
                 NETWORK_S, self._deliver, sender, raw, number
             )
 
     def _deliver(self, sender: int, raw: bytes, number: int) -> None:
+        if number in self.off or (sender, number) in self.blocked:
+            return
+        if number in self.store.frozen:
+            self._waiting.append((sender, raw, number))
+            return
         now = asyncio.get_running_loop().time()
         message = decode_datagram(raw)
         gossip = self.members[number].gossip
@@ -285,13 +254,19 @@
     ) -> ViewUpdate:
         """Return a member's view after two round trips."""
         await asyncio.sleep(4 * NETWORK_S)
-        octets = [int(part) for part in peer[0].split('.')]
-        number = octets[1] * 65536 + octets[2] * 256 + octets[3]
+        number = self._number(peer)
         if number >= len(self.members):
             raise PeerError('no such member')
+        if number in self.off | self.store.frozen | self.unpullable:
+            await asyncio.sleep(PULL_TIMEOUT_S)
+            raise PeerError('no answer')
         view = self.members[number].view
         return decode_update(encode_update(view, base, version))
 
+    def _number(self, address: SocketAddress) -> int:
+        octets = [int(part) for part in address[0].split('.')]
+        return octets[1] * 65536 + octets[2] * 256 + octets[3]
+
 
 def _no_load() -> None:
     """Return None, as a balancer has no load to report."""
@@ -304,14 +279,24 @@
     *,
     bound_s: float = 3.0,
     loss: float = 0,
+    sidecars: int = 0,
+    before: Iterable[int] = (),
 ) -> ReplayFleet:
-    """Run a scenario with a fleet that has settled for ten seconds."""
+    """Run a scenario with a fleet that has settled for ten seconds.
+
+    The last members are sidecars, those in ``before`` run the build before.
+    """
     fleets: list[ReplayFleet] = []
 
     async def work() -> None:
         fleet = ReplayFleet(
             ReplayStore(), random.Random(seed), bound_s, loss=loss
         )
+        fleet.before.update(before)
+        fleet.sidecars = frozenset(range(count - sidecars, count))
+        for number in fleet.sidecars:
+            host = fleet.address(number)[0]
+            fleet.store.put(build_record(number, host=host))
         fleets.append(fleet)
         with mock.patch(
             'dragonflyshift._internal.carried.fleet.puller.pull_view',
--- a/tests/unit/carried/test_reader.py
+++ b/tests/unit/carried/test_reader.py
@@ -33,6 +33,8 @@
     (build_record(1), build_record(2)),
     routes=build_routes(1),
 )
+# The calls of a daemon that begins to read, with a view from peers.
+_FIRST_CALLS = ['after 5', 'all']
 
 
 class _ScriptedSource(ViewSource):
@@ -201,7 +203,8 @@
         empty = ViewUpdate(5, 5)
         self.view = FleetView()
         self.view.apply(_COMPLETE_STATE)
-        source = _ScriptedSource([empty, empty, PlatformError('lost'), empty])
+        lost = PlatformError('lost')
+        source = _ScriptedSource([empty, _COMPLETE_STATE, empty, lost, empty])
         task = asyncio.create_task(self._build_reader(source).run())
         await asyncio.sleep(0.6)
         task.cancel()
@@ -209,6 +212,49 @@
         self.assertAlmostEqual(source.waits[1], 1, delta=0.1)
         # After a failure the daemon begins anew.
         self.assertEqual(source.waits[3], 0)
+        # It has read everything itself, so it need not list it again.
+        self.assertEqual(source.calls[:2], _FIRST_CALLS)
+        self.assertEqual(set(source.calls[2:]), {'after 5'})
+
+    async def test_daemon_that_begins_to_read_lists_what_peers_sent(self):
+        """A peer may have ended before it sent a part, or dropped an entry."""
+        self.view = FleetView()
+        self.view.apply(_COMPLETE_STATE)
+        self.view.merge(build_record(3))
+        listing = evolve(_COMPLETE_STATE, routes=build_routes(2))
+        source = _ScriptedSource([ViewUpdate(5, 5), listing])
+        reader = self._build_reader(source)
+        task = asyncio.create_task(reader.run())
+        await asyncio.sleep(0.2)
+        self.assertEqual(source.calls, _FIRST_CALLS)
+        self.assertEqual(self.view.routes.version, 2)
+        now = time.monotonic()
+        self.assertEqual(reader.confirm_removals(now), ())
+        dropped = reader.confirm_removals(now + REMOVAL_GRACE_S)
+        self.assertEqual(dropped, ('instance-3',))
+        task.cancel()
+
+    async def test_changes_of_peers_do_not_replace_reading(self) -> None:
+        """A peer may keep a removal as tentative, and then lose power."""
+        source = _ScriptedSource([_COMPLETE_STATE, ViewUpdate(5, 6)])
+        source.on_call['all'] = lambda: self.view.apply(
+            ViewUpdate(0, 9, routes=build_routes(1))
+        )
+        await self._run(source, 0.2)
+        self.assertEqual(self.view.revision, 9)
+        self.assertEqual(source.calls, ['all', 'after 5'])
+
+    async def test_entry_that_a_peer_sends_after_the_grace_period_is_dropped(
+        self,
+    ) -> None:
+        reader = await self._run(_ScriptedSource([_COMPLETE_STATE]), 0.2)
+        now = time.monotonic() + REMOVAL_GRACE_S
+        self.assertEqual(reader.confirm_removals(now), ())
+        self.view.merge(build_record(3))
+        self.view.evacuations.merge(build_evacuation(4))
+        self.assertEqual(reader.confirm_removals(now), ('instance-3',))
+        self.assertEqual(len(reader.confirm_evacuations(now)), 1)
+        self.assertEqual(self.view.evacuations.evacuated, frozenset())
 
     async def test_watches_are_shorter_if_the_store_answers_late(self) -> None:
         """The view of a reader must not get older for that."""
--- a/tests/unit/carried/test_view_promise.py
+++ b/tests/unit/carried/test_view_promise.py
@@ -1,7 +1,8 @@
 """Tests that a revision promises no more than the view holds.
 
 Peers skip the changes up to a view's revision, readers read on after it. A part
-that a message doesn't carry must therefore keep the revision where it is.
+that a message doesn't carry must therefore keep the revision where it is, or
+be one that every reader finds in the store by itself.
 """
 
 import enum
@@ -20,6 +21,7 @@
     encode_update,
 )
 from dragonflyshift._internal.carried.fleet.gossip import Gossip
+from dragonflyshift._internal.carried.fleet.listing import StoreListing
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.carried.messages import ChangeNotice
 from dragonflyshift._internal.carried.policies.evacuation import (
@@ -27,6 +29,7 @@
 )
 from dragonflyshift._internal.carried.routes import RouteTable, Warmup
 from tests.lib.carried import (
+    DATA_CENTER,
     SERVICE,
     build_evacuation,
     build_record,
@@ -45,7 +48,8 @@
     CARRIED = enum.auto()
     # In pulls only: a notice leaves the revision as it is.
     PULLED = enum.auto()
-    # Known to the readers only, which drop it once it is confirmed.
+    # Found by each reader itself, which compares its view with the store's
+    # listing.
     READ = enum.auto()
     # Observed by each daemon itself, or derived from other parts.
     LOCAL = enum.auto()
@@ -237,6 +241,49 @@
             self.assertEqual(_held(recipient.view), _held(sender.view))
 
 
+class ListingTest(unittest.TestCase):
+    """A peer may end before it drops an entry that the store has removed."""
+
+    def setUp(self) -> None:
+        self.view = FleetView()
+        self.listing = StoreListing()
+        self._read(_first_state())
+
+    def test_entry_that_only_a_peer_has_sent_has_ended(self) -> None:
+        self.view.merge(build_record(4, revision=4))
+        ended = self.listing.find_ended_endpoints(self.view)
+        self.assertEqual(ended, ['instance-4'])
+
+    def test_newer_entry_of_a_peer_is_kept(self) -> None:
+        self.view.merge(build_record(4, revision=6))
+        self.assertEqual(self.listing.find_ended_endpoints(self.view), [])
+
+    def test_entry_that_was_removed_and_sent_again_has_ended(self) -> None:
+        self._read(ViewUpdate(5, 6, removed=(('instance-1', 6),)))
+        self.assertEqual(self.listing.find_ended_endpoints(self.view), [])
+        self.view.records['instance-1'] = build_record(1)
+        ended = self.listing.find_ended_endpoints(self.view)
+        self.assertEqual(ended, ['instance-1'])
+
+    def test_evacuation_that_only_a_peer_has_sent_has_ended(self) -> None:
+        self.view.evacuations.merge(build_evacuation(4))
+        ended = self.listing.find_ended_evacuations(self.view)
+        self.assertEqual(ended, [DATA_CENTER])
+        self._read(ViewUpdate(5, 6, evacuations=(build_evacuation(6),)))
+        self.assertEqual(self.listing.find_ended_evacuations(self.view), [])
+
+    def test_changes_after_a_gap_prove_nothing(self) -> None:
+        """Peers have supplied what lies between."""
+        self._read(ViewUpdate(8, 9))
+        self.view.merge(build_record(4, revision=4))
+        self.assertFalse(self.listing.is_complete)
+        self.assertEqual(self.listing.find_ended_endpoints(self.view), [])
+
+    def _read(self, update: ViewUpdate) -> None:
+        self.listing.apply(update)
+        self.view.apply(update)
+
+
 def _apply_all(*updates: ViewUpdate) -> FleetView:
     view = FleetView()
     for update in updates:
