Drop instead of reset what a balancer without a configuration can't place

Cause: a balancer that had started without a view held copies of first packets and refused them after 1.3 s, while other balancers had opened the flows from other copies. It knows neither routes nor servers, so it has nothing to say; the client's attempt ends by itself 0.1 s later.

Why it works: a flow that is not placed in time is refused only by a balancer that has ever had a configuration. The new test failed before.

--- a/src/dragonflyshift/_internal/carried/balancer/placer.py
+++ b/src/dragonflyshift/_internal/carried/balancer/placer.py
@@ -180,7 +180,7 @@
         """Retry after timeouts and refuse the flows that are too old."""
         for pending in tuple(self.pending.values()):
             if now - pending.received_at > PLACEMENT_TIMEOUT_S:
-                self._refuse(now, pending, 'not-placed-in-time')
+                self._end_placement(now, pending)
             elif pending.offered_to is not None:
                 if now - pending.offered_at > REPLY_TIMEOUT_S:
                     self._on_no_reply(now, pending)
@@ -193,6 +193,18 @@
             if pending.offered_to is None:
                 self._offer(now, pending)
 
+    def _end_placement(self, now: float, pending: PendingFlow) -> None:
+        """Refuse a flow that was not placed in time.
+
+        A balancer that has never had a configuration says nothing: another one
+        may have opened the flow from a copy of the first packet.
+        """
+        if self.view.is_usable:
+            self._refuse(now, pending, 'not-placed-in-time')
+            return
+        self.pending.pop(pending.packet.key)
+        self._log_slow(now, pending, 'no-configuration')
+
     def _refuse(self, now: float, pending: PendingFlow, reason: str) -> None:
         """Refuse a flow that no sidecar has accepted."""
         key = pending.packet.key
--- a/tests/unit/carried/test_flow_forwarder.py
+++ b/tests/unit/carried/test_flow_forwarder.py
@@ -111,6 +111,15 @@
         self.assertEqual(len(self.outbox.to_daemon), 1)
         self.assertEqual(self.outbox.to_client, [])
 
+    def test_flow_is_not_reset_if_no_configuration_arrives(self) -> None:
+        """Another balancer may have opened it from a copy of its packet."""
+        self.forwarder = self._create_forwarder(FleetView())
+        self.view_age_s = float('inf')
+        self._send(0, SYN)
+        self.forwarder.tick(1.4)
+        self.assertEqual(self.outbox.to_client, [])
+        self.assertEqual(self.forwarder.placer.pending, {})
+
     def test_flow_without_a_route_is_refused_at_once(self) -> None:
         self.key = build_key(port=9)
         self._send(0, SYN)
