Reset no flow by a young view that sidecars don't confirm

Cause: entries that lapsed in an outage return within two seconds. A balancer whose first listing falls in between lists the others, and took their denial of a flow for complete. It can't tell whether an outage has just ended.

Why it works: until the store has confirmed the view for 2.2 s after its first listing, a reset also needs that every listed sidecar reports the same endpoints. Sidecars that ran through the outage still list the lapsed ones; their views reach the balancer by pulls, and the flow's owner is found. After a loss of all power everybody starts with the same list, so that resets stay soon: the statuses are requested with the confirmation that a lookup waits for anyway, at most every 0.1 s. A plain wait of 2.2 s was weighed: it would delay those resets, too. Lookups of more than 16 sidecars already need a delegate with the same list, and stay as they are.

--- a/bench/emulator/daemons.py
+++ b/bench/emulator/daemons.py
@@ -182,7 +182,9 @@
                 self._to_client,
                 _sidecar_address,
                 _view_age_s,
-                _request_reader_statuses,
+                _has_same_view,
+                _request_nothing,
+                _request_nothing,
             ),
             self.rng,
             Counters(),
@@ -259,7 +261,7 @@
             LookupDelegateCallbacks(
                 self._to_balancer,
                 _sidecar_address,
-                _request_reader_statuses,
+                _request_nothing,
                 self.flow_handler.admission.record_malformed,
             ),
         )
@@ -311,5 +313,9 @@
     return 0
 
 
-def _request_reader_statuses() -> None:
+def _request_nothing(*_args: object) -> None:
     """Do nothing: the simulated view is always current."""
+
+
+def _has_same_view(_sidecars: object) -> bool:
+    return True
--- a/bench/micro/carried.py
+++ b/bench/micro/carried.py
@@ -79,8 +79,12 @@
     return 0
 
 
-def _request_reader_statuses() -> None:
-    """Stub that requests no status from the readers of the store."""
+def _request_nothing(*_args: object) -> None:
+    """Stub that requests no status."""
+
+
+def _has_same_view(_sidecars: object) -> bool:
+    return True
 
 
 def _build_forwarder(endpoints: int) -> FlowForwarder:
@@ -94,7 +98,9 @@
             _drop,
             _sidecar_of,
             _view_age_s,
-            _request_reader_statuses,
+            _has_same_view,
+            _request_nothing,
+            _request_nothing,
         ),
         random.Random(1),
         Counters(),
--- a/src/dragonflyshift/_internal/carried/balancer/forwarder.py
+++ b/src/dragonflyshift/_internal/carried/balancer/forwarder.py
@@ -4,7 +4,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define
 
@@ -17,6 +17,7 @@
     PlacerCallbacks,
 )
 from dragonflyshift._internal.carried.balancer.sidecars import SidecarTable
+from dragonflyshift._internal.carried.fleet.reader import REMOVAL_GRACE_S
 from dragonflyshift._internal.carried.fleet.view import FleetView
 from dragonflyshift._internal.carried.lookups import (
     LookupTable,
@@ -56,15 +57,19 @@
 
     ``sidecar_of(record)`` returns the address of the sidecar of a backend
     server. ``view_age_s(now)`` is the time since the store confirmed the
-    view. ``request_reader_statuses()`` requests the status of the daemons that
-    read the store.
+    view. ``has_same_view(sidecars)`` returns whether sidecars have reported the
+    same endpoints as the view lists. ``request_reader_statuses()`` requests the
+    status of the daemons that read the store, ``request_statuses(now,
+    sidecars)`` that of sidecars.
     """
 
     to_sidecar: Callable[[bytes, SocketAddress], None]
     to_client: Callable[[bytes, FlowKey], None]
     sidecar_of: Callable[[EndpointRecord], SocketAddress]
     view_age_s: Callable[[float], float]
+    has_same_view: Callable[[Iterable[SocketAddress]], bool]
     request_reader_statuses: Callable[[], None]
+    request_statuses: Callable[[float, Iterable[SocketAddress]], None]
 
 
 @define(eq=False, repr=False)
@@ -124,7 +129,10 @@
                 callbacks.to_client,
                 callbacks.sidecar_of,
                 self._is_view_current,
+                self._is_view_settled,
+                callbacks.has_same_view,
                 callbacks.request_reader_statuses,
+                callbacks.request_statuses,
                 self._on_owner_found,
             ),
             codec,
@@ -290,5 +298,14 @@
     def _is_view_current(self, now: float) -> bool:
         return self._callbacks.view_age_s(now) < MAX_VIEW_AGE_S
 
+    def _is_view_settled(self, now: float) -> bool:
+        """Return whether the store has confirmed the view for long enough.
+
+        Entries that lapsed in an outage right before the first listing would be
+        in it by then.
+        """
+        confirmed_at = now - self._callbacks.view_age_s(now)
+        return confirmed_at - self.view.listed_since >= REMOVAL_GRACE_S
+
 
 _OWNER_STATUSES = frozenset((FlowStatus.ACCEPTED, FlowStatus.OWNED))
--- a/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
+++ b/src/dragonflyshift/_internal/carried/balancer/owner_lookup.py
@@ -8,7 +8,7 @@
 __all__ = ('OwnerLookup', 'OwnerLookupCallbacks')
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 
@@ -48,6 +48,9 @@
 # For more sidecars than this a lookup is delegated to a sidecar: each ownership
 # query and its reply take a balancer with a sixth of a core 0.4 ms.
 MAX_QUERIED_SIDECARS = 16
+# Interval of the requests to all sidecars after a start, however many lookups
+# end meanwhile.
+STATUS_REQUEST_INTERVAL_S = 0.1
 
 
 @define(eq=False, repr=False)
@@ -56,16 +59,23 @@
 
     ``sidecar_of(record)`` returns the address of the sidecar of a backend
     server. ``is_view_current(now)`` returns whether the view is regarded as
-    complete. ``request_reader_statuses()`` requests the status of the daemons
-    that read the store. ``on_owner_found(now, key, sidecar)`` reports the
-    owner that a delegated lookup found.
+    complete, ``is_view_settled(now)`` whether it would hold the entries that
+    lapsed in an outage right before its first listing.
+    ``has_same_view(sidecars)`` returns whether sidecars have reported the same
+    endpoints as this view lists. ``request_reader_statuses()`` requests the
+    status of the daemons that read the store, ``request_statuses(sidecars)``
+    that of sidecars. ``on_owner_found(now, key, sidecar)`` reports the owner
+    that a delegated lookup found.
     """
 
     to_sidecar: Callable[[bytes, SocketAddress], None]
     to_client: Callable[[bytes, FlowKey], None]
     sidecar_of: Callable[[EndpointRecord], SocketAddress]
     is_view_current: Callable[[float], bool]
+    is_view_settled: Callable[[float], bool]
+    has_same_view: Callable[[Iterable[SocketAddress]], bool]
     request_reader_statuses: Callable[[], None]
+    request_statuses: Callable[[float, Iterable[SocketAddress]], None]
     on_owner_found: Callable[[float, FlowKey, SocketAddress], None]
 
 
@@ -85,13 +95,15 @@
     counters: Counters
     lookups: LookupTable = field(init=False)
     delegated: DelegatedLookups = field(init=False)
+    # When the statuses of all sidecars were last requested.
+    _requested_at: float = field(default=float('-inf'))
 
     def __attrs_post_init__(self) -> None:
         """Create both kinds of lookups."""
         self.lookups = LookupTable(
             LookupCallbacks(
                 self.callbacks.to_sidecar,
-                self.callbacks.request_reader_statuses,
+                self._request_statuses,
                 self._on_denied,
                 self._on_unanswered,
             ),
@@ -155,6 +167,29 @@
                 return sidecar
         return candidates[0]
 
+    def _is_complete(
+        self, now: float, sidecars: Iterable[SocketAddress]
+    ) -> bool:
+        """Return whether the view lists all living servers.
+
+        Entries that lapsed in an outage return within seconds. A view that
+        began with a listing in between lacks them, while the sidecars that ran
+        through the outage still list them.
+        """
+        return self.callbacks.is_view_settled(
+            now
+        ) or self.callbacks.has_same_view(sidecars)
+
+    def _request_statuses(self) -> None:
+        """Request the statuses that confirm that the view is complete."""
+        self.callbacks.request_reader_statuses()
+        now = self.view.clock()
+        is_due = now - self._requested_at > STATUS_REQUEST_INTERVAL_S
+        if is_due and not self.callbacks.is_view_settled(now):
+            self._requested_at = now
+            sidecars = sidecar_addresses(self.view, self.callbacks.sidecar_of)
+            self.callbacks.request_statuses(now, sidecars)
+
     def _on_unanswered(self, lookup: PendingLookup) -> None:
         """Log that a lookup failed.
 
@@ -175,7 +210,8 @@
             lookup.queried,
             lookup.answered - lookup.unsure,
             sidecars,
-            is_view_current=is_view_current,
+            is_view_current=is_view_current
+            and self._is_complete(now, sidecars),
         ):
             if self._reset_flow(lookup.packets):
                 self._log_lookup('flow-reset', lookup)
--- a/src/dragonflyshift/_internal/carried/fleet/gossip.py
+++ b/src/dragonflyshift/_internal/carried/fleet/gossip.py
@@ -11,7 +11,6 @@
 
 import logging
 import time
-import zlib
 from collections.abc import Callable, Iterable
 
 from attrs import define, field
@@ -27,7 +26,10 @@
 from dragonflyshift._internal.carried.fleet.status_recipients import (
     StatusRecipients,
 )
-from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.fleet.view import (
+    FleetView,
+    view_digest,
+)
 from dragonflyshift._internal.carried.load import LoadReport
 from dragonflyshift._internal.carried.messages import ChangeNotice, DaemonStatus
 from dragonflyshift._internal.carried.packet import SocketAddress
@@ -143,7 +145,7 @@
             # Earlier notices may be lost, so the peer's own revision counts.
             peer.sent_revision = status.revision
             self._send_changes(now, address)
-        elif status.digest != _digest(self.view) and status.revision:
+        elif status.digest != view_digest(self.view) and status.revision:
             self.puller.pull_all(now, address)
 
     def on_notice(
@@ -184,7 +186,7 @@
             data_center=self.recipients.data_center,
             revision=self.view.revision,
             version=self.view.routes.version,
-            digest=_digest(self.view),
+            digest=view_digest(self.view),
             age_ms=int(age_s * MS_PER_S),
             is_leaving=self.is_leaving,
             wants_reply=wants_reply,
@@ -314,18 +316,6 @@
         self.publish(now)
 
 
-def _digest(view: FleetView) -> int:
-    """Return the checksum by which peers compare views of one revision.
-
-    Without an evacuation it is that of the endpoints, which the build before
-    sends.
-    """
-    digest = view.checksum
-    for data_center in view.evacuations.evacuated:
-        digest ^= zlib.crc32(f'evacuated:{data_center}'.encode())
-    return digest
-
-
 def _is_behind(view: FleetView, revision: int, version: int) -> bool:
     return version > view.routes.version or revision > view.revision
 
--- a/src/dragonflyshift/_internal/carried/fleet/member.py
+++ b/src/dragonflyshift/_internal/carried/fleet/member.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define
 
@@ -25,7 +25,10 @@
 from dragonflyshift._internal.carried.fleet.status_recipients import (
     StatusRecipients,
 )
-from dragonflyshift._internal.carried.fleet.view import FleetView
+from dragonflyshift._internal.carried.fleet.view import (
+    FleetView,
+    view_digest,
+)
 from dragonflyshift._internal.carried.load import LoadReport
 from dragonflyshift._internal.carried.node_settings import NodeSettings
 from dragonflyshift._internal.carried.packet import SocketAddress
@@ -174,6 +177,10 @@
             return self.reader.confirm_removals(now)
         return () if confirm_at is None else self.view.confirm_removals()
 
+    def has_same_endpoints(self, addresses: Iterable[SocketAddress]) -> bool:
+        """Return whether daemons have reported the endpoints of this view."""
+        return self.peer_table.have_reported(addresses, view_digest(self.view))
+
     def request_reader_statuses(self) -> None:
         """Request the statuses of the readers of the store."""
         now = time.monotonic()
--- a/src/dragonflyshift/_internal/carried/fleet/peers.py
+++ b/src/dragonflyshift/_internal/carried/fleet/peers.py
@@ -106,6 +106,15 @@
             and peer.status.age_ms < READER_MAX_AGE_MS
         )
 
+    def have_reported(
+        self, addresses: Iterable[SocketAddress], digest: int
+    ) -> bool:
+        """Return whether the last status of each daemon has a checksum."""
+        peers = map(self.peers.get, addresses)
+        return all(
+            peer is not None and peer.status.digest == digest for peer in peers
+        )
+
     def is_sidecar(self, now: float, address: SocketAddress) -> bool:
         """Return whether a sidecar at an address has reported itself lately."""
         peer = self.peers.get(address)
--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -7,7 +7,12 @@
 before it.
 """
 
-__all__ = ('FleetView', 'ViewUpdate', 'has_records_before_epoch')
+__all__ = (
+    'FleetView',
+    'ViewUpdate',
+    'has_records_before_epoch',
+    'view_digest',
+)
 
 import time
 import zlib
@@ -377,6 +382,18 @@
     )
 
 
+def view_digest(view: FleetView) -> int:
+    """Return the checksum by which peers compare views of one revision.
+
+    Without an evacuation it is that of the endpoints, which the build before
+    sends.
+    """
+    digest = view.checksum
+    for data_center in view.evacuations.evacuated:
+        digest ^= zlib.crc32(f'evacuated:{data_center}'.encode())
+    return digest
+
+
 def _removals(
     records: Mapping[str, EndpointRecord], update: ViewUpdate
 ) -> Iterable[tuple[str, int]]:
--- a/tests/lib/carried.py
+++ b/tests/lib/carried.py
@@ -2,7 +2,7 @@
 
 import random
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from attrs import define, field
@@ -277,11 +277,18 @@
     return 0
 
 
+def has_any_view(_sidecars: Iterable[SocketAddress]) -> bool:
+    """Return that sidecars list the same endpoints."""
+    return True
+
+
 def build_forwarder(
     view: FleetView,
     outbox: Outbox,
     view_age_s: Callable[[float], float] = _no_age_s,
     request_reader_statuses: Callable[[], None] = ignore,
+    has_same_view: Callable[[Iterable[SocketAddress]], bool] = has_any_view,
+    request_statuses: Callable[[float, Iterable[SocketAddress]], None] = ignore,
 ) -> FlowForwarder:
     """Return the forwarder of a balancer that sends to an outbox."""
     return FlowForwarder(
@@ -294,7 +301,9 @@
             outbox.add_client_packet,
             sidecar_address,
             view_age_s,
+            has_same_view,
             request_reader_statuses,
+            request_statuses,
         ),
         random.Random(1),
         Counters(),
--- a/tests/unit/carried/test_flow_ownership.py
+++ b/tests/unit/carried/test_flow_ownership.py
@@ -64,6 +64,7 @@
     build_record,
     build_route,
     build_routes,
+    has_any_view,
     ignore,
     sidecar_address,
 )
@@ -261,6 +262,8 @@
                 self._on_client_packet,
                 sidecar_address,
                 lambda _now: 0,
+                has_any_view,
+                ignore,
                 ignore,
             ),
             random.Random(1),
