Keep what limits a revision beside the revisions

Each role may import fewer than 60 modules of the package, for its start on a quarter of a core; the two new ones made it 61 (test_imports). The classes move, nothing else changes.

--- a/src/dragonflyshift/_internal/carried/fleet/reader.py
+++ b/src/dragonflyshift/_internal/carried/fleet/reader.py
@@ -11,8 +11,10 @@
 
 from attrs import define, field
 
-from dragonflyshift._internal.carried.fleet.listing import StoreListing
-from dragonflyshift._internal.carried.fleet.revisions import epoch_of
+from dragonflyshift._internal.carried.fleet.revisions import (
+    StoreListing,
+    epoch_of,
+)
 from dragonflyshift._internal.carried.fleet.view import (
     FleetView,
     ViewUpdate,
--- a/src/dragonflyshift/_internal/carried/fleet/view.py
+++ b/src/dragonflyshift/_internal/carried/fleet/view.py
@@ -20,11 +20,9 @@
 
 from attrs import Factory, define, evolve, field, frozen
 
-from dragonflyshift._internal.carried.fleet.reported_version import (
-    ReportedVersion,
-)
 from dragonflyshift._internal.carried.fleet.revisions import (
     RemovalLog,
+    ReportedVersion,
     epoch_of,
 )
 from dragonflyshift._internal.carried.packet import SocketAddress
--- a/tests/unit/carried/test_view_promise.py
+++ b/tests/unit/carried/test_view_promise.py
@@ -21,7 +21,7 @@
     encode_update,
 )
 from dragonflyshift._internal.carried.fleet.gossip import Gossip
-from dragonflyshift._internal.carried.fleet.listing import StoreListing
+from dragonflyshift._internal.carried.fleet.revisions import StoreListing
 from dragonflyshift._internal.carried.fleet.view import FleetView, ViewUpdate
 from dragonflyshift._internal.carried.messages import ChangeNotice
 from dragonflyshift._internal.carried.policies.evacuation import (
